Lay the ground: build rules, checks, errors as values, HTTP server and client

Cause: nothing stood yet; every later part needs one way to build, to check, to fail and to talk. Ruled out: reusing idle connections for work that must not be repeated. libcurl resends by itself when a reused connection turns out dead, so such calls open a connection of their own. Change: CMake rules (one library and one test program per folder), clang-format and clang-tidy as part of scripts/test.sh, numbered errors with docs/ERRORS.md held by a test, bounded ring, logs, RESTinio server and libcurl client behind plain values, docs/ASSUMPTIONS.md on the outside. Conclusion: a ground to build the daemon on; an answer over the limit or a given-up exchange never reaches a caller in part (tests in tests/net).

--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,183 @@
+#include "net/http_server.hpp"
+
+#include <fmt/format.h>
+
+#include <restinio/all.hpp>
+
+#include <atomic>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+namespace poplarstile::net
+{
+namespace
+{
+
+struct server_traits : restinio::default_traits_t {
+    using request_handler_t =
+        std::function<restinio::request_handling_status_t(const restinio::request_handle_t&)>;
+    static constexpr bool use_connection_count_limiter = true;
+};
+
+using restinio_server = restinio::http_server_t<server_traits>;
+
+http_request to_request(const restinio::request_handle_t& incoming)
+{
+    http_request request;
+    const auto& header = incoming->header();
+    request.method = header.method().c_str();
+    request.path = std::string{header.path()};
+    request.query = std::string{header.query()};
+    header.for_each_field([&request](const restinio::http_header_field_t& field) {
+        request.headers.push_back({std::string{field.name()}, std::string{field.value()}});
+    });
+    request.body = incoming->body();
+    request.remote_address = incoming->remote_endpoint().address().to_string();
+    return request;
+}
+
+std::string_view reason_phrase(std::uint16_t status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 202:
+        return "Accepted";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 409:
+        return "Conflict";
+    case 429:
+        return "Too Many Requests";
+    case 503:
+        return "Service Unavailable";
+    default:
+        return status < 400 ? "OK" : "Error";
+    }
+}
+
+void send_response(const restinio::request_handle_t& incoming, http_response response)
+{
+    const restinio::http_status_line_t line{restinio::http_status_code_t{response.status},
+                                            std::string{reason_phrase(response.status)}};
+    auto answer = incoming->create_response(line);
+    answer.append_header(restinio::http_field::content_type, response.content_type);
+    for (auto& header : response.headers) {
+        answer.append_header(std::move(header.name), std::move(header.value));
+    }
+    if (!incoming->header().should_keep_alive()) {
+        answer.connection_close();
+    }
+    answer.set_body(std::move(response.body));
+    answer.done();
+}
+
+restinio::incoming_http_msg_limits_t message_limits(const http_server_options& options)
+{
+    restinio::incoming_http_msg_limits_t limits;
+    limits.max_url_size(options.max_header_bytes);
+    limits.max_field_name_size(options.max_header_bytes);
+    limits.max_field_value_size(options.max_header_bytes);
+    limits.max_field_count(options.max_header_count);
+    limits.max_body_size(options.max_body_bytes);
+    return limits;
+}
+
+} // namespace
+
+struct http_responder::state {
+    send_function send;
+    std::atomic_flag answered;
+};
+
+http_responder::http_responder(send_function send) : state_{std::make_shared<state>()}
+{
+    state_->send = std::move(send);
+}
+
+void http_responder::send(http_response response) const
+{
+    if (!state_->answered.test_and_set()) {
+        state_->send(std::move(response));
+        state_->send = nullptr;
+    }
+}
+
+struct http_server::implementation {
+    explicit implementation(http_handler request_handler) : handler{std::move(request_handler)} {}
+
+    restinio::request_handling_status_t handle(const restinio::request_handle_t& incoming) const
+    {
+        handler(to_request(incoming), http_responder{[incoming](http_response response) {
+                    send_response(incoming, std::move(response));
+                }});
+        return restinio::request_accepted();
+    }
+
+    http_handler handler;
+    std::uint16_t port = 0;
+    asio::io_context context;
+    std::unique_ptr<restinio_server> server;
+    std::vector<std::thread> threads;
+};
+
+http_server::http_server(std::unique_ptr<implementation> impl) : impl_{std::move(impl)} {}
+
+base::result<std::unique_ptr<http_server>> http_server::start(const http_server_options& options,
+                                                              http_handler handler)
+{
+    auto impl = std::make_unique<implementation>(std::move(handler));
+    auto* const raw = impl.get();
+    try {
+        impl->server = std::make_unique<restinio_server>(
+            restinio::external_io_context(impl->context),
+            [raw, &options](restinio::server_settings_t<server_traits>& settings) {
+                settings.address(options.address)
+                    .port(options.port)
+                    .incoming_http_msg_limits(message_limits(options))
+                    .read_next_http_message_timelimit(options.read_timeout)
+                    .handle_request_timeout(options.handle_timeout)
+                    .write_http_response_timelimit(options.read_timeout)
+                    .max_parallel_connections(options.max_connections)
+                    .separate_accept_and_create_connect(true)
+                    .socket_options_setter([](auto& socket_options) {
+                        socket_options.set_option(asio::ip::tcp::no_delay{true});
+                    })
+                    .acceptor_options_setter([](auto& acceptor_options) {
+                        acceptor_options.set_option(asio::socket_base::reuse_address{true});
+                    })
+                    .acceptor_post_bind_hook([raw](asio::ip::tcp::acceptor& acceptor) {
+                        raw->port = acceptor.local_endpoint().port();
+                    })
+                    .request_handler([raw](const restinio::request_handle_t& incoming) {
+                        return raw->handle(incoming);
+                    });
+            });
+        impl->server->open_sync();
+    } catch (const std::exception& failure) {
+        return base::error{base::error_code::listen_failed,
+                           fmt::format("{}:{}", options.address, options.port), failure.what(), ""};
+    }
+    for (std::size_t index = 0; index < options.threads; ++index) {
+        impl->threads.emplace_back([raw] { raw->context.run(); });
+    }
+    return std::unique_ptr<http_server>{new http_server{std::move(impl)}};
+}
+
+http_server::~http_server()
+{
+    impl_->context.stop();
+    for (auto& thread : impl_->threads) {
+        thread.join();
+    }
+}
+
+std::uint16_t http_server::port() const
+{
+    return impl_->port;
+}
+
+} // namespace poplarstile::net
--- /dev/null
+++ b/src/net/http_server.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "net/http_message.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace poplarstile::net
+{
+
+/// Limits of one listening port; a request outside them is refused before the handler sees it.
+struct http_server_options {
+    /// IP number, not a host name.
+    std::string address = "127.0.0.1";
+    /// 0 takes any free port; see `http_server::port`.
+    std::uint16_t port = 0;
+    std::size_t threads = 1;
+    std::size_t max_connections = 4096;
+    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_header_bytes = 8 * 1024;
+    std::size_t max_header_count = 64;
+    /// Time for a whole request to arrive, counted from its first byte or from the connection.
+    base::milliseconds read_timeout{10'000};
+    /// Time that a handler may take to answer.
+    base::milliseconds handle_timeout{120'000};
+};
+
+/// Answers one request, once, from any thread. Copies share the one answer; later ones are ignored.
+class http_responder
+{
+public:
+    using send_function = std::function<void(http_response)>;
+
+    explicit http_responder(send_function send);
+
+    void send(http_response response) const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+/// Called on a server thread with each whole request; must not block.
+using http_handler = std::function<void(http_request, http_responder)>;
+
+/// An HTTP/1.1 server on its own threads (RESTinio).
+class http_server
+{
+public:
+    /// Listens and serves until destruction. Error: `listen_failed`.
+    [[nodiscard]] static base::result<std::unique_ptr<http_server>>
+    start(const http_server_options& options, http_handler handler);
+
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// The port listened on.
+    [[nodiscard]] std::uint16_t port() const;
+
+private:
+    struct implementation;
+    explicit http_server(std::unique_ptr<implementation> impl);
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace poplarstile::net
