--- a/src/settings/vm_settings.hpp
+++ b/src/settings/vm_settings.hpp
@@ -10,7 +10,8 @@
 #include <vector>
 
 /// Settings of one entry VM, read from JSON and checked whole before anything starts.
-namespace poplarstile::settings {
+namespace poplarstile::settings
+{
 
 /// What this VM is; other parts never ask the machine.
 struct vm_identity {
