--- a/src/platform/table.hpp
+++ b/src/platform/table.hpp
@@ -14,29 +14,29 @@
 using row_version = std::uint64_t;
 
 struct table_row {
-    std::string key;
+    std::string key{};
     row_version version = 0;
-    nlohmann::json value;
+    nlohmann::json value{};
 };
 
 /// Holds when the row has exactly this version at the time of the transaction.
 struct table_condition {
-    std::string key;
+    std::string key{};
     row_version version = 0;
 };
 
 /// A null value deletes the row.
 struct table_write {
-    std::string key;
-    nlohmann::json value;
+    std::string key{};
+    nlohmann::json value{};
 };
 
 /// Applies whole or not at all. `operation` names the attempt; writers store it in the rows that
 /// matter, so that a read tells whether a transaction with a lost answer took effect.
 struct table_transaction {
-    std::string operation;
-    std::vector<table_condition> conditions;
-    std::vector<table_write> writes;
+    std::string operation{};
+    std::vector<table_condition> conditions{};
+    std::vector<table_write> writes{};
 };
 
 /// How a transaction ended, as far as this side knows.
@@ -53,7 +53,7 @@
     commit_state state = commit_state::not_applied;
     row_version version = 0;
     /// Rows whose condition failed, with the versions found.
-    std::vector<table_condition> conflicts;
+    std::vector<table_condition> conflicts{};
 };
 
 } // namespace poplarstile::platform
--- /dev/null
+++ b/src/workers/worker_client.cpp
@@ -0,0 +1,310 @@
+#include "workers/worker_client.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <utility>
+
+namespace poplarstile::workers
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::array<std::string_view, 7> task_state_names{
+    "held", "running", "completed", "failed", "stopped", "expired", "absent"};
+
+net::http_call post(std::string_view address, std::string_view path, const json& body,
+                    base::milliseconds timeout)
+{
+    return {.method = "POST",
+            .url = fmt::format("http://{}{}", address, path),
+            .headers = {{"Content-Type", "application/json"}},
+            .body = body.dump(),
+            .timeout = timeout};
+}
+
+/// The caller's body is spliced in as it came, so that it is neither parsed nor rewritten here.
+std::string execute_body(const execute_call& call)
+{
+    const json head{{"request", call.request},
+                    {"attempt", call.attempt},
+                    {"service", call.service},
+                    {"deadline_ms", call.deadline.count()},
+                    {"idempotent", call.idempotent}};
+    auto text = head.dump();
+    text.pop_back();
+    return text + ",\"body\":" + (call.body.empty() ? "null" : call.body) + "}";
+}
+
+std::string text_member(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
+}
+
+std::uint64_t number_member(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+std::vector<std::uint32_t> number_list(const json& list)
+{
+    std::vector<std::uint32_t> numbers;
+    for (const auto& entry : list) {
+        if (entry.is_number_unsigned()) {
+            numbers.push_back(entry.get<std::uint32_t>());
+        }
+    }
+    return numbers;
+}
+
+execute_state attempt_state(std::string_view name)
+{
+    if (name == "completed") {
+        return execute_state::completed;
+    }
+    if (name == "failed") {
+        return execute_state::failed;
+    }
+    if (name == "running") {
+        return execute_state::running;
+    }
+    if (name == "fenced") {
+        return execute_state::fenced;
+    }
+    return name == "never_seen" ? execute_state::never_seen : execute_state::lost;
+}
+
+execute_state refusal_state(const json& body)
+{
+    const auto reason = text_member(body, "refused");
+    if (reason == "busy" || reason == "leaving") {
+        return execute_state::refused;
+    }
+    if (reason == "fenced") {
+        return execute_state::fenced;
+    }
+    return reason == "known" ? attempt_state(text_member(body, "state")) : execute_state::lost;
+}
+
+task_report read_task(const json& entry)
+{
+    return {text_member(entry, "task"),
+            text_member(entry, "job"),
+            static_cast<std::uint32_t>(number_member(entry, "gang_size")),
+            static_cast<std::uint32_t>(number_member(entry, "member")),
+            number_list(entry.value("accelerators", json::array())),
+            task_state_named(text_member(entry, "state")),
+            base::milliseconds{number_member(entry, "progress_ms")}};
+}
+
+lease_report read_report(const json& body)
+{
+    lease_report report{.worker = text_member(body, "worker"),
+                        .token = number_member(body, "token")};
+    for (const auto& entry : body.value("tasks", json::array())) {
+        if (entry.is_object()) {
+            report.tasks.push_back(read_task(entry));
+        }
+    }
+    for (const auto& entry : body.value("accelerators", json::array())) {
+        if (entry.is_object() && entry.value("broken", false)) {
+            report.broken_accelerators.push_back(
+                static_cast<std::uint32_t>(number_member(entry, "index")));
+        }
+    }
+    report.leaving = body.value("leaving", false);
+    return report;
+}
+
+} // namespace
+
+std::string_view to_string(task_state state)
+{
+    return task_state_names.at(static_cast<std::size_t>(state));
+}
+
+task_state task_state_named(std::string_view name)
+{
+    for (std::size_t index = 0; index < task_state_names.size(); ++index) {
+        if (task_state_names.at(index) == name) {
+            return static_cast<task_state>(index);
+        }
+    }
+    return task_state::absent;
+}
+
+execute_answer read_execute_answer(const net::http_reply& reply, std::string_view request,
+                                   std::string_view attempt)
+{
+    execute_answer answer{.elapsed = reply.elapsed};
+    if (reply.outcome != net::delivery::answered) {
+        answer.state = reply.outcome == net::delivery::not_sent ? execute_state::not_sent
+                                                                : execute_state::lost;
+        return answer;
+    }
+    const auto body = json::parse(reply.body, nullptr, false);
+    if (!body.is_object()) {
+        return answer;
+    }
+    if (reply.status != 200) {
+        answer.state = refusal_state(body);
+        answer.leaving = text_member(body, "refused") == "leaving";
+        return answer;
+    }
+    answer.request = text_member(body, "request");
+    answer.attempt = text_member(body, "attempt");
+    answer.worker = text_member(body, "worker");
+    const bool has_outcome = body.contains("outcome");
+    const auto state = attempt_state(text_member(body, has_outcome ? "outcome" : "state"));
+    const bool has_result = state == execute_state::completed || state == execute_state::failed;
+    const bool mine = answer.attempt == attempt && (!has_result || answer.request == request);
+    if (!mine) {
+        return answer;
+    }
+    answer.state = state;
+    answer.body = body.value("body", json{}).dump();
+    return answer;
+}
+
+task_answer read_task_answer(const net::http_reply& reply, std::string_view task)
+{
+    using kind = task_answer::kind;
+    if (reply.outcome == net::delivery::not_sent) {
+        return {.result = kind::not_sent};
+    }
+    const auto body = json::parse(
+        reply.outcome == net::delivery::answered ? reply.body : std::string{}, nullptr, false);
+    if (!body.is_object()) {
+        return {.result = kind::lost};
+    }
+    if (reply.status == 200 && text_member(body, "task") == task) {
+        return {.result = kind::accepted,
+                .state = task_state_named(text_member(body, "state")),
+                .progress = base::milliseconds{number_member(body, "progress_ms")}};
+    }
+    if (reply.status >= 400 && reply.status < 500) {
+        return {.result = kind::refused, .reason = text_member(body, "refused")};
+    }
+    return {.result = kind::lost};
+}
+
+lease_answer read_lease_answer(const net::http_reply& reply)
+{
+    using kind = lease_answer::kind;
+    const auto body = json::parse(
+        reply.outcome == net::delivery::answered ? reply.body : std::string{}, nullptr, false);
+    if (!body.is_object()) {
+        return {.result = kind::lost};
+    }
+    if (reply.status == 200) {
+        return {.result = kind::renewed, .report = read_report(body)};
+    }
+    if (reply.status == 409 && text_member(body, "refused") == "token") {
+        return {.result = kind::refused, .greatest = number_member(body, "token")};
+    }
+    return {.result = kind::lost};
+}
+
+worker_client::worker_client(net::http_client& client) : client_{client} {}
+
+void worker_client::execute(std::string_view address, const execute_call& call,
+                            execute_handler on_answer)
+{
+    net::http_call exchange{.method = "POST",
+                            .url = fmt::format("http://{}/v1/execute", address),
+                            .headers = {{"Content-Type", "application/json"}},
+                            .body = execute_body(call),
+                            .timeout = call.deadline,
+                            .fresh_connection = !call.idempotent};
+    client_.send(std::move(exchange),
+                 [request = call.request, attempt = call.attempt,
+                  on_answer = std::move(on_answer)](const net::http_reply& reply) {
+                     on_answer(read_execute_answer(reply, request, attempt));
+                 });
+}
+
+void worker_client::query_attempt(std::string_view address, std::string_view attempt,
+                                  base::milliseconds timeout, execute_handler on_answer)
+{
+    net::http_call call{.method = "GET",
+                        .url = fmt::format("http://{}/v1/attempts/{}", address, attempt),
+                        .timeout = timeout,
+                        .fresh_connection = true};
+    client_.send(std::move(call), [attempt = std::string{attempt},
+                                   on_answer = std::move(on_answer)](const net::http_reply& reply) {
+        const auto body = json::parse(reply.body, nullptr, false);
+        const auto request = body.is_object() ? text_member(body, "request") : std::string{};
+        on_answer(read_execute_answer(reply, request, attempt));
+    });
+}
+
+void worker_client::fence_attempt(std::string_view address, std::string_view attempt,
+                                  base::milliseconds timeout, execute_handler on_answer)
+{
+    auto call =
+        post(address, fmt::format("/v1/attempts/{}/fence", attempt), json::object(), timeout);
+    call.fresh_connection = true;
+    client_.send(std::move(call), [attempt = std::string{attempt},
+                                   on_answer = std::move(on_answer)](const net::http_reply& reply) {
+        const auto body = json::parse(reply.body, nullptr, false);
+        const auto request = body.is_object() ? text_member(body, "request") : std::string{};
+        on_answer(read_execute_answer(reply, request, attempt));
+    });
+}
+
+void worker_client::hold(std::string_view address, const hold_call& call,
+                         base::milliseconds timeout, task_handler on_answer)
+{
+    const json body{{"token", call.token},
+                    {"domain", call.failure_domain},
+                    {"task", call.task},
+                    {"job", call.job},
+                    {"gang_size", call.gang_size},
+                    {"member", call.member},
+                    {"accelerators", call.accelerators},
+                    {"lease_ms", call.lease.count()},
+                    {"checkpointable", call.checkpointable},
+                    {"payload", call.payload}};
+    client_.send(post(address, "/v1/tasks", body, timeout),
+                 [task = call.task, on_answer = std::move(on_answer)](
+                     const net::http_reply& reply) { on_answer(read_task_answer(reply, task)); });
+}
+
+void worker_client::order(std::string_view address, std::string_view task, std::string_view order,
+                          fencing_token token, base::milliseconds timeout, task_handler on_answer)
+{
+    client_.send(
+        post(address, fmt::format("/v1/tasks/{}/{}", task, order), {{"token", token}}, timeout),
+        [task = std::string{task}, on_answer = std::move(on_answer)](const net::http_reply& reply) {
+            on_answer(read_task_answer(reply, task));
+        });
+}
+
+void worker_client::renew(std::string_view address, std::string_view failure_domain,
+                          fencing_token token, base::milliseconds lease, base::milliseconds timeout,
+                          lease_handler on_answer)
+{
+    const json body{{"token", token}, {"domain", failure_domain}, {"lease_ms", lease.count()}};
+    client_.send(post(address, "/v1/lease", body, timeout),
+                 [on_answer = std::move(on_answer)](const net::http_reply& reply) {
+                     on_answer(read_lease_answer(reply));
+                 });
+}
+
+void worker_client::list(std::string_view address, base::milliseconds timeout,
+                         lease_handler on_answer)
+{
+    net::http_call call{.method = "GET",
+                        .url = fmt::format("http://{}/v1/tasks", address),
+                        .timeout = timeout,
+                        .fresh_connection = true};
+    client_.send(std::move(call), [on_answer = std::move(on_answer)](const net::http_reply& reply) {
+        on_answer(read_lease_answer(reply));
+    });
+}
+
+} // namespace poplarstile::workers
