--- a/src/events/event.cpp
+++ b/src/events/event.cpp
@@ -64,15 +64,15 @@
     if (!value.is_object()) {
         return wrong_member("", "an object");
     }
-    BOOST_OUTCOME_TRY(auto seq, unsigned_member(value, "seq"));
-    BOOST_OUTCOME_TRY(auto hlc, unsigned_member(value, "hlc"));
-    BOOST_OUTCOME_TRY(auto wall_us, integer_member(value, "wall_us"));
-    BOOST_OUTCOME_TRY(auto process, string_member(value, "process"));
-    BOOST_OUTCOME_TRY(auto part, string_member(value, "part"));
-    BOOST_OUTCOME_TRY(auto kind, string_member(value, "kind"));
-    BOOST_OUTCOME_TRY(auto subject, string_member(value, "subject"));
-    BOOST_OUTCOME_TRY(auto cause, string_member(value, "cause"));
-    BOOST_OUTCOME_TRY(auto detail, string_member(value, "detail"));
+    BOOST_OUTCOME_TRY(seq, unsigned_member(value, "seq"));
+    BOOST_OUTCOME_TRY(hlc, unsigned_member(value, "hlc"));
+    BOOST_OUTCOME_TRY(wall_us, integer_member(value, "wall_us"));
+    BOOST_OUTCOME_TRY(process, string_member(value, "process"));
+    BOOST_OUTCOME_TRY(part, string_member(value, "part"));
+    BOOST_OUTCOME_TRY(kind, string_member(value, "kind"));
+    BOOST_OUTCOME_TRY(subject, string_member(value, "subject"));
+    BOOST_OUTCOME_TRY(cause, string_member(value, "cause"));
+    BOOST_OUTCOME_TRY(detail, string_member(value, "detail"));
     return event{.seq = seq,
                  .hlc = hlc,
                  .wall_us = wall_us,
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -183,7 +183,7 @@
                  .hlc = from_wire(wire.hlc),
                  .rules_version = from_wire(wire.rules_version)};
     for (auto& update : wire.updates) {
-        BOOST_OUTCOME_TRY(auto read, from_wire(update));
+        BOOST_OUTCOME_TRY(read, from_wire(update));
         value.updates.push_back(std::move(read));
     }
     for (auto& lease : wire.leases) {
@@ -197,7 +197,7 @@
 template <class Probe, class Wire>
 base::result<message> probe_from_wire(Wire& wire)
 {
-    BOOST_OUTCOME_TRY(auto header, from_wire(wire.header));
+    BOOST_OUTCOME_TRY(header, from_wire(wire.header));
     return message{Probe{.probe = from_wire(wire.probe),
                          .target = std::move(wire.target),
                          .header = std::move(header)}};
