--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -213,7 +213,7 @@
     worker.heard_at = now_;
     worker.leaving = report.leaving;
     worker.last_report = report.tasks;
-    std::ranges::fill(worker.broken, false);
+    worker.broken.assign(worker.broken.size(), false);
     for (const auto at : report.broken_accelerators) {
         if (at < worker.broken.size()) {
             worker.broken[at] = true;
