--- /dev/null
+++ b/apps/poplarstiled/metrics.cpp
@@ -0,0 +1,93 @@
+#include "metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace poplarstile::daemon {
+namespace {
+
+const prometheus::Histogram::BucketBoundaries& latency_buckets()
+{
+    static const prometheus::Histogram::BucketBoundaries seconds{
+        0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0};
+    return seconds;
+}
+
+} // namespace
+
+struct daemon_metrics::implementation {
+    prometheus::Registry registry;
+    prometheus::Labels labels;
+    prometheus::Family<prometheus::Counter>* answers = nullptr;
+    prometheus::Family<prometheus::Histogram>* latency = nullptr;
+    prometheus::Family<prometheus::Counter>* control_bytes = nullptr;
+};
+
+daemon_metrics::daemon_metrics(std::string_view vm, std::string_view failure_domain)
+    : impl_{std::make_unique<implementation>()}
+{
+    impl_->labels = {{"vm", std::string{vm}}, {"failure_domain", std::string{failure_domain}}};
+    impl_->answers = &prometheus::BuildCounter()
+                          .Name("poplarstile_requests_total")
+                          .Help("Answered requests by service and outcome")
+                          .Labels(impl_->labels)
+                          .Register(impl_->registry);
+    impl_->latency = &prometheus::BuildHistogram()
+                          .Name("poplarstile_request_seconds")
+                          .Help("Time from arrival to answer")
+                          .Labels(impl_->labels)
+                          .Register(impl_->registry);
+    impl_->control_bytes = &prometheus::BuildCounter()
+                                .Name("poplarstile_control_bytes_total")
+                                .Help("Bytes of control traffic by purpose")
+                                .Labels(impl_->labels)
+                                .Register(impl_->registry);
+}
+
+daemon_metrics::~daemon_metrics() = default;
+
+void daemon_metrics::record_answer(std::string_view service, std::string_view outcome,
+                                   double seconds)
+{
+    impl_->answers->Add({{"service", std::string{service}}, {"outcome", std::string{outcome}}})
+        .Increment();
+    impl_->latency->Add({{"service", std::string{service}}}, latency_buckets()).Observe(seconds);
+}
+
+void daemon_metrics::record_control_bytes(std::string_view purpose, std::size_t bytes)
+{
+    impl_->control_bytes->Add({{"purpose", std::string{purpose}}})
+        .Increment(static_cast<double>(bytes));
+}
+
+void daemon_metrics::set_gauge(std::string_view name, double value)
+{
+    prometheus::BuildGauge()
+        .Name(std::string{name})
+        .Help("See docs/OPERATIONS.md")
+        .Labels(impl_->labels)
+        .Register(impl_->registry)
+        .Add({})
+        .Set(value);
+}
+
+void daemon_metrics::set_counter(std::string_view name, double value)
+{
+    auto& counter = prometheus::BuildCounter()
+                        .Name(std::string{name})
+                        .Help("See docs/OPERATIONS.md")
+                        .Labels(impl_->labels)
+                        .Register(impl_->registry)
+                        .Add({});
+    counter.Increment(value - counter.Value());
+}
+
+std::string daemon_metrics::text() const
+{
+    return prometheus::TextSerializer{}.Serialize(impl_->registry.Collect());
+}
+
+} // namespace poplarstile::daemon
--- /dev/null
+++ b/apps/poplarstiled/metrics.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace poplarstile::daemon {
+
+/// Metrics of one VM (prometheus-cpp), kept behind plain calls.
+class daemon_metrics
+{
+public:
+    daemon_metrics(std::string_view vm, std::string_view failure_domain);
+    ~daemon_metrics();
+    daemon_metrics(const daemon_metrics&) = delete;
+    daemon_metrics& operator=(const daemon_metrics&) = delete;
+
+    /// One answered request of a class, and how long it took from arrival to answer.
+    void record_answer(std::string_view service, std::string_view outcome, double seconds);
+
+    /// Bytes sent and received for control: gossip, heartbeats, rules.
+    void record_control_bytes(std::string_view purpose, std::size_t bytes);
+
+    void set_gauge(std::string_view name, double value);
+    void set_counter(std::string_view name, double value);
+
+    /// Text for `/metrics`.
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace poplarstile::daemon
--- /dev/null
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -0,0 +1,304 @@
+#include "scheduler_duty.hpp"
+
+#include "base/log.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace poplarstile::daemon {
+namespace {
+
+constexpr std::size_t ring_capacity = 16'384;
+constexpr base::milliseconds tick_interval{50};
+constexpr base::milliseconds order_timeout{1'000};
+constexpr std::string_view part = "scheduler";
+constexpr base::logger log{"scheduler"};
+
+lease::lease_options lease_options_of(const node& owner)
+{
+    const auto& settings = owner.settings;
+    return {settings.vm.id, owner.run_id, settings.vm.failure_domain,
+            settings.times.scheduler_renewal, settings.times.scheduler_timeout};
+}
+
+scheduling::scheduler_options scheduler_options_of(const node& owner)
+{
+    scheduling::scheduler_options options;
+    options.failure_domain = owner.settings.vm.failure_domain;
+    options.run_id = owner.settings.vm.id + "-" + owner.run_id;
+    options.worker_heartbeat = owner.settings.times.worker_heartbeat;
+    options.worker_lease = owner.settings.times.worker_lease;
+    return options;
+}
+
+std::vector<scheduling::worker_description> workers_of(const settings::vm_settings& settings)
+{
+    std::vector<scheduling::worker_description> workers;
+    for (const auto& worker : settings.workers) {
+        workers.push_back(
+            {worker.id, worker.address, worker.rack, worker.position, worker.accelerators});
+    }
+    return workers;
+}
+
+} // namespace
+
+scheduler_duty::scheduler_duty(node& owner)
+    : node_{owner}, lease_{lease_options_of(owner)},
+      scheduler_{scheduler_options_of(owner), workers_of(owner.settings)},
+      duty_{ring_capacity, tick_interval}
+{
+}
+
+void scheduler_duty::start()
+{
+    duty_.start([this](message&& happened) { handle(std::move(happened)); }, [this] { on_tick(); });
+}
+
+void scheduler_duty::stop()
+{
+    duty_.stop();
+}
+
+void scheduler_duty::submitted(scheduling::stored_job job)
+{
+    (void)duty_.try_post(scheduling::event{scheduling::job_submitted{std::move(job)}});
+}
+
+void scheduler_duty::cancelled(std::string job)
+{
+    (void)duty_.try_post(scheduling::event{scheduling::cancel_requested{std::move(job)}});
+}
+
+void scheduler_duty::rules_changed(std::shared_ptr<const rules::ruleset> rules)
+{
+    duty_.post(scheduling::event{scheduling::rules_changed{std::move(rules)}});
+}
+
+void scheduler_duty::leave()
+{
+    duty_.post(lease::event{lease::leaving{}});
+}
+
+rules::shape scheduler_duty::nearest_possible_shape(const rules::shape& wanted) const
+{
+    std::vector<scheduling::worker_capacity> empty;
+    for (const auto& worker : workers_of(node_.settings)) {
+        empty.push_back({worker.rack, worker.position, worker.accelerators,
+                         std::vector<bool>(worker.accelerators, true)});
+    }
+    for (auto shape = wanted; shape.members > 0; --shape.members) {
+        if (scheduling::find_adjacent_places(empty, shape)) {
+            return shape;
+        }
+    }
+    return {0, 0};
+}
+
+nlohmann::json scheduler_duty::fragmentation() const
+{
+    constexpr std::array<rules::shape, 6> shapes{{{1, 1}, {1, 4}, {1, 8}, {2, 8}, {4, 8}, {8, 8}}};
+    const auto view = node_.scheduler.get();
+    std::size_t free = 0;
+    for (const auto& worker : view->capacity) {
+        free += worker.usable
+                    ? static_cast<std::size_t>(std::ranges::count(worker.free, true))
+                    : 0;
+    }
+    nlohmann::json by_shape = nlohmann::json::array();
+    std::string largest;
+    std::size_t largest_total = 0;
+    for (const auto& shape : shapes) {
+        const bool fits = scheduling::find_adjacent_places(view->capacity, shape).has_value();
+        by_shape.push_back({{"shape", scheduling::to_string(shape)}, {"free", fits ? 1 : 0}});
+        if (fits) {
+            largest = scheduling::to_string(shape);
+            largest_total = shape.total();
+        }
+    }
+    const double unusable =
+        free == 0 ? 0.0 : 1.0 - static_cast<double>(std::min(largest_total, free)) / static_cast<double>(free);
+    return {{"free_accelerators", free},
+            {"largest_free_shape", largest},
+            {"unusable_share", unusable},
+            {"by_shape", by_shape}};
+}
+
+void scheduler_duty::handle(message happened)
+{
+    if (auto* const about_lease = std::get_if<lease::event>(&happened)) {
+        carry_out(lease_.decide(*about_lease, base::now()));
+    } else {
+        carry_out(
+            scheduler_.decide(std::move(std::get<scheduling::event>(happened)), base::now()));
+    }
+}
+
+void scheduler_duty::on_tick()
+{
+    handle(lease::event{lease::time_passed{}});
+    handle(scheduling::event{scheduling::time_passed{}});
+    publish();
+}
+
+void scheduler_duty::publish()
+{
+    scheduler_view view;
+    view.holder = lease_.holder();
+    view.epoch = lease_.epoch();
+    view.is_self = lease_.held();
+    view.active = lease_.held() && scheduler_.active();
+    if (view.is_self) {
+        view.counters = scheduler_.counters();
+        view.jobs = scheduler_.jobs();
+        view.workers = scheduler_.workers();
+        view.capacity = scheduler_.free_capacity();
+    }
+    node_.scheduler.set(std::move(view));
+}
+
+void scheduler_duty::carry_out(lease::actions actions)
+{
+    for (auto& action : actions) {
+        std::visit([this](auto& one) { carry_out_one(one); }, action);
+    }
+}
+
+void scheduler_duty::carry_out(scheduling::actions actions)
+{
+    for (auto& action : actions) {
+        std::visit([this](auto& one) { carry_out_one(one); }, action);
+    }
+}
+
+void scheduler_duty::carry_out_one(lease::read_rows& action)
+{
+    // The heartbeat is read after the lease, so that a heartbeat older than its lease is not seen.
+    node_.table->read(
+        action.lease_key, [this, heartbeat_key = action.heartbeat_key](auto lease_row) {
+            if (!lease_row.has_value()) {
+                duty_.post(lease::event{lease::rows_read{}});
+                return;
+            }
+            node_.table->read(heartbeat_key, [this, row = std::move(lease_row).value()](
+                                                 auto heartbeat_row) mutable {
+                if (!heartbeat_row.has_value()) {
+                    duty_.post(lease::event{lease::rows_read{}});
+                    return;
+                }
+                duty_.post(lease::event{
+                    lease::rows_read{true, std::move(row), std::move(heartbeat_row).value()}});
+            });
+        });
+}
+
+void scheduler_duty::carry_out_one(lease::write_rows& action)
+{
+    node_.table->transact(action.transaction, [this](platform::commit_result result) {
+        duty_.post(lease::event{lease::write_answered{std::move(result)}});
+    });
+}
+
+void scheduler_duty::carry_out_one(lease::gained& action)
+{
+    log.info("Took the scheduler lease of {}, token {}.", node_.settings.vm.failure_domain,
+             action.token);
+    node_.note(part, "lease.gained", "scheduler/" + node_.settings.vm.failure_domain, "",
+               fmt::format("token {}", action.token));
+    carry_out(scheduler_.decide(
+        scheduling::lease_gained{action.token, action.lease_key, action.lease_version},
+        base::now()));
+}
+
+void scheduler_duty::carry_out_one(lease::lost& action)
+{
+    log.warning("Gave up the scheduler lease: {}.", action.reason);
+    node_.note(part, "lease.lost", "scheduler/" + node_.settings.vm.failure_domain, "",
+               action.reason);
+    carry_out(scheduler_.decide(scheduling::lease_lost{}, base::now()));
+}
+
+void scheduler_duty::carry_out_one(scheduling::scan_jobs& /*action*/)
+{
+    const auto prefix = scheduling::live_job_prefix(node_.settings.vm.failure_domain);
+    node_.table->scan(prefix, [this](auto rows) {
+        if (!rows.has_value()) {
+            return;
+        }
+        scheduling::jobs_listed listed;
+        for (const auto& row : rows.value()) {
+            auto job = scheduling::read_job(row);
+            if (job.has_value()) {
+                listed.jobs.push_back(std::move(job).value());
+            } else {
+                log.error("A job row can't be read: {}.", base::describe(job.error()));
+            }
+        }
+        duty_.post(scheduling::event{std::move(listed)});
+    });
+}
+
+void scheduler_duty::carry_out_one(scheduling::renew_worker& action)
+{
+    const auto& times = node_.settings.times;
+    node_.workers->renew(
+        action.address, node_.settings.vm.failure_domain, action.token, times.worker_lease,
+        times.worker_lease / 3, [this, worker = action.worker](workers::lease_answer answer) {
+            duty_.post(
+                scheduling::event{scheduling::worker_reported{worker, std::move(answer)}});
+        });
+}
+
+void scheduler_duty::carry_out_one(scheduling::probe_worker& action)
+{
+    node_.workers->list(
+        action.address, order_timeout,
+        [this, worker = action.worker](workers::lease_answer answer) {
+            duty_.post(
+                scheduling::event{scheduling::worker_reported{worker, std::move(answer)}});
+        });
+}
+
+void scheduler_duty::carry_out_one(scheduling::hold_task& action)
+{
+    node_.workers->hold(action.address, action.call, order_timeout,
+                        [this, task = action.call.task](workers::task_answer answer) {
+                            duty_.post(scheduling::event{
+                                scheduling::task_answered{task, "hold", std::move(answer)}});
+                        });
+}
+
+void scheduler_duty::carry_out_one(scheduling::order_task& action)
+{
+    node_.workers->order(action.address, action.task, action.order, action.token, order_timeout,
+                         [this, task = action.task,
+                          order = action.order](workers::task_answer answer) {
+                             duty_.post(scheduling::event{
+                                 scheduling::task_answered{task, order, std::move(answer)}});
+                         });
+}
+
+void scheduler_duty::carry_out_one(scheduling::write_job& action)
+{
+    node_.table->transact(action.transaction,
+                          [this, job = action.job](platform::commit_result result) {
+                              duty_.post(scheduling::event{
+                                  scheduling::job_written{job, std::move(result)}});
+                          });
+}
+
+void scheduler_duty::carry_out_one(scheduling::step_down& /*action*/)
+{
+    carry_out(lease_.decide(lease::event{lease::deposed{}}, base::now()));
+}
+
+void scheduler_duty::carry_out_one(scheduling::note_event& action)
+{
+    node_.note(part, std::move(action.kind), std::move(action.subject), std::move(action.cause),
+               std::move(action.detail));
+}
+
+} // namespace poplarstile::daemon
