--- a/standins/platform_standin/platform_service.cpp
+++ b/standins/platform_standin/platform_service.cpp
@@ -47,8 +47,8 @@
     table_transaction transaction;
     transaction.operation = body.value("operation", "");
     for (const auto& condition : body.value("conditions", json::array())) {
-        transaction.conditions.push_back({condition.at("key").get<std::string>(),
-                                          condition.at("version").get<row_version>()});
+        transaction.conditions.push_back(
+            {condition.at("key").get<std::string>(), condition.at("version").get<row_version>()});
     }
     for (const auto& write : body.value("writes", json::array())) {
         transaction.writes.push_back({write.at("key").get<std::string>(), write.at("value")});
--- a/standins/platform_standin/table_store.hpp
+++ b/standins/platform_standin/table_store.hpp
@@ -36,7 +36,8 @@
     [[nodiscard]] table_page scan(std::string_view prefix, std::string_view after,
                                   std::size_t limit) const;
 
-    /// Applies all writes when all conditions hold, else nothing; reports `committed` or `conflict`.
+    /// Applies all writes when all conditions hold, else nothing; reports `committed` or
+    /// `conflict`.
     [[nodiscard]] commit_result transact(const table_transaction& transaction);
 
 private:
