--- a/src/base/error_codes.cpp
+++ b/src/base/error_codes.cpp
@@ -27,6 +27,8 @@
     {error_code::rules_infeasible, "rules_infeasible", "the guarantees can't all be met at once", "lower one of the shapes that the message names"},
     {error_code::rules_conflict, "rules_conflict", "another operator changed the same line first", "read both versions, then apply again"},
     {error_code::rules_out_of_range, "rules_out_of_range", "a number in a rule is outside its range", "choose a value inside the range that the message names"},
+    {error_code::rules_contradictory, "rules_contradictory", "two rules can't both hold", "change one of the two lines that the message names"},
+    {error_code::rules_base_unknown, "rules_base_unknown", "the version that a change builds on is not known", "read the rules again and apply the change to that version"},
     {error_code::request_malformed, "request_malformed", "the request can't be understood", "correct the member or header that the message names"},
     {error_code::request_too_large, "request_too_large", "headers or body are larger than allowed", "send at most the size that the message names"},
     {error_code::request_unknown_service, "request_unknown_service", "no rule names this service", "use a service that the rules name"},
--- a/src/base/error_codes.hpp
+++ b/src/base/error_codes.hpp
@@ -27,6 +27,8 @@
     rules_infeasible = 2006,
     rules_conflict = 2007,
     rules_out_of_range = 2008,
+    rules_contradictory = 2009,
+    rules_base_unknown = 2010,
     request_malformed = 3001,
     request_too_large = 3002,
     request_unknown_service = 3003,
--- a/src/rules/ruleset.hpp
+++ b/src/rules/ruleset.hpp
@@ -2,6 +2,8 @@
 
 #include "base/time.hpp"
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +33,8 @@
     std::uint32_t count = 1;
     shape guaranteed;
     std::string failure_domain;
+
+    bool operator==(const guarantee_rule&) const = default;
 };
 
 /// `workspace NAME share N`: weight of the workspace beyond its guarantee.
@@ -78,12 +82,14 @@
 /// One line of the file: its rule, the exact text, and the comment on who asked and why.
 struct rule_line {
     /// Names the line over versions: the rule without its values, such as `class print_sheet`.
-    std::string id;
+    std::string id{};
     /// The rule as written, without its comment and surrounding blanks.
-    std::string text;
+    std::string text{};
     /// Words after `#`, on the line or on the lines above it, exactly as written.
-    std::string comment;
-    rule_body body;
+    std::string comment{};
+    /// Comment lines that a blank line parts from the rule, such as a heading, as written.
+    std::string heading{};
+    rule_body body{};
     /// Line in the file it was read from, from 1.
     std::size_t line_number = 0;
 };
@@ -94,7 +100,9 @@
 /// All rules in force under one version, in the order of the file.
 struct ruleset {
     rules_version version = 0;
-    std::vector<rule_line> lines;
+    std::vector<rule_line> lines{};
+    /// Comment lines after the last rule, as written.
+    std::string ending{};
 
     /// The rule of a class; null when no rule declares it.
     [[nodiscard]] const class_rule* find_class(std::string_view name) const;
