--- a/apps/poplarstiled/answers.cpp
+++ b/apps/poplarstiled/answers.cpp
@@ -3,8 +3,10 @@
 #include <string>
 #include <utility>
 
-namespace poplarstile::daemon {
-namespace {
+namespace poplarstile::daemon
+{
+namespace
+{
 
 using base::error_code;
 using dispatch::outcome;
--- a/apps/poplarstiled/answers.hpp
+++ b/apps/poplarstiled/answers.hpp
@@ -9,7 +9,8 @@
 #include <string_view>
 
 /// Answers of the HTTP interface (docs/REFERENCE.md).
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// The answer to a short request.
 [[nodiscard]] net::http_response answer_response(const dispatch::caller_answer& answer,
--- a/apps/poplarstiled/caller_gateway.cpp
+++ b/apps/poplarstiled/caller_gateway.cpp
@@ -8,8 +8,10 @@
 
 #include <utility>
 
-namespace poplarstile::daemon {
-namespace {
+namespace poplarstile::daemon
+{
+namespace
+{
 
 using base::error_code;
 using dispatch::outcome;
@@ -42,11 +44,11 @@
     options.max_header_bytes = settings.limits.max_header_bytes;
     options.read_timeout = settings.times.caller_read_timeout;
     options.handle_timeout = settings.times.max_deadline + handler_margin;
-    BOOST_OUTCOME_TRY(server, net::http_server::start(
-                                  options, [this](net::http_request request,
-                                                  const net::http_responder& responder) {
-                                      handle(std::move(request), responder);
-                                  }));
+    BOOST_OUTCOME_TRY(
+        server, net::http_server::start(options, [this](net::http_request request,
+                                                        const net::http_responder& responder) {
+            handle(std::move(request), responder);
+        }));
     server_ = std::move(server);
     return base::success();
 }
@@ -60,13 +62,13 @@
         responder.send(json_response(up ? 200 : 503, {{"ready", up}}));
         return;
     }
-    const bool is_short = request.method == "POST" && path.size() == 3 && path[0] == "v1" &&
-                          path[1] == "requests";
+    const bool is_short =
+        request.method == "POST" && path.size() == 3 && path[0] == "v1" && path[1] == "requests";
     const bool is_job = path.size() >= 2 && path[0] == "v1" && path[1] == "jobs";
     if (!is_short && !is_job) {
         refuse(responder, outcome::rejected,
-               {error_code::request_unknown_path,
-                fmt::format("{} {}", request.method, path_text), "", ""});
+               {error_code::request_unknown_path, fmt::format("{} {}", request.method, path_text),
+                "", ""});
         return;
     }
     const bool reads_only = request.method == "GET";
@@ -93,8 +95,8 @@
     }
     auto incoming = std::move(checked).value();
     if (incoming.request_id.empty()) {
-        incoming.request_id = fmt::format("{}-{}-{}", node_.settings.vm.id, node_.run_id,
-                                          base::wall_clock_us());
+        incoming.request_id =
+            fmt::format("{}-{}-{}", node_.settings.vm.id, node_.run_id, base::wall_clock_us());
     }
     if (!dispatch_.submit(std::move(incoming), responder)) {
         refuse(responder, outcome::not_run,
--- a/apps/poplarstiled/caller_gateway.hpp
+++ b/apps/poplarstiled/caller_gateway.hpp
@@ -8,7 +8,8 @@
 
 #include <memory>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// The callers' port: checks each request whole before anything is done with it.
 class caller_gateway
--- a/apps/poplarstiled/dispatch_duty.cpp
+++ b/apps/poplarstiled/dispatch_duty.cpp
@@ -4,8 +4,10 @@
 
 #include <utility>
 
-namespace poplarstile::daemon {
-namespace {
+namespace poplarstile::daemon
+{
+namespace
+{
 
 constexpr std::size_t ring_capacity = 16'384;
 constexpr base::milliseconds tick_interval{20};
@@ -37,8 +39,8 @@
 } // namespace
 
 dispatch_duty::dispatch_duty(node& owner)
-    : node_{owner}, dispatcher_{options_of(owner), workers_of(owner.settings)},
-      duty_{ring_capacity, tick_interval}
+    : node_{owner}, dispatcher_{options_of(owner), workers_of(owner.settings)}, duty_{ring_capacity,
+                                                                                      tick_interval}
 {
 }
 
@@ -92,11 +94,10 @@
 void dispatch_duty::carry_out_one(dispatch::send_execute& action)
 {
     const auto number = action.number;
-    node_.workers->execute(action.address, action.call,
-                           [this, number, attempt = action.call.attempt](auto answer) {
-                               duty_.post(dispatch::attempt_reported{number, attempt,
-                                                                     std::move(answer)});
-                           });
+    node_.workers->execute(
+        action.address, action.call, [this, number, attempt = action.call.attempt](auto answer) {
+            duty_.post(dispatch::attempt_reported{number, attempt, std::move(answer)});
+        });
 }
 
 void dispatch_duty::carry_out_one(dispatch::send_query& action)
--- a/apps/poplarstiled/dispatch_duty.hpp
+++ b/apps/poplarstiled/dispatch_duty.hpp
@@ -11,7 +11,8 @@
 #include <string>
 #include <unordered_map>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// The duty that takes short requests to workers; carries out the dispatcher's actions.
 class dispatch_duty
--- a/apps/poplarstiled/duty.hpp
+++ b/apps/poplarstiled/duty.hpp
@@ -9,7 +9,8 @@
 #include <thread>
 #include <utility>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// A thread that owns one job of the daemon: it takes typed messages from its bounded ring, one
 /// after the other, and is woken at a fixed interval besides.
@@ -35,10 +36,8 @@
     /// Both handlers are called on the duty's own thread only.
     void start(message_handler on_message, tick_handler on_tick)
     {
-        thread_ = std::thread{
-            [this, on_message = std::move(on_message), on_tick = std::move(on_tick)] {
-                run(on_message, on_tick);
-            }};
+        thread_ = std::thread{[this, on_message = std::move(on_message),
+                               on_tick = std::move(on_tick)] { run(on_message, on_tick); }};
     }
 
     /// Ends the thread after the messages that are inside.
--- a/apps/poplarstiled/job_gateway.cpp
+++ b/apps/poplarstiled/job_gateway.cpp
@@ -8,8 +8,10 @@
 
 #include <utility>
 
-namespace poplarstile::daemon {
-namespace {
+namespace poplarstile::daemon
+{
+namespace
+{
 
 using base::error;
 using base::error_code;
@@ -45,9 +47,9 @@
 
 std::string nearest_shape_advice(const rules::shape& nearest)
 {
-    return nearest.total() == 0 ? std::string{"no shape fits"}
-                                : "the nearest shape that fits is " +
-                                      scheduling::to_string(nearest);
+    return nearest.total() == 0
+               ? std::string{"no shape fits"}
+               : "the nearest shape that fits is " + scheduling::to_string(nearest);
 }
 
 } // namespace
@@ -88,13 +90,11 @@
     job.spec.idempotent = kind->idempotent;
     job.spec.failure_domain = node_.settings.vm.failure_domain;
     job.spec.submitted_us = base::wall_clock_us();
-    job.operation = fmt::format("{}-{}-s{}", node_.settings.vm.id, node_.run_id,
-                                next_operation_++);
+    job.operation = fmt::format("{}-{}-s{}", node_.settings.vm.id, node_.run_id, next_operation_++);
     write(job, responder, submit_tries);
 }
 
-void job_gateway::write(const stored_job& job, const net::http_responder& responder,
-                        int tries_left)
+void job_gateway::write(const stored_job& job, const net::http_responder& responder, int tries_left)
 {
     const auto index_key = scheduling::job_index_key(job.spec.id);
     const auto live_key = scheduling::live_job_key(job.spec.failure_domain, job.spec.id);
@@ -122,39 +122,39 @@
 void job_gateway::settle(const stored_job& job, const net::http_responder& responder,
                          int tries_left)
 {
-    node_.table->read(
-        scheduling::job_index_key(job.spec.id), [this, job, responder, tries_left](auto read) {
-            if (!read.has_value() || (!read.value() && tries_left <= 0)) {
-                refuse(responder, outcome::unknown,
-                       {error_code::platform_outcome_unknown, "table", "",
-                        "submit again with the same Idempotency-Key"},
-                       retry_hint);
-                return;
-            }
-            const auto& row = read.value();
-            if (!row) {
-                write(job, responder, tries_left);
-                return;
-            }
-            if (row->value.value("body_hash", "") != job.spec.body_hash) {
-                refuse(responder, outcome::rejected,
-                       {error_code::request_key_reused, "Idempotency-Key", "", ""});
-                return;
-            }
-            auto accepted = job;
-            accepted.spec.failure_domain = row->value.value("failure_domain", "");
-            accepted.version = row->version;
-            accept(accepted, responder);
-        });
+    node_.table->read(scheduling::job_index_key(job.spec.id),
+                      [this, job, responder, tries_left](auto read) {
+                          if (!read.has_value() || (!read.value() && tries_left <= 0)) {
+                              refuse(responder, outcome::unknown,
+                                     {error_code::platform_outcome_unknown, "table", "",
+                                      "submit again with the same Idempotency-Key"},
+                                     retry_hint);
+                              return;
+                          }
+                          const auto& row = read.value();
+                          if (!row) {
+                              write(job, responder, tries_left);
+                              return;
+                          }
+                          if (row->value.value("body_hash", "") != job.spec.body_hash) {
+                              refuse(responder, outcome::rejected,
+                                     {error_code::request_key_reused, "Idempotency-Key", "", ""});
+                              return;
+                          }
+                          auto accepted = job;
+                          accepted.spec.failure_domain = row->value.value("failure_domain", "");
+                          accepted.version = row->version;
+                          accept(accepted, responder);
+                      });
 }
 
 void job_gateway::accept(const stored_job& job, const net::http_responder& responder)
 {
     node_.note("jobs", "job.accepted", "job/" + job.spec.id, job.spec.workspace,
                scheduling::to_string(job.spec.shape));
-    responder.send(json_response(202, {{"job", job.spec.id},
-                                       {"state", "queued"},
-                                       {"failure_domain", job.spec.failure_domain}}));
+    responder.send(json_response(
+        202,
+        {{"job", job.spec.id}, {"state", "queued"}, {"failure_domain", job.spec.failure_domain}}));
     if (job.spec.failure_domain == node_.settings.vm.failure_domain) {
         nudge(peer::scheduler_call::submit, job);
     }
@@ -211,8 +211,7 @@
         const auto id = payload.value("job", "");
         for (const auto& job : view->jobs) {
             if (job.spec.id == id) {
-                return {200,
-                        job_body(job.spec, job.state, job.detail, job.started_us, 0).dump()};
+                return {200, job_body(job.spec, job.state, job.detail, job.started_us, 0).dump()};
             }
         }
         return {404, error_body({error_code::job_unknown, id, "", ""}).dump()};
@@ -264,52 +263,50 @@
     const auto unknown = [responder, id = std::string{id}] {
         refuse(responder, outcome::rejected, {error_code::job_unknown, id, "", ""});
     };
-    node_.table->read(
-        scheduling::job_index_key(id),
-        [this, unreachable, unknown, id = std::string{id},
-         on_found = std::move(on_found)](auto index) {
-            if (!index.has_value()) {
-                unreachable(index.error());
-                return;
+    node_.table->read(scheduling::job_index_key(id), [this, unreachable, unknown,
+                                                      id = std::string{id},
+                                                      on_found = std::move(on_found)](auto index) {
+        if (!index.has_value()) {
+            unreachable(index.error());
+            return;
+        }
+        if (!index.value()) {
+            unknown();
+            return;
+        }
+        const auto domain = index.value()->value.value("failure_domain", "");
+        const auto done_key = scheduling::done_job_key(domain, id);
+        node_.table->read(scheduling::live_job_key(domain, id), [this, unreachable, unknown,
+                                                                 done_key, on_found](auto live) {
+            if (live.has_value() && live.value()) {
+                auto job = scheduling::read_job(*live.value());
+                if (job.has_value()) {
+                    on_found(std::move(job).value(), true);
+                    return;
+                }
             }
-            if (!index.value()) {
-                unknown();
+            if (!live.has_value()) {
+                unreachable(live.error());
                 return;
             }
-            const auto domain = index.value()->value.value("failure_domain", "");
-            const auto done_key = scheduling::done_job_key(domain, id);
-            node_.table->read(
-                scheduling::live_job_key(domain, id),
-                [this, unreachable, unknown, done_key, on_found](auto live) {
-                    if (live.has_value() && live.value()) {
-                        auto job = scheduling::read_job(*live.value());
-                        if (job.has_value()) {
-                            on_found(std::move(job).value(), true);
-                            return;
-                        }
-                    }
-                    if (!live.has_value()) {
-                        unreachable(live.error());
-                        return;
-                    }
-                    node_.table->read(done_key, [unreachable, unknown, on_found](auto done) {
-                        if (!done.has_value()) {
-                            unreachable(done.error());
-                            return;
-                        }
-                        if (!done.value()) {
-                            unknown();
-                            return;
-                        }
-                        auto job = scheduling::read_job(*done.value());
-                        if (!job.has_value()) {
-                            unreachable(job.error());
-                            return;
-                        }
-                        on_found(std::move(job).value(), false);
-                    });
-                });
+            node_.table->read(done_key, [unreachable, unknown, on_found](auto done) {
+                if (!done.has_value()) {
+                    unreachable(done.error());
+                    return;
+                }
+                if (!done.value()) {
+                    unknown();
+                    return;
+                }
+                auto job = scheduling::read_job(*done.value());
+                if (!job.has_value()) {
+                    unreachable(job.error());
+                    return;
+                }
+                on_found(std::move(job).value(), false);
+            });
         });
+    });
 }
 
 void job_gateway::show(std::string_view id, const net::http_responder& responder)
@@ -317,14 +314,14 @@
     const auto view = node_.scheduler.get();
     for (const auto& job : view->jobs) {
         if (job.spec.id == id && !scheduling::final_state(job.state)) {
-            responder.send(json_response(
-                200, job_body(job.spec, job.state, job.detail, job.started_us, 0)));
+            responder.send(
+                json_response(200, job_body(job.spec, job.state, job.detail, job.started_us, 0)));
             return;
         }
     }
     find_row(id, responder, [responder](const stored_job& job, bool /*live*/) {
-        responder.send(json_response(200, job_body(job.spec, job.state, job.detail,
-                                                   job.started_us, job.ended_us)));
+        responder.send(json_response(
+            200, job_body(job.spec, job.state, job.detail, job.started_us, job.ended_us)));
     });
 }
 
@@ -347,8 +344,7 @@
 void job_gateway::write_cancel(const stored_job& job, const net::http_responder& responder)
 {
     auto row = job;
-    row.operation = fmt::format("{}-{}-c{}", node_.settings.vm.id, node_.run_id,
-                                next_operation_++);
+    row.operation = fmt::format("{}-{}-c{}", node_.settings.vm.id, node_.run_id, next_operation_++);
     const auto key = scheduling::live_job_key(job.spec.failure_domain, job.spec.id);
     node_.table->transact(
         {row.operation, {{key, job.version}}, {{key, to_json(row)}}},
--- a/apps/poplarstiled/job_gateway.hpp
+++ b/apps/poplarstiled/job_gateway.hpp
@@ -8,7 +8,8 @@
 
 #include <string_view>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// Accepts, shows and cancels jobs. A job is accepted when its row is in the table; the scheduler
 /// is only nudged, and finds the row by itself if the nudge is lost.
--- a/apps/poplarstiled/metrics.cpp
+++ b/apps/poplarstiled/metrics.cpp
@@ -6,8 +6,10 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-namespace poplarstile::daemon {
-namespace {
+namespace poplarstile::daemon
+{
+namespace
+{
 
 const prometheus::Histogram::BucketBoundaries& latency_buckets()
 {
--- a/apps/poplarstiled/metrics.hpp
+++ b/apps/poplarstiled/metrics.hpp
@@ -5,7 +5,8 @@
 #include <string>
 #include <string_view>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// Metrics of one VM (prometheus-cpp), kept behind plain calls.
 class daemon_metrics
--- a/apps/poplarstiled/node.hpp
+++ b/apps/poplarstiled/node.hpp
@@ -20,7 +20,8 @@
 #include <string_view>
 #include <vector>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// What is known of the scheduler lease of this VM's failure domain.
 struct scheduler_view {
--- /dev/null
+++ b/apps/poplarstiled/operator_gateway.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "job_gateway.hpp"
+#include "node.hpp"
+#include "rules_duty.hpp"
+
+#include "net/http_server.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace poplarstile::daemon
+{
+
+/// The operators' port: status, rules, jobs, events, metrics, draining.
+class operator_gateway
+{
+public:
+    operator_gateway(node& owner, rules_duty& rules, job_gateway& jobs,
+                     std::function<void()> on_drain);
+
+    /// Error: `listen_failed`.
+    [[nodiscard]] base::result<void> start();
+
+private:
+    void handle(const net::http_request& request, const net::http_responder& responder);
+    void handle_open(const net::http_request& request, const net::http_responder& responder);
+    void handle_rules(const net::http_request& request, std::span<const std::string_view> path,
+                      const net::http_responder& responder);
+    void handle_jobs(const net::http_request& request, std::span<const std::string_view> path,
+                     const net::http_responder& responder);
+    [[nodiscard]] bool has_key(const net::http_request& request) const;
+    [[nodiscard]] nlohmann::json status() const;
+    [[nodiscard]] nlohmann::json events(const net::http_request& request) const;
+    void refresh_metrics() const;
+
+    node& node_;
+    rules_duty& rules_;
+    job_gateway& jobs_;
+    std::function<void()> on_drain_;
+    std::unique_ptr<net::http_server> server_;
+};
+
+} // namespace poplarstile::daemon
--- a/apps/poplarstiled/peer_duty.cpp
+++ b/apps/poplarstiled/peer_duty.cpp
@@ -8,8 +8,10 @@
 #include <random>
 #include <utility>
 
-namespace poplarstile::daemon {
-namespace {
+namespace poplarstile::daemon
+{
+namespace
+{
 
 constexpr std::size_t ring_capacity = 4'096;
 constexpr base::milliseconds tick_interval{50};
@@ -141,14 +143,13 @@
                           const net::http_responder* responder, const std::string& sender)
 {
     for (const auto& action : actions) {
-        if (const auto* const message = std::get_if<membership::send_message>(&action)) {
-            const bool answers_sender =
-                responder != nullptr && message->vm == sender &&
-                std::holds_alternative<peer::ping_ack>(message->body);
+        if (const auto* const outgoing = std::get_if<membership::send_message>(&action)) {
+            const bool answers_sender = responder != nullptr && outgoing->vm == sender &&
+                                        std::holds_alternative<peer::ping_ack>(outgoing->body);
             if (answers_sender) {
-                responder->send(peer_response(message->body));
+                responder->send(peer_response(outgoing->body));
             } else {
-                send(*message);
+                send(*outgoing);
             }
         } else if (const auto* const changed = std::get_if<membership::member_changed>(&action)) {
             const auto& member = changed->now_is;
@@ -177,8 +178,7 @@
             (void)duty_.try_post(membership::event{
                 membership::message_received{base::now(), std::move(*answer.value())}});
         } else if (!answer.has_value() && probe) {
-            (void)duty_.try_post(
-                membership::event{membership::probe_failed{base::now(), *probe}});
+            (void)duty_.try_post(membership::event{membership::probe_failed{base::now(), *probe}});
         }
     });
 }
--- a/apps/poplarstiled/peer_duty.hpp
+++ b/apps/poplarstiled/peer_duty.hpp
@@ -13,7 +13,8 @@
 #include <variant>
 #include <vector>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// The duty that knows which VMs are there: probes, answers probes, spreads news.
 class peer_duty
--- a/apps/poplarstiled/peer_link.hpp
+++ b/apps/poplarstiled/peer_link.hpp
@@ -9,7 +9,8 @@
 #include <optional>
 #include <string_view>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// Sends one message to another VM: Thrift in the body of an HTTP POST to its peer port.
 class peer_link
--- a/apps/poplarstiled/scheduler_duty.cpp
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -8,8 +8,10 @@
 #include <array>
 #include <utility>
 
-namespace poplarstile::daemon {
-namespace {
+namespace poplarstile::daemon
+{
+namespace
+{
 
 constexpr std::size_t ring_capacity = 16'384;
 constexpr base::milliseconds tick_interval{50};
@@ -48,8 +50,8 @@
 
 scheduler_duty::scheduler_duty(node& owner)
     : node_{owner}, lease_{lease_options_of(owner)},
-      scheduler_{scheduler_options_of(owner), workers_of(owner.settings)},
-      duty_{ring_capacity, tick_interval}
+      scheduler_{scheduler_options_of(owner), workers_of(owner.settings)}, duty_{ring_capacity,
+                                                                                 tick_interval}
 {
 }
 
@@ -104,9 +106,7 @@
     const auto view = node_.scheduler.get();
     std::size_t free = 0;
     for (const auto& worker : view->capacity) {
-        free += worker.usable
-                    ? static_cast<std::size_t>(std::ranges::count(worker.free, true))
-                    : 0;
+        free += worker.usable ? static_cast<std::size_t>(std::ranges::count(worker.free, true)) : 0;
     }
     nlohmann::json by_shape = nlohmann::json::array();
     std::string largest;
@@ -119,8 +119,9 @@
             largest_total = shape.total();
         }
     }
-    const double unusable =
-        free == 0 ? 0.0 : 1.0 - static_cast<double>(std::min(largest_total, free)) / static_cast<double>(free);
+    const double unusable = free == 0 ? 0.0
+                                      : 1.0 - static_cast<double>(std::min(largest_total, free)) /
+                                                  static_cast<double>(free);
     return {{"free_accelerators", free},
             {"largest_free_shape", largest},
             {"unusable_share", unusable},
@@ -132,8 +133,7 @@
     if (auto* const about_lease = std::get_if<lease::event>(&happened)) {
         carry_out(lease_.decide(*about_lease, base::now()));
     } else {
-        carry_out(
-            scheduler_.decide(std::move(std::get<scheduling::event>(happened)), base::now()));
+        carry_out(scheduler_.decide(std::move(std::get<scheduling::event>(happened)), base::now()));
     }
 }
 
@@ -177,14 +177,14 @@
 void scheduler_duty::carry_out_one(lease::read_rows& action)
 {
     // The heartbeat is read after the lease, so that a heartbeat older than its lease is not seen.
-    node_.table->read(
-        action.lease_key, [this, heartbeat_key = action.heartbeat_key](auto lease_row) {
-            if (!lease_row.has_value()) {
-                duty_.post(lease::event{lease::rows_read{}});
-                return;
-            }
-            node_.table->read(heartbeat_key, [this, row = std::move(lease_row).value()](
-                                                 auto heartbeat_row) mutable {
+    node_.table->read(action.lease_key, [this,
+                                         heartbeat_key = action.heartbeat_key](auto lease_row) {
+        if (!lease_row.has_value()) {
+            duty_.post(lease::event{lease::rows_read{}});
+            return;
+        }
+        node_.table->read(
+            heartbeat_key, [this, row = std::move(lease_row).value()](auto heartbeat_row) mutable {
                 if (!heartbeat_row.has_value()) {
                     duty_.post(lease::event{lease::rows_read{}});
                     return;
@@ -192,7 +192,7 @@
                 duty_.post(lease::event{
                     lease::rows_read{true, std::move(row), std::move(heartbeat_row).value()}});
             });
-        });
+    });
 }
 
 void scheduler_duty::carry_out_one(lease::write_rows& action)
@@ -247,8 +247,7 @@
     node_.workers->renew(
         action.address, node_.settings.vm.failure_domain, action.token, times.worker_lease,
         times.worker_lease / 3, [this, worker = action.worker](workers::lease_answer answer) {
-            duty_.post(
-                scheduling::event{scheduling::worker_reported{worker, std::move(answer)}});
+            duty_.post(scheduling::event{scheduling::worker_reported{worker, std::move(answer)}});
         });
 }
 
@@ -257,8 +256,7 @@
     node_.workers->list(
         action.address, order_timeout,
         [this, worker = action.worker](workers::lease_answer answer) {
-            duty_.post(
-                scheduling::event{scheduling::worker_reported{worker, std::move(answer)}});
+            duty_.post(scheduling::event{scheduling::worker_reported{worker, std::move(answer)}});
         });
 }
 
@@ -273,21 +271,20 @@
 
 void scheduler_duty::carry_out_one(scheduling::order_task& action)
 {
-    node_.workers->order(action.address, action.task, action.order, action.token, order_timeout,
-                         [this, task = action.task,
-                          order = action.order](workers::task_answer answer) {
-                             duty_.post(scheduling::event{
-                                 scheduling::task_answered{task, order, std::move(answer)}});
-                         });
+    node_.workers->order(
+        action.address, action.task, action.order, action.token, order_timeout,
+        [this, task = action.task, order = action.order](workers::task_answer answer) {
+            duty_.post(
+                scheduling::event{scheduling::task_answered{task, order, std::move(answer)}});
+        });
 }
 
 void scheduler_duty::carry_out_one(scheduling::write_job& action)
 {
-    node_.table->transact(action.transaction,
-                          [this, job = action.job](platform::commit_result result) {
-                              duty_.post(scheduling::event{
-                                  scheduling::job_written{job, std::move(result)}});
-                          });
+    node_.table->transact(
+        action.transaction, [this, job = action.job](platform::commit_result result) {
+            duty_.post(scheduling::event{scheduling::job_written{job, std::move(result)}});
+        });
 }
 
 void scheduler_duty::carry_out_one(scheduling::step_down& /*action*/)
--- a/apps/poplarstiled/scheduler_duty.hpp
+++ b/apps/poplarstiled/scheduler_duty.hpp
@@ -8,7 +8,8 @@
 
 #include <variant>
 
-namespace poplarstile::daemon {
+namespace poplarstile::daemon
+{
 
 /// The duty that holds or watches the scheduler lease of the failure domain and, while it holds it,
 /// schedules the domain's jobs.
--- a/src/gateway/caller_request.cpp
+++ b/src/gateway/caller_request.cpp
@@ -6,12 +6,14 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 #include <optional>
 
-namespace poplarstile::gateway {
-namespace {
+namespace poplarstile::gateway
+{
+namespace
+{
 
 using base::error;
 using base::error_code;
@@ -24,9 +26,8 @@
 bool is_token(std::string_view text)
 {
     return !text.empty() && text.size() <= max_token_bytes &&
-           std::ranges::all_of(text, [](unsigned char character) {
-               return std::isgraph(character) != 0;
-           });
+           std::ranges::all_of(
+               text, [](unsigned char character) { return std::isgraph(character) != 0; });
 }
 
 error malformed(std::string_view place, std::string detail)
--- a/src/gateway/caller_request.hpp
+++ b/src/gateway/caller_request.hpp
@@ -9,7 +9,8 @@
 #include <string_view>
 
 /// Callers' HTTP requests as typed values; everything from outside is checked here.
-namespace poplarstile::gateway {
+namespace poplarstile::gateway
+{
 
 /// Reads `POST /v1/requests/{service}`. Errors: `request_malformed`, `request_key_repeated`,
 /// `request_too_deep`. The request's number is left at 0.
