--- a/standins/fault_proxy/tunnel.cpp
+++ b/standins/fault_proxy/tunnel.cpp
@@ -251,11 +251,14 @@
         if (self->stage_ == stage::closed || failure) {
             return;
         }
-        if (self->swallows(way, self->links_.fault_of(self->link_).kind)) {
+        const auto kind = self->links_.fault_of(self->link_).kind;
+        if (self->swallows(way, kind)) {
             self->swallow(way, bytes);
-            return;
+        } else if (kind == fault_kind::freeze) {
+            way.held_bytes = bytes;
+        } else {
+            self->write(way, bytes);
         }
-        self->write(way, bytes);
     });
 }
 
