--- a/standins/fault_proxy/tunnel.cpp
+++ b/standins/fault_proxy/tunnel.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::size_t max_connect_request_bytes = 8 * 1024;
+constexpr std::size_t max_connect_request_bytes = std::size_t{8} * 1024;
 constexpr std::string_view established = "HTTP/1.1 200 Connection established\r\n\r\n";
 constexpr std::string_view bad_gateway = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n";
 constexpr std::string_view connect_method = "CONNECT ";
@@ -134,6 +134,9 @@
                       [self = shared_from_this()](std::error_code, std::size_t) {
                           std::error_code ignored;
                           self->source_.shutdown(asio::socket_base::shutdown_send, ignored);
+                          // A reset could overtake the refusal.
+                          self->to_target_.ended = true;
+                          self->to_source_.ended = true;
                           self->close();
                       });
 }
--- a/standins/platform_standin/main.cpp
+++ b/standins/platform_standin/main.cpp
@@ -25,7 +25,7 @@
 namespace stand = poplarstile::standins::platform_standin;
 
 constexpr std::size_t max_connections = 8'192;
-constexpr std::size_t max_body_bytes = 64 * 1024 * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
 constexpr base::milliseconds handle_timeout{30'000};
 constexpr base::milliseconds idle_timeout{60'000};
 
--- a/standins/worker_standin/attempt_table.cpp
+++ b/standins/worker_standin/attempt_table.cpp
@@ -93,7 +93,7 @@
 
 attempt_view attempt_table::fence(const std::string& attempt)
 {
-    const auto known = find(attempt);
+    auto known = find(attempt);
     if (known.state != attempt_state::never_seen) {
         return known;
     }
--- a/standins/worker_standin/worker_host.cpp
+++ b/standins/worker_standin/worker_host.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t max_records = 2'000'000;
 constexpr std::size_t max_connections_per_worker = 1'024;
-constexpr std::size_t max_body_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
 constexpr base::milliseconds idle_timeout{60'000};
 constexpr base::milliseconds handle_timeout{30'000};
 
