--- a/standins/fault_proxy/tunnel.cpp
+++ b/standins/fault_proxy/tunnel.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::size_t max_connect_request_bytes = 8 * 1024;
+constexpr std::size_t max_connect_request_bytes = std::size_t{8} * 1024;
 constexpr std::string_view established = "HTTP/1.1 200 Connection established\r\n\r\n";
 constexpr std::string_view bad_gateway = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n";
 constexpr std::string_view connect_method = "CONNECT ";
@@ -134,6 +134,9 @@
                       [self = shared_from_this()](std::error_code, std::size_t) {
                           std::error_code ignored;
                           self->source_.shutdown(asio::socket_base::shutdown_send, ignored);
+                          // A reset could overtake the refusal.
+                          self->to_target_.ended = true;
+                          self->to_source_.ended = true;
                           self->close();
                       });
 }
@@ -251,11 +254,14 @@
         if (self->stage_ == stage::closed || failure) {
             return;
         }
-        if (self->swallows(way, self->links_.fault_of(self->link_).kind)) {
+        const auto kind = self->links_.fault_of(self->link_).kind;
+        if (self->swallows(way, kind)) {
             self->swallow(way, bytes);
-            return;
+        } else if (kind == fault_kind::freeze) {
+            way.held_bytes = bytes;
+        } else {
+            self->write(way, bytes);
         }
-        self->write(way, bytes);
     });
 }
 
