--- a/src/rules/internal/line_parser.cpp
+++ b/src/rules/internal/line_parser.cpp
@@ -371,14 +371,20 @@
     return body;
 }
 
-result<std::uint32_t> parse_format(std::string_view text, const line_place& place)
+result<format_line> parse_format(std::string_view text, const line_place& place)
 {
+    constexpr auto greatest = std::numeric_limits<std::uint32_t>::max();
     word_reader words{text, place};
+    format_line format;
     BOOST_OUTCOME_TRY(words.word("format"));
-    BOOST_OUTCOME_TRY(number, words.count("the version of the grammar",
-                                          std::numeric_limits<std::uint32_t>::max()));
+    BOOST_OUTCOME_TRY(grammar, words.count("the version of the grammar", greatest));
+    format.grammar = grammar;
+    if (words.take("version")) {
+        BOOST_OUTCOME_TRY(version, words.count("the version of the rules", greatest));
+        format.version = version;
+    }
     BOOST_OUTCOME_TRY(words.end());
-    return number;
+    return format;
 }
 
 bool is_format_line(std::string_view text)
--- a/src/rules/internal/line_parser.hpp
+++ b/src/rules/internal/line_parser.hpp
@@ -21,9 +21,15 @@
 /// Reads the rule of one line that has no comment any more.
 [[nodiscard]] base::result<rule_body> parse_line(std::string_view text, const line_place& place);
 
-/// Reads `format N`; the number is returned.
-[[nodiscard]] base::result<std::uint32_t> parse_format(std::string_view text,
-                                                       const line_place& place);
+/// The `format` line: which grammar, and which accepted version the file was read from.
+struct format_line {
+    std::uint32_t grammar = 0;
+    rules_version version = 0;
+};
+
+/// Reads `format N` or `format N version M`.
+[[nodiscard]] base::result<format_line> parse_format(std::string_view text,
+                                                     const line_place& place);
 
 /// True when the first word of the line is `format`.
 [[nodiscard]] bool is_format_line(std::string_view text);
--- a/src/rules/rules_text.cpp
+++ b/src/rules/rules_text.cpp
@@ -205,19 +205,21 @@
 
     void read_format(std::string_view text, std::string_view after_mark)
     {
-        const auto number = internal::parse_format(text, place_);
+        const auto format = internal::parse_format(text, place_);
         if (!trim(after_mark).empty()) {
             above_.add(comment_words(after_mark));
             raw_above_.add(fmt::format("#{}", trim_end(after_mark)));
         }
         end_block();
-        if (number.has_error()) {
-            faults_.push_back(number.error());
+        if (format.has_error()) {
+            faults_.push_back(format.error());
         } else if (has_rules_ || has_format_) {
             add_syntax(1, "expected 'format' once, before the first rule");
-        } else if (number.value() != grammar_version) {
-            add_syntax(
-                1, fmt::format("expected format {}, found {}", grammar_version, number.value()));
+        } else if (format.value().grammar != grammar_version) {
+            add_syntax(1, fmt::format("expected format {}, found {}", grammar_version,
+                                      format.value().grammar));
+        } else {
+            rules_.version = format.value().version;
         }
         has_format_ = true;
     }
@@ -294,7 +296,10 @@
 
 std::string to_text(const ruleset& rules)
 {
-    auto text = fmt::format("format {}\n", grammar_version);
+    auto text = fmt::format("format {} version {}\n", grammar_version, rules.version);
+    if (rules.version == 0) {
+        text = fmt::format("format {}\n", grammar_version);
+    }
     for (const auto& line : rules.lines) {
         write_line(text, line);
     }
--- a/src/rules/rules_text.hpp
+++ b/src/rules/rules_text.hpp
@@ -11,7 +11,8 @@
 namespace poplarstile::rules
 {
 
-/// Version of the grammar that this program reads and writes; `format N` names it in a file.
+/// Version of the grammar that this program reads and writes; `format N [version M]` names it in a
+/// file, and the accepted version that the file was read from.
 inline constexpr std::uint32_t grammar_version = 1;
 
 /// Longest text that is read, in bytes.
@@ -26,14 +27,14 @@
 using rules_result = BOOST_OUTCOME_V2_NAMESPACE::checked<Value, rules_faults>;
 
 /// Reads a whole text: the grammar of each line, its comment, and the rules among each other.
-/// The result's `version` is 0. `file_name` only serves messages.
+/// The result's `version` is that of the `format` line, or 0. `file_name` only serves messages.
 [[nodiscard]] rules_result<ruleset> parse_rules(std::string_view text,
                                                 std::string_view file_name = "rules");
 
 /// Reads one rule from its text and comment, as the store keeps them.
 [[nodiscard]] base::result<rule_line> parse_rule(std::string_view text, std::string_view comment);
 
-/// Writes rules so that `parse_rules` reads the same lines, comments and headings again.
+/// Writes rules so that `parse_rules` reads the same version, lines, comments and headings again.
 [[nodiscard]] std::string to_text(const ruleset& rules);
 
 } // namespace poplarstile::rules
--- a/tests/settings/vm_settings_test.cpp
+++ b/tests/settings/vm_settings_test.cpp
@@ -34,9 +34,9 @@
     bool operator==(const found_fault&) const = default;
 };
 
-void PrintTo(const found_fault& fault, std::ostream* stream)
+std::ostream& operator<<(std::ostream& stream, const found_fault& fault)
 {
-    *stream << static_cast<unsigned>(fault.code) << " at " << fault.place;
+    return stream << static_cast<unsigned>(fault.code) << " at " << fault.place;
 }
 
 std::vector<found_fault> faults_of(const ordered_json& document)
