Keep the configure log inside the build folder

Cause: it lay beside the build folder and was committed by mistake. Ruled out: a wider ignore rule alone, since the file would still be written into the source tree. Change: scripts/common.sh writes it into the build folder. Conclusion: a build leaves the source tree clean.

--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -27,8 +27,9 @@
 # Configures and builds; arguments are the targets (all by default).
 build_project() {
     say "build: $build_dir"
+    mkdir -p "$build_dir"
     cmake -S "$project_dir" -B "$build_dir" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
-        ${POPLARSTILE_CMAKE_ARGS:-} >"$build_dir.configure.log" 2>&1 ||
-        { cat "$build_dir.configure.log"; return 1; }
+        ${POPLARSTILE_CMAKE_ARGS:-} >"$build_dir/configure.log" 2>&1 ||
+        { cat "$build_dir/configure.log"; return 1; }
     cmake --build "$build_dir" -j "$jobs" --target "${@:-all}" -- --quiet 2>&1 | grep -v '^$' || return "${PIPESTATUS[0]}"
 }
