Place gangs on cells so that every guarantee can be reclaimed

Cause: the first-fit placement knew no guarantees; any work could take the accelerators that a workspace may reclaim, for as long as it liked.

Change: src/placement holds the adjacency tree as aligned cells of lines, a buddy index over each line, the feasibility test by counts of cells, and the allocation that keeps one rule: guaranteed shapes that are not bound to a whole cell can be had at once from cells that are free or run work that gives way. The scheduler places through it, claims cells, asks gangs that give way for a checkpoint, stops them and starts the claimant; it is split by subject. Reports carry the round they answer and table answers the operation, so that late and doubled ones are told apart.

Ruled out: rounding in runs of any length, for which the choice of cells is bin packing; aligned powers of two make the greedy choice exact.

--- a/apps/poplarstiled/node.hpp
+++ b/apps/poplarstiled/node.hpp
@@ -34,7 +34,7 @@
     scheduling::scheduler_counters counters{};
     std::vector<scheduling::job_view> jobs{};
     std::vector<scheduling::worker_view> workers{};
-    std::vector<scheduling::worker_capacity> capacity{};
+    scheduling::room_view room{};
 };
 
 /// What the duties of one VM share: settings, clients, the event log and each duty's newest view.
--- a/apps/poplarstiled/scheduler_duty.cpp
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -5,7 +5,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace poplarstile::daemon
@@ -46,10 +45,19 @@
     return workers;
 }
 
+placement::topology hardware_of(const settings::vm_settings& settings)
+{
+    std::vector<placement::worker_hardware> hardware;
+    for (const auto& worker : settings.workers) {
+        hardware.push_back({worker.id, worker.rack, worker.position, worker.accelerators});
+    }
+    return placement::topology::create(hardware);
+}
+
 } // namespace
 
 scheduler_duty::scheduler_duty(node& owner)
-    : node_{owner}, lease_{lease_options_of(owner)},
+    : node_{owner}, lease_{lease_options_of(owner)}, hardware_{hardware_of(owner.settings)},
       scheduler_{scheduler_options_of(owner), workers_of(owner.settings)}, duty_{ring_capacity,
                                                                                  tick_interval}
 {
@@ -87,13 +95,8 @@
 
 rules::shape scheduler_duty::nearest_possible_shape(const rules::shape& wanted) const
 {
-    std::vector<scheduling::worker_capacity> empty;
-    for (const auto& worker : workers_of(node_.settings)) {
-        empty.push_back({worker.rack, worker.position, worker.accelerators,
-                         std::vector<bool>(worker.accelerators, true)});
-    }
     for (auto shape = wanted; shape.members > 0; --shape.members) {
-        if (scheduling::find_adjacent_places(empty, shape)) {
+        if (hardware_.can_hold(shape)) {
             return shape;
         }
     }
@@ -102,29 +105,18 @@
 
 nlohmann::json scheduler_duty::fragmentation() const
 {
-    constexpr std::array<rules::shape, 6> shapes{{{1, 1}, {1, 4}, {1, 8}, {2, 8}, {4, 8}, {8, 8}}};
     const auto view = node_.scheduler.get();
-    std::size_t free = 0;
-    for (const auto& worker : view->capacity) {
-        free += worker.usable ? static_cast<std::size_t>(std::ranges::count(worker.free, true)) : 0;
-    }
     nlohmann::json by_shape = nlohmann::json::array();
-    std::string largest;
-    std::size_t largest_total = 0;
-    for (const auto& shape : shapes) {
-        const bool fits = scheduling::find_adjacent_places(view->capacity, shape).has_value();
-        by_shape.push_back({{"shape", scheduling::to_string(shape)}, {"free", fits ? 1 : 0}});
-        if (fits) {
-            largest = scheduling::to_string(shape);
-            largest_total = shape.total();
-        }
+    for (const auto& entry : view->room.shapes) {
+        by_shape.push_back({{"shape", scheduling::to_string(entry.shape)},
+                            {"free", entry.free},
+                            {"reclaimable", entry.reclaimable}});
     }
-    const double unusable = free == 0 ? 0.0
-                                      : 1.0 - static_cast<double>(std::min(largest_total, free)) /
-                                                  static_cast<double>(free);
-    return {{"free_accelerators", free},
-            {"largest_free_shape", largest},
-            {"unusable_share", unusable},
+    const auto& largest = view->room.largest_free;
+    return {{"free_accelerators", view->room.free_accelerators},
+            {"largest_free_shape",
+             largest.total() == 0 ? std::string{} : scheduling::to_string(largest)},
+            {"unusable_share", view->room.unusable_share},
             {"by_shape", by_shape}};
 }
 
@@ -155,7 +147,7 @@
         view.counters = scheduler_.counters();
         view.jobs = scheduler_.jobs();
         view.workers = scheduler_.workers();
-        view.capacity = scheduler_.free_capacity();
+        view.room = scheduler_.room();
     }
     node_.scheduler.set(std::move(view));
 }
@@ -246,8 +238,10 @@
     const auto& times = node_.settings.times;
     node_.workers->renew(
         action.address, node_.settings.vm.failure_domain, action.token, times.worker_lease,
-        times.worker_lease / 3, [this, worker = action.worker](workers::lease_answer answer) {
-            duty_.post(scheduling::event{scheduling::worker_reported{worker, std::move(answer)}});
+        times.worker_lease / 3,
+        [this, worker = action.worker, round = action.round](workers::lease_answer answer) {
+            duty_.post(
+                scheduling::event{scheduling::worker_reported{worker, round, std::move(answer)}});
         });
 }
 
@@ -255,8 +249,9 @@
 {
     node_.workers->list(
         action.address, order_timeout,
-        [this, worker = action.worker](workers::lease_answer answer) {
-            duty_.post(scheduling::event{scheduling::worker_reported{worker, std::move(answer)}});
+        [this, worker = action.worker, round = action.round](workers::lease_answer answer) {
+            duty_.post(
+                scheduling::event{scheduling::worker_reported{worker, round, std::move(answer)}});
         });
 }
 
@@ -281,10 +276,11 @@
 
 void scheduler_duty::carry_out_one(scheduling::write_job& action)
 {
-    node_.table->transact(
-        action.transaction, [this, job = action.job](platform::commit_result result) {
-            duty_.post(scheduling::event{scheduling::job_written{job, std::move(result)}});
-        });
+    node_.table->transact(action.transaction, [this, job = action.job,
+                                               operation = action.transaction.operation](
+                                                  platform::commit_result result) {
+        duty_.post(scheduling::event{scheduling::job_written{job, operation, std::move(result)}});
+    });
 }
 
 void scheduler_duty::carry_out_one(scheduling::step_down& /*action*/)
--- a/apps/poplarstiled/scheduler_duty.hpp
+++ b/apps/poplarstiled/scheduler_duty.hpp
@@ -59,6 +59,7 @@
 
     node& node_;
     lease::scheduler_lease lease_;
+    placement::topology hardware_;
     scheduling::scheduler scheduler_;
     duty<message> duty_;
 };
--- a/src/scheduling/gang.cpp
+++ b/src/scheduling/gang.cpp
@@ -13,13 +13,28 @@
 {
 }
 
-gang gang::adopt(std::vector<gang_member> members, base::time_point now)
+gang gang::adopt(std::vector<gang_member> members, std::size_t gang_size, bool released,
+                 base::time_point now)
 {
     gang found{std::move(members), now};
-    found.released_ = true;
-    found.phase_ = gang_phase::releasing;
+    found.released_ = released;
+    bool failed = false;
+    bool lost = found.members_.size() != gang_size;
+    bool started = false;
     for (auto& member : found.members_) {
-        member.settled = workers::ended(member.state) && member.state != task_state::absent;
+        member.settled = workers::ended(member.state);
+        member.confirmed_at = now;
+        failed = failed || member.state == task_state::failed;
+        lost = lost || member.state == task_state::stopped || member.state == task_state::expired;
+        started = started || member.state == task_state::running ||
+                  member.state == task_state::completed || member.state == task_state::failed;
+    }
+    if (started) {
+        found.released_ = true;
+        found.phase_ = gang_phase::releasing;
+    }
+    if (failed || lost) {
+        found.stop(failed ? stop_cause::member_failed : stop_cause::member_lost, now);
     }
     found.advance(now);
     return found;
@@ -36,6 +51,9 @@
     if (goes_back || state == task_state::absent) {
         return;
     }
+    if (member->state == task_state::absent) {
+        member->confirmed_at = now;
+    }
     member->state = state;
     member->settled = workers::ended(state);
     const bool lost = state == task_state::expired || state == task_state::stopped;
@@ -59,6 +77,15 @@
     advance(now);
 }
 
+void gang::record_absence(std::string_view task, base::time_point asked_at, base::time_point now)
+{
+    const auto* const member = find(task);
+    const bool confirmed = member != nullptr && member->state != task_state::absent;
+    if (confirmed && member->confirmed_at < asked_at) {
+        record_state(task, task_state::expired, now);
+    }
+}
+
 void gang::record_worker_lost(std::size_t worker, base::time_point now)
 {
     bool affected = false;
--- a/src/scheduling/gang.hpp
+++ b/src/scheduling/gang.hpp
@@ -24,8 +24,8 @@
     workers::task_state state = workers::task_state::absent;
     /// True when the worker has confirmed that the task does not run and never will.
     bool settled = false;
-    /// False when the task was never ordered to hold, so that nothing has to be stopped.
-    bool ordered = true;
+    /// When the worker first said that the task is held or runs.
+    base::time_point confirmed_at{};
 };
 
 enum class gang_phase {
@@ -52,8 +52,11 @@
 public:
     explicit gang(std::vector<gang_member> members, base::time_point now);
 
-    /// A gang found on its workers by a new scheduler.
-    [[nodiscard]] static gang adopt(std::vector<gang_member> members, base::time_point now);
+    /// An attempt found on its workers by a new scheduler: it goes on when all members are there
+    /// and none has ended badly, and is stopped otherwise. `released` tells whether a release may
+    /// have been ordered before.
+    [[nodiscard]] static gang adopt(std::vector<gang_member> members, std::size_t gang_size,
+                                    bool released, base::time_point now);
 
     /// The worker has said this about the member's task.
     void record_state(std::string_view task, workers::task_state state, base::time_point now);
@@ -61,6 +64,10 @@
     /// The worker refused to hold the member; it does not run there.
     void record_refusal(std::string_view task, base::time_point now);
 
+    /// A report of this worker, asked for at `asked_at`, does not list the task: if the worker had
+    /// confirmed it before, it has forgotten it and the task runs no more.
+    void record_absence(std::string_view task, base::time_point asked_at, base::time_point now);
+
     /// The worker is lost for longer than its lease: its members run no more.
     void record_worker_lost(std::size_t worker, base::time_point now);
 
--- a/src/scheduling/messages.hpp
+++ b/src/scheduling/messages.hpp
@@ -45,9 +45,10 @@
 struct cancel_requested {
     std::string job{};
 };
-/// Answer to `renew_worker` or `probe_worker`.
+/// Answer to the `renew_worker` or `probe_worker` of the same round.
 struct worker_reported {
     std::string worker{};
+    std::uint64_t round = 0;
     workers::lease_answer answer{};
 };
 /// Answer to `hold_task` or `order_task`.
@@ -59,6 +60,8 @@
 /// Answer to `write_job`.
 struct job_written {
     std::string job{};
+    /// Operation of the transaction that this answers.
+    std::string operation{};
     platform::commit_result result{};
 };
 struct rules_changed {
@@ -79,11 +82,13 @@
     std::string worker{};
     std::string address{};
     workers::fencing_token token = 0;
+    std::uint64_t round = 0;
 };
 /// Asks a silent worker for its tasks without renewing them.
 struct probe_worker {
     std::string worker{};
     std::string address{};
+    std::uint64_t round = 0;
 };
 struct hold_task {
     std::string address{};
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -1,13 +1,15 @@
 #pragma once
 
+#include "placement/allocation.hpp"
 #include "scheduling/gang.hpp"
+#include "scheduling/job_view.hpp"
 #include "scheduling/messages.hpp"
-#include "scheduling/placement.hpp"
 
 #include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -29,27 +31,14 @@
     std::size_t failures_to_give_up = 3;
 };
 
-/// What is shown of a job that this scheduler knows.
-struct job_view {
-    job_spec spec{};
-    job_state state = job_state::queued;
-    std::string detail{};
-    std::int64_t started_us = 0;
-};
-
-struct scheduler_counters {
-    std::size_t queued = 0;
-    std::size_t starting = 0;
-    std::size_t running = 0;
-    std::uint64_t placements = 0;
-    std::uint64_t requeued = 0;
-};
-
-struct worker_view {
-    std::string id{};
-    std::string state{};
-    std::uint32_t free_accelerators = 0;
-};
+/// Longest time from the decision to reclaim cells to the release of the work that they were
+/// reclaimed for, while the workers concerned answer within `reclaim_round_trip` and at most one
+/// answer is lost.
+inline constexpr base::milliseconds reclaim_bound{1'100};
+/// Longest wait for the checkpoints of work that gives way; then it is stopped without.
+inline constexpr base::milliseconds checkpoint_wait{400};
+/// Longest answer of a worker for which `reclaim_bound` holds.
+inline constexpr base::milliseconds reclaim_round_trip{100};
 
 /// The scheduler of one failure domain: decides which gang starts where, and sees each through.
 ///
@@ -71,7 +60,12 @@
     [[nodiscard]] std::vector<worker_view> workers() const;
     [[nodiscard]] std::vector<job_view> jobs() const;
     [[nodiscard]] std::optional<job_view> find_job(std::string_view id) const;
-    [[nodiscard]] std::vector<worker_capacity> free_capacity() const;
+    [[nodiscard]] room_view room() const;
+    /// Who has which accelerators; for views and checks.
+    [[nodiscard]] const placement::allocation& cells() const
+    {
+        return allocation_;
+    }
 
 private:
     enum class phase { inactive, rebuilding, active };
@@ -92,30 +86,52 @@
         bool leaving = false;
         bool avoided = false;
         bool answer_pending = false;
+        /// True when the question under way renews leases.
+        bool renewing = false;
+        std::uint64_t round = 0;
         base::time_point asked_at{};
         base::time_point heard_at{};
-        /// When the last renewal that may have reached the worker was sent.
+        /// When a renewal or hold last may have reached the worker.
         base::time_point renewed_at{};
         std::vector<bool> broken{};
-        /// Task that occupies each accelerator; empty when free.
-        std::vector<std::string> occupant{};
+        /// Tasks of current attempts on this worker.
+        std::set<std::string, std::less<>> tasks{};
         std::vector<workers::task_report> last_report{};
     };
 
+    /// A gang that gives way to a guarantee.
+    struct giving_way {
+        std::string workspace{};
+        base::time_point checkpoint_due{};
+        base::milliseconds least_progress = base::milliseconds::max();
+        /// Tasks whose checkpoint has not been answered.
+        std::set<std::string, std::less<>> unanswered{};
+    };
+
     struct job_record {
         stored_job stored{};
         job_state state = job_state::queued;
         std::string detail{};
         std::optional<gang> attempt{};
+        std::optional<giving_way> yielding{};
         std::uint32_t attempts = 0;
         std::vector<std::string> failed_on{};
+        std::uint32_t failures = 0;
         std::uint64_t sequence = 0;
         std::int64_t started_us = 0;
         base::time_point queued_since{};
+        /// Not placed again before this time.
+        base::time_point retry_at{};
+        base::time_point running_since{};
+        /// Progress that the last checkpoint keeps, and when it was taken.
+        base::milliseconds kept{0};
+        base::time_point checkpointed_at{};
+        base::time_point orders_sent_at{};
         /// Operation of the table write under way; empty when none is.
         std::string writing{};
         bool final_write = false;
         base::time_point write_again_at{};
+        std::vector<job_step> history{};
     };
 
     void handle(lease_gained& happened);
@@ -131,40 +147,80 @@
 
     // Workers.
     void contact_workers();
+    void contact_worker(worker_state& worker);
     void note_silence(worker_state& worker);
     void take_report(worker_state& worker, const workers::lease_report& report);
+    void take_tasks(worker_state& worker);
+    void lose_lapsed_workers();
     void stop_orphan(const worker_state& worker, const workers::task_report& task);
+    void refresh_usable(const worker_state& worker);
     [[nodiscard]] worker_state* find_worker(std::string_view id);
     [[nodiscard]] std::size_t index_of(const worker_state& worker) const;
 
     // Rebuilding.
+    struct found_attempt;
+    using found_attempts = std::unordered_map<std::string, std::vector<found_attempt>>;
+    void reset();
     void finish_rebuilding_if_ready();
-    void rebuild_job(job_record& job);
+    [[nodiscard]] found_attempts find_attempts() const;
+    void rebuild_job(job_record& job, std::vector<found_attempt>& found);
+    void adopt(job_record& job, const found_attempt& found);
 
     // Jobs.
     void add_job(stored_job job);
-    void place_queued();
-    [[nodiscard]] bool try_place(job_record& job);
+    void settle_new_job(job_record& job);
     void drive(job_record& job);
+    void drive_overdue(job_record& job);
     void release_members(job_record& job);
-    void stop_members(const job_record& job);
+    void stop_members(job_record& job);
     void finish_attempt(job_record& job);
+    void end_attempt(job_record& job, const gang& attempt);
     void requeue(job_record& job, std::string detail);
     void finish_job(job_record& job, job_state state, std::string detail);
+    void forget_tasks(const gang& attempt);
+    void note(std::string kind, job_record& job, std::string detail);
+
+    // Placement.
+    void place_queued();
+    [[nodiscard]] bool try_place(job_record& job);
+    void start_holding(job_record& job);
+    void hold_member(job_record& job, gang_member& member, std::uint32_t number);
+    void advance_claims();
+    void yield(job_record& victim, const job_record& claimant);
+    void record_checkpoint(job_record& job, const task_answered& happened);
+    void stop_yielding(job_record& job);
+    [[nodiscard]] placement::work_request request_of(const job_record& job) const;
+    [[nodiscard]] double loss_of(placement::work_id work) const;
+    [[nodiscard]] base::milliseconds attained_by(const job_record& job) const;
+    /// Ids of queued jobs in the order in which places are looked for.
+    [[nodiscard]] std::vector<std::string> placement_order() const;
+
+    // Table writes.
     void write_final(job_record& job);
     void write_released(job_record& job);
-    void free_accelerators(const job_record& job);
-    void forget_tasks(const job_record& job);
-    [[nodiscard]] bool can_ever_fit(const rules::shape& shape) const;
-    [[nodiscard]] std::vector<std::string> placement_order() const;
+    void take_conflict(job_record& job, const platform::commit_result& result);
+    void erase_job(const std::string& id);
     [[nodiscard]] std::string next_operation();
-    void note(std::string kind, const job_record& job, std::string detail);
+
+    // Views.
+    [[nodiscard]] job_view view_of(const job_record& job) const;
+    [[nodiscard]] job_reason reason_of(const job_record& job) const;
 
     scheduler_options options_;
+    placement::topology hardware_;
+    placement::allocation allocation_;
+    /// In the order of the hardware's workers.
     std::vector<worker_state> workers_;
+    std::unordered_map<std::string, std::size_t> worker_indices_;
     std::map<std::string, job_record, std::less<>> jobs_;
     /// Job of each task of a current attempt.
     std::unordered_map<std::string, std::string> task_jobs_;
+    /// Jobs by their number in the allocation.
+    std::unordered_map<placement::work_id, job_record*> works_;
+    /// Jobs whose cells are being reclaimed.
+    std::vector<std::string> claimants_;
+    /// Versions at which jobs ended here: older rows of them are stale.
+    std::map<std::string, platform::row_version, std::less<>> ended_;
     std::shared_ptr<const rules::ruleset> rules_ = std::make_shared<rules::ruleset>();
     phase phase_ = phase::inactive;
     workers::fencing_token token_ = 0;
@@ -175,6 +231,7 @@
     bool jobs_known_ = false;
     bool place_again_ = false;
     std::uint64_t next_sequence_ = 1;
+    std::uint64_t next_round_ = 1;
     scheduler_counters counters_;
     base::time_point now_{};
     actions out_;
