--- a/apps/poplarstiled/job_gateway.cpp
+++ b/apps/poplarstiled/job_gateway.cpp
@@ -39,6 +39,24 @@
             {"ended_ms", ended_us / 1000}};
 }
 
+json why_body(const scheduling::job_view& job)
+{
+    auto body = job_body(job.spec, job.state, job.detail, job.started_us, 0);
+    json history = json::array();
+    for (const auto& step : job.history) {
+        history.push_back(
+            {{"time_ms", step.time_us / 1000}, {"what", step.what}, {"why", step.why}});
+    }
+    body["waits_for"] = job.reason.waits_for;
+    body["rule"] = job.reason.rule;
+    body["blocked_by"] = job.reason.blocked_by;
+    body["would_change"] = job.reason.would_change;
+    body["attempts"] = job.attempts;
+    body["guaranteed"] = job.guaranteed;
+    body["history"] = history;
+    return body;
+}
+
 void refuse(const net::http_responder& responder, outcome result, error failure,
             base::milliseconds retry_after = base::milliseconds{0})
 {
@@ -210,6 +228,9 @@
     case peer::scheduler_call::why: {
         const auto id = payload.value("job", "");
         for (const auto& job : view->jobs) {
+            if (job.spec.id == id && call.kind == peer::scheduler_call::why) {
+                return {200, why_body(job).dump()};
+            }
             if (job.spec.id == id) {
                 return {200, job_body(job.spec, job.state, job.detail, job.started_us, 0).dump()};
             }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -62,6 +62,8 @@
     task_jobs_.clear();
     works_.clear();
     claimants_.clear();
+    arrived_.clear();
+    looked_at_ = {};
     ended_.clear();
     jobs_known_ = false;
     allocation_ = placement::allocation{hardware_};
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -183,6 +183,7 @@
 
     // Placement.
     void place_queued();
+    void place_in_order(std::span<const std::string> order);
     [[nodiscard]] bool try_place(job_record& job);
     void start_holding(job_record& job);
     void hold_member(job_record& job, gang_member& member, std::uint32_t number);
@@ -206,6 +207,9 @@
     // Views.
     [[nodiscard]] job_view view_of(const job_record& job) const;
     [[nodiscard]] job_reason reason_of(const job_record& job) const;
+    [[nodiscard]] bool waits_for_place(const job_record& job) const;
+    /// Why a queued job finds no place.
+    [[nodiscard]] job_reason place_reason_of(const job_record& job) const;
 
     scheduler_options options_;
     placement::topology hardware_;
@@ -231,6 +235,11 @@
     base::time_point scanned_at_{};
     bool jobs_known_ = false;
     bool place_again_ = false;
+    /// Jobs that arrived since the last look for places.
+    std::vector<std::string> arrived_;
+    /// `freed_count` of the allocation, and the time, at the last look through the whole queue.
+    std::uint64_t looked_at_freed_ = 0;
+    base::time_point looked_at_{};
     std::uint64_t next_sequence_ = 1;
     std::uint64_t next_round_ = 1;
     scheduler_counters counters_;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -84,6 +84,7 @@
     } else if (!hardware_.can_hold(job.stored.spec.shape)) {
         finish_job(job, job_state::rejected, "no adjacent workers have room for this shape");
     } else {
+        arrived_.push_back(job.stored.spec.id);
         place_again_ = true;
     }
 }
--- a/src/scheduling/scheduler_placement.cpp
+++ b/src/scheduling/scheduler_placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 /// Where gangs go, and how cells are reclaimed for guarantees.
 namespace poplarstile::scheduling
@@ -11,6 +12,9 @@
 namespace
 {
 
+/// Longest time between two looks through the whole queue, for jobs whose backoff has ended.
+constexpr base::milliseconds whole_queue_interval{250};
+
 /// Jobs that the allocation can't tell apart: when one finds no place, neither do the others.
 struct request_kind {
     std::string_view workspace{};
@@ -31,12 +35,33 @@
             .stoppable = spec.checkpointable && spec.idempotent};
 }
 
+/// Looks through the whole queue when something became free or some time has passed; otherwise only
+/// jobs that arrived can find what the others did not.
 void scheduler::place_queued()
+{
+    const bool whole_queue =
+        allocation_.freed_count() != looked_at_freed_ || now_ - looked_at_ >= whole_queue_interval;
+    const auto arrived = std::exchange(arrived_, {});
+    if (!whole_queue) {
+        place_in_order(arrived);
+        return;
+    }
+    looked_at_freed_ = allocation_.freed_count();
+    looked_at_ = now_;
+    place_in_order(placement_order());
+}
+
+void scheduler::place_in_order(std::span<const std::string> order)
 {
     std::set<request_kind> without_place;
-    for (const auto& id : placement_order()) {
-        auto& job = jobs_.find(id)->second;
-        if (allocation_.has(job.sequence) || now_ < job.retry_at) {
+    for (const auto& id : order) {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end()) {
+            continue;
+        }
+        auto& job = found->second;
+        const bool waits = job.state == job_state::queued && !job.attempt && job.writing.empty();
+        if (!waits || allocation_.has(job.sequence) || now_ < job.retry_at) {
             continue;
         }
         const auto& spec = job.stored.spec;
--- a/src/scheduling/scheduler_views.cpp
+++ b/src/scheduling/scheduler_views.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <tuple>
 
 /// What the scheduler shows of itself.
 namespace poplarstile::scheduling
@@ -47,8 +49,22 @@
 {
     std::vector<job_view> views;
     views.reserve(jobs_.size());
+    // Jobs that the allocation can't tell apart wait for the same.
+    std::map<std::tuple<std::string_view, rules::shape, bool>, job_reason> reasons;
     for (const auto& [id, job] : jobs_) {
         views.push_back(view_of(job));
+        auto& reason = views.back().reason;
+        if (!waits_for_place(job)) {
+            reason = reason_of(job);
+            continue;
+        }
+        const auto request = request_of(job);
+        const auto [known, added] = reasons.try_emplace(
+            {job.stored.spec.workspace, request.shape, request.stoppable}, job_reason{});
+        if (added) {
+            known->second = place_reason_of(job);
+        }
+        reason = known->second;
     }
     return views;
 }
@@ -98,6 +114,16 @@
     if (now_ < job.retry_at) {
         return {.waits_for = "its next attempt", .would_change = "the end of its backoff"};
     }
+    return place_reason_of(job);
+}
+
+bool scheduler::waits_for_place(const job_record& job) const
+{
+    return job.state == job_state::queued && !allocation_.has(job.sequence) && now_ >= job.retry_at;
+}
+
+job_reason scheduler::place_reason_of(const job_record& job) const
+{
     const auto wait = allocation_.explain(request_of(job));
     job_reason reason{.rule = wait.rule};
     for (const auto blocker : wait.blocked_by) {
--- a/standins/worker_standin/task_table.cpp
+++ b/standins/worker_standin/task_table.cpp
@@ -105,7 +105,7 @@
     entry fresh;
     fresh.message = message;
     fresh.lease_ends = now.steady + message.lease;
-    fresh.progress = checkpoints_.load(message.job, message.member);
+    fresh.progress = std::max(checkpoints_.load(message.job, message.member), message.resume);
     fresh.progress_at = now.steady;
     fresh.record = records_.add(task_record{.worker = worker_,
                                             .task = message.task,
--- a/standins/worker_standin/task_table.hpp
+++ b/standins/worker_standin/task_table.hpp
@@ -35,6 +35,8 @@
     bool checkpointable = false;
     /// How long the work takes at full share, counted from its start.
     base::milliseconds run_time{0};
+    /// Progress that the scheduler knows to be saved; the task starts no earlier than there.
+    base::milliseconds resume{0};
     bool fail = false;
 };
 
--- a/standins/worker_standin/worker_service.cpp
+++ b/standins/worker_standin/worker_service.cpp
@@ -90,6 +90,8 @@
     message.checkpointable = body.value("checkpointable", false);
     message.run_time =
         base::milliseconds{has_members ? payload.value("run_ms", default_run_ms) : default_run_ms};
+    message.resume =
+        base::milliseconds{has_members ? payload.value("resume_ms", std::int64_t{0}) : 0};
     message.fail = has_members && payload.value("fail", false);
     return message;
 }
