--- a/standins/worker_standin/task_table.cpp
+++ b/standins/worker_standin/task_table.cpp
@@ -1,7 +1,5 @@
 #include "standins/worker_standin/task_table.hpp"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -13,16 +11,10 @@
 constexpr std::chrono::minutes finished_listed_for{10};
 constexpr base::milliseconds failing_run_time{50};
 constexpr double least_share = 1e-6;
-constexpr std::size_t max_checkpoints = 200'000;
 /// Ids remembered by one worker; the oldest is forgotten first.
 constexpr std::size_t max_known_tasks = 200'000;
 constexpr std::chrono::hours longest_run{24 * 365};
 
-std::string checkpoint_key(const std::string& job, std::uint32_t member)
-{
-    return fmt::format("{}/{}", job, member);
-}
-
 } // namespace
 
 std::string_view name_of(task_state state)
@@ -63,23 +55,6 @@
     return "unknown";
 }
 
-void checkpoint_store::save(const std::string& job, std::uint32_t member,
-                            base::milliseconds progress)
-{
-    const std::lock_guard lock{mutex_};
-    if (progress_.size() >= max_checkpoints) {
-        progress_.erase(progress_.begin());
-    }
-    progress_[checkpoint_key(job, member)] = progress;
-}
-
-base::milliseconds checkpoint_store::load(const std::string& job, std::uint32_t member) const
-{
-    const std::lock_guard lock{mutex_};
-    const auto found = progress_.find(checkpoint_key(job, member));
-    return found == progress_.end() ? base::milliseconds{0} : found->second;
-}
-
 task_table::task_table(std::string worker, std::uint32_t accelerators, record_book& records,
                        checkpoint_store& checkpoints)
     : worker_{std::move(worker)}, accelerators_{accelerators}, records_{records}, checkpoints_{
--- a/standins/worker_standin/task_table.hpp
+++ b/standins/worker_standin/task_table.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "standins/worker_standin/checkpoint_store.hpp"
 #include "standins/worker_standin/record_book.hpp"
 
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -67,18 +67,6 @@
 
 using lease_answer = std::variant<lease_renewed, task_refused>;
 
-/// Progress saved by checkpoints, by job and member; shared by the workers of one process.
-class checkpoint_store
-{
-public:
-    void save(const std::string& job, std::uint32_t member, base::milliseconds progress);
-    [[nodiscard]] base::milliseconds load(const std::string& job, std::uint32_t member) const;
-
-private:
-    mutable std::mutex mutex_;
-    std::map<std::string, base::milliseconds, std::less<>> progress_;
-};
-
 /// The accelerator tasks of one worker: leases, tokens, progress. Not synchronized.
 /// Every operation first ends what has run out by `now`.
 class task_table
