--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -83,6 +83,17 @@
   2: list<worker_load> workers
 }
 
+struct members_request {
+  1: string from_vm
+  2: string after_vm
+}
+
+struct members_reply {
+  1: string from_vm
+  2: list<member_update> updates
+  3: bool more
+}
+
 union message {
   1: ping ping_message
   2: ping_ack ping_ack_message
@@ -93,6 +104,8 @@
   7: scheduler_forward scheduler_forward_message
   8: scheduler_answer scheduler_answer_message
   9: load_report load_report_message
+  10: members_request members_request_message
+  11: members_reply members_reply_message
 }
 
 struct envelope {
--- a/src/membership/internal/group_gossip.cpp
+++ b/src/membership/internal/group_gossip.cpp
@@ -114,11 +114,11 @@
 
 void group_state::take_in(const peer::lease_view& lease)
 {
-    auto& kept = leases_[lease.failure_domain];
-    if (lease.epoch <= kept.epoch) {
+    const auto found = leases_.find(lease.failure_domain);
+    if (found != leases_.end() && lease.epoch <= found->second.epoch) {
         return;
     }
-    kept = lease;
+    leases_.insert_or_assign(lease.failure_domain, lease);
     actions_.emplace_back(lease_learned{.lease = lease});
 }
 
@@ -145,6 +145,11 @@
     if (what.news) {
         announce(vm);
     }
+    report(what);
+}
+
+void group_state::report(const change& what)
+{
     if (!what.seen) {
         return;
     }
--- a/src/membership/internal/group_probes.cpp
+++ b/src/membership/internal/group_probes.cpp
@@ -21,6 +21,24 @@
     }
 }
 
+// A lost page is asked for again, of whichever member comes up.
+void group_state::ask_for_members()
+{
+    if (!page_cursor_) {
+        return;
+    }
+    std::vector<const entry*> known;
+    for (const auto& [vm, each] : roster_.entries()) {
+        if (each.facts.state == member_state::alive) {
+            known.push_back(&each);
+        }
+    }
+    for (const auto* member : pick(std::move(known), 1)) {
+        send(member->facts.vm, member->facts.address,
+             peer::members_request{.from = self_.vm, .after = *page_cursor_});
+    }
+}
+
 // Every member is reached once in each round, in an order that changes from round to round.
 const entry* group_state::next_own_target()
 {
--- a/src/membership/internal/group_state.cpp
+++ b/src/membership/internal/group_state.cpp
@@ -71,6 +71,7 @@
     if (now_ >= next_own_probe_) {
         next_own_probe_ = now_ + scaled(limits_.probe_interval);
         probe_own_domain();
+        ask_for_members();
     }
     if (now_ >= next_delegate_probe_) {
         next_delegate_probe_ = now_ + scaled(limits_.delegate_interval);
@@ -121,9 +122,9 @@
 
 void group_state::on(const lease_observed& what)
 {
-    auto& kept = leases_[what.lease.failure_domain];
-    if (what.lease.epoch >= kept.epoch) {
-        kept = what.lease;
+    const auto found = leases_.find(what.lease.failure_domain);
+    if (found == leases_.end() || what.lease.epoch >= found->second.epoch) {
+        leases_.insert_or_assign(what.lease.failure_domain, what.lease);
     }
 }
 
@@ -184,6 +185,35 @@
     take_in(claim);
 }
 
+void group_state::receive(const peer::members_request& body)
+{
+    peer::members_reply reply{.from = self_.vm};
+    const auto& all = roster_.entries();
+    auto next = all.upper_bound(body.after);
+    for (; next != all.end() && reply.updates.size() < limits_.page_members; ++next) {
+        if (next->second.facts.state != member_state::dead) {
+            reply.updates.push_back(update_of(next->second));
+        }
+    }
+    reply.more = next != all.end();
+    send(body.from, address_of(body.from), std::move(reply));
+}
+
+// What a page says is known to the others, so it is not passed on as news.
+void group_state::receive(const peer::members_reply& body)
+{
+    for (const auto& claim : body.updates) {
+        if (claim.vm != self_.vm) {
+            report(roster_.apply(claim, now_));
+        }
+    }
+    if (!body.more || body.updates.empty()) {
+        page_cursor_.reset();
+    } else if (page_cursor_) {
+        page_cursor_ = body.updates.back().vm;
+    }
+}
+
 // Timers that come late say that this process, not the others, was away.
 void group_state::notice_pause()
 {
--- a/src/membership/internal/group_state.hpp
+++ b/src/membership/internal/group_state.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -65,6 +66,8 @@
     void receive(const peer::ping_ack& body);
     void receive(const peer::ping_request& body);
     void receive(const peer::leave& body);
+    void receive(const peer::members_request& body);
+    void receive(const peer::members_reply& body);
     template <class Other>
     void receive(const Other& /*body*/)
     {
@@ -82,6 +85,7 @@
     void probe_own_domain();
     void probe_other_domain();
     void probe_missing();
+    void ask_for_members();
     void send_probe(probe_kind kind, std::string_view vm, std::string_view address);
     void send_indirect_probes(std::uint64_t number, const pending_probe& probe);
     void fail(const pending_probe& probe);
@@ -98,6 +102,7 @@
     void take_in(const peer::lease_view& lease);
     void deny(const peer::member_update& claim);
     void note(std::string_view vm, const change& what);
+    void report(const change& what);
     void announce(std::string_view vm);
     void spread_leave(std::string_view vm, std::uint64_t incarnation);
     [[nodiscard]] peer::member_update own_update() const;
@@ -126,6 +131,8 @@
     time_point next_missing_probe_{};
     std::vector<std::string> probe_order_;
     std::size_t delegate_cursor_ = 0;
+    /// While joining: the last member of the pages read so far.
+    std::optional<std::string> page_cursor_{std::string{}};
     std::uint64_t last_probe_ = 0;
     std::map<std::uint64_t, pending_probe> pending_;
     std::map<std::uint64_t, relayed_probe> relayed_;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -31,11 +31,11 @@
 /// Times and limits. `create` refuses what can't work.
 struct config {
     /// Between two probes of VMs of the own failure domain.
-    milliseconds probe_interval{500};
+    milliseconds probe_interval{600};
     /// Until a probe is tried through others.
     milliseconds probe_timeout{200};
     /// Between two probes of other failure domains, by delegates.
-    milliseconds delegate_interval{1000};
+    milliseconds delegate_interval{2000};
     /// Between two tries to reach a dead VM or one that only the VM list names.
     milliseconds dead_probe_interval{2000};
     /// The shortest suspicion in a domain of ten VMs or fewer; grows with the logarithm above that.
@@ -56,6 +56,8 @@
     std::size_t max_updates = 8;
     /// Known facts that are repeated in every message besides news.
     std::size_t refresh_updates = 1;
+    /// Members in one page for a VM that joins; it asks for a page a probe interval.
+    std::size_t page_members = 48;
     /// Lease views in one message.
     std::size_t max_leases = 3;
     /// News is sent this many times the logarithm of the number of VMs.
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -1870,6 +1870,270 @@
 }
 
 
+members_request::~members_request() noexcept {
+}
+
+
+void members_request::__set_from_vm(const std::string& val) {
+  this->from_vm = val;
+}
+
+void members_request::__set_after_vm(const std::string& val) {
+  this->after_vm = val;
+}
+std::ostream& operator<<(std::ostream& out, const members_request& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t members_request::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->from_vm);
+          this->__isset.from_vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->after_vm);
+          this->__isset.after_vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t members_request::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("members_request");
+
+  xfer += oprot->writeFieldBegin("from_vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->from_vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after_vm", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->after_vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(members_request &a, members_request &b) {
+  using ::std::swap;
+  swap(a.from_vm, b.from_vm);
+  swap(a.after_vm, b.after_vm);
+  swap(a.__isset, b.__isset);
+}
+
+members_request::members_request(const members_request& other50) {
+  from_vm = other50.from_vm;
+  after_vm = other50.after_vm;
+  __isset = other50.__isset;
+}
+members_request& members_request::operator=(const members_request& other51) {
+  from_vm = other51.from_vm;
+  after_vm = other51.after_vm;
+  __isset = other51.__isset;
+  return *this;
+}
+void members_request::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "members_request(";
+  out << "from_vm=" << to_string(from_vm);
+  out << ", " << "after_vm=" << to_string(after_vm);
+  out << ")";
+}
+
+
+members_reply::~members_reply() noexcept {
+}
+
+
+void members_reply::__set_from_vm(const std::string& val) {
+  this->from_vm = val;
+}
+
+void members_reply::__set_updates(const std::vector<member_update> & val) {
+  this->updates = val;
+}
+
+void members_reply::__set_more(const bool val) {
+  this->more = val;
+}
+std::ostream& operator<<(std::ostream& out, const members_reply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t members_reply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->from_vm);
+          this->__isset.from_vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->updates.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->updates.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->updates[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.updates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->more);
+          this->__isset.more = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t members_reply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("members_reply");
+
+  xfer += oprot->writeFieldBegin("from_vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->from_vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
+    std::vector<member_update> ::const_iterator _iter57;
+    for (_iter57 = this->updates.begin(); _iter57 != this->updates.end(); ++_iter57)
+    {
+      xfer += (*_iter57).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("more", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->more);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(members_reply &a, members_reply &b) {
+  using ::std::swap;
+  swap(a.from_vm, b.from_vm);
+  swap(a.updates, b.updates);
+  swap(a.more, b.more);
+  swap(a.__isset, b.__isset);
+}
+
+members_reply::members_reply(const members_reply& other58) {
+  from_vm = other58.from_vm;
+  updates = other58.updates;
+  more = other58.more;
+  __isset = other58.__isset;
+}
+members_reply& members_reply::operator=(const members_reply& other59) {
+  from_vm = other59.from_vm;
+  updates = other59.updates;
+  more = other59.more;
+  __isset = other59.__isset;
+  return *this;
+}
+void members_reply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "members_reply(";
+  out << "from_vm=" << to_string(from_vm);
+  out << ", " << "updates=" << to_string(updates);
+  out << ", " << "more=" << to_string(more);
+  out << ")";
+}
+
+
 message::~message() noexcept {
 }
 
@@ -1918,6 +2182,16 @@
   this->load_report_message = val;
 __isset.load_report_message = true;
 }
+
+void message::__set_members_request_message(const members_request& val) {
+  this->members_request_message = val;
+__isset.members_request_message = true;
+}
+
+void message::__set_members_reply_message(const members_reply& val) {
+  this->members_reply_message = val;
+__isset.members_reply_message = true;
+}
 std::ostream& operator<<(std::ostream& out, const message& obj)
 {
   obj.printTo(out);
@@ -2018,6 +2292,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->members_request_message.read(iprot);
+          this->__isset.members_request_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->members_reply_message.read(iprot);
+          this->__isset.members_reply_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2080,6 +2370,16 @@
     xfer += this->load_report_message.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.members_request_message) {
+    xfer += oprot->writeFieldBegin("members_request_message", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->members_request_message.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.members_reply_message) {
+    xfer += oprot->writeFieldBegin("members_reply_message", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->members_reply_message.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2096,32 +2396,38 @@
   swap(a.scheduler_forward_message, b.scheduler_forward_message);
   swap(a.scheduler_answer_message, b.scheduler_answer_message);
   swap(a.load_report_message, b.load_report_message);
+  swap(a.members_request_message, b.members_request_message);
+  swap(a.members_reply_message, b.members_reply_message);
   swap(a.__isset, b.__isset);
 }
 
-message::message(const message& other50) {
-  ping_message = other50.ping_message;
-  ping_ack_message = other50.ping_ack_message;
-  ping_request_message = other50.ping_request_message;
-  rules_request_message = other50.rules_request_message;
-  rules_reply_message = other50.rules_reply_message;
-  leave_message = other50.leave_message;
-  scheduler_forward_message = other50.scheduler_forward_message;
-  scheduler_answer_message = other50.scheduler_answer_message;
-  load_report_message = other50.load_report_message;
-  __isset = other50.__isset;
-}
-message& message::operator=(const message& other51) {
-  ping_message = other51.ping_message;
-  ping_ack_message = other51.ping_ack_message;
-  ping_request_message = other51.ping_request_message;
-  rules_request_message = other51.rules_request_message;
-  rules_reply_message = other51.rules_reply_message;
-  leave_message = other51.leave_message;
-  scheduler_forward_message = other51.scheduler_forward_message;
-  scheduler_answer_message = other51.scheduler_answer_message;
-  load_report_message = other51.load_report_message;
-  __isset = other51.__isset;
+message::message(const message& other60) {
+  ping_message = other60.ping_message;
+  ping_ack_message = other60.ping_ack_message;
+  ping_request_message = other60.ping_request_message;
+  rules_request_message = other60.rules_request_message;
+  rules_reply_message = other60.rules_reply_message;
+  leave_message = other60.leave_message;
+  scheduler_forward_message = other60.scheduler_forward_message;
+  scheduler_answer_message = other60.scheduler_answer_message;
+  load_report_message = other60.load_report_message;
+  members_request_message = other60.members_request_message;
+  members_reply_message = other60.members_reply_message;
+  __isset = other60.__isset;
+}
+message& message::operator=(const message& other61) {
+  ping_message = other61.ping_message;
+  ping_ack_message = other61.ping_ack_message;
+  ping_request_message = other61.ping_request_message;
+  rules_request_message = other61.rules_request_message;
+  rules_reply_message = other61.rules_reply_message;
+  leave_message = other61.leave_message;
+  scheduler_forward_message = other61.scheduler_forward_message;
+  scheduler_answer_message = other61.scheduler_answer_message;
+  load_report_message = other61.load_report_message;
+  members_request_message = other61.members_request_message;
+  members_reply_message = other61.members_reply_message;
+  __isset = other61.__isset;
   return *this;
 }
 void message::printTo(std::ostream& out) const {
@@ -2136,6 +2442,8 @@
   out << ", " << "scheduler_forward_message="; (__isset.scheduler_forward_message ? (out << to_string(scheduler_forward_message)) : (out << "<null>"));
   out << ", " << "scheduler_answer_message="; (__isset.scheduler_answer_message ? (out << to_string(scheduler_answer_message)) : (out << "<null>"));
   out << ", " << "load_report_message="; (__isset.load_report_message ? (out << to_string(load_report_message)) : (out << "<null>"));
+  out << ", " << "members_request_message="; (__isset.members_request_message ? (out << to_string(members_request_message)) : (out << "<null>"));
+  out << ", " << "members_reply_message="; (__isset.members_reply_message ? (out << to_string(members_reply_message)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2232,15 +2540,15 @@
   swap(a.__isset, b.__isset);
 }
 
-envelope::envelope(const envelope& other52) {
-  version = other52.version;
-  body = other52.body;
-  __isset = other52.__isset;
+envelope::envelope(const envelope& other62) {
+  version = other62.version;
+  body = other62.body;
+  __isset = other62.__isset;
 }
-envelope& envelope::operator=(const envelope& other53) {
-  version = other53.version;
-  body = other53.body;
-  __isset = other53.__isset;
+envelope& envelope::operator=(const envelope& other63) {
+  version = other63.version;
+  body = other63.body;
+  __isset = other63.__isset;
   return *this;
 }
 void envelope::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -47,6 +47,10 @@
 
 class load_report;
 
+class members_request;
+
+class members_reply;
+
 class message;
 
 class envelope;
@@ -806,8 +810,114 @@
 
 std::ostream& operator<<(std::ostream& out, const load_report& obj);
 
+typedef struct _members_request__isset {
+  _members_request__isset() : from_vm(false), after_vm(false) {}
+  bool from_vm :1;
+  bool after_vm :1;
+} _members_request__isset;
+
+class members_request : public virtual ::apache::thrift::TBase {
+ public:
+
+  members_request(const members_request&);
+  members_request& operator=(const members_request&);
+  members_request() noexcept
+                  : from_vm(),
+                    after_vm() {
+  }
+
+  virtual ~members_request() noexcept;
+  std::string from_vm;
+  std::string after_vm;
+
+  _members_request__isset __isset;
+
+  void __set_from_vm(const std::string& val);
+
+  void __set_after_vm(const std::string& val);
+
+  bool operator == (const members_request & rhs) const
+  {
+    if (!(from_vm == rhs.from_vm))
+      return false;
+    if (!(after_vm == rhs.after_vm))
+      return false;
+    return true;
+  }
+  bool operator != (const members_request &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const members_request & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(members_request &a, members_request &b);
+
+std::ostream& operator<<(std::ostream& out, const members_request& obj);
+
+typedef struct _members_reply__isset {
+  _members_reply__isset() : from_vm(false), updates(false), more(false) {}
+  bool from_vm :1;
+  bool updates :1;
+  bool more :1;
+} _members_reply__isset;
+
+class members_reply : public virtual ::apache::thrift::TBase {
+ public:
+
+  members_reply(const members_reply&);
+  members_reply& operator=(const members_reply&);
+  members_reply() noexcept
+                : from_vm(),
+                  more(0) {
+  }
+
+  virtual ~members_reply() noexcept;
+  std::string from_vm;
+  std::vector<member_update>  updates;
+  bool more;
+
+  _members_reply__isset __isset;
+
+  void __set_from_vm(const std::string& val);
+
+  void __set_updates(const std::vector<member_update> & val);
+
+  void __set_more(const bool val);
+
+  bool operator == (const members_reply & rhs) const
+  {
+    if (!(from_vm == rhs.from_vm))
+      return false;
+    if (!(updates == rhs.updates))
+      return false;
+    if (!(more == rhs.more))
+      return false;
+    return true;
+  }
+  bool operator != (const members_reply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const members_reply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(members_reply &a, members_reply &b);
+
+std::ostream& operator<<(std::ostream& out, const members_reply& obj);
+
 typedef struct _message__isset {
-  _message__isset() : ping_message(false), ping_ack_message(false), ping_request_message(false), rules_request_message(false), rules_reply_message(false), leave_message(false), scheduler_forward_message(false), scheduler_answer_message(false), load_report_message(false) {}
+  _message__isset() : ping_message(false), ping_ack_message(false), ping_request_message(false), rules_request_message(false), rules_reply_message(false), leave_message(false), scheduler_forward_message(false), scheduler_answer_message(false), load_report_message(false), members_request_message(false), members_reply_message(false) {}
   bool ping_message :1;
   bool ping_ack_message :1;
   bool ping_request_message :1;
@@ -817,6 +927,8 @@
   bool scheduler_forward_message :1;
   bool scheduler_answer_message :1;
   bool load_report_message :1;
+  bool members_request_message :1;
+  bool members_reply_message :1;
 } _message__isset;
 
 class message : public virtual ::apache::thrift::TBase {
@@ -837,6 +949,8 @@
   scheduler_forward scheduler_forward_message;
   scheduler_answer scheduler_answer_message;
   load_report load_report_message;
+  members_request members_request_message;
+  members_reply members_reply_message;
 
   _message__isset __isset;
 
@@ -858,6 +972,10 @@
 
   void __set_load_report_message(const load_report& val);
 
+  void __set_members_request_message(const members_request& val);
+
+  void __set_members_reply_message(const members_reply& val);
+
   bool operator == (const message & rhs) const
   {
     if (__isset.ping_message != rhs.__isset.ping_message)
@@ -896,6 +1014,14 @@
       return false;
     else if (__isset.load_report_message && !(load_report_message == rhs.load_report_message))
       return false;
+    if (__isset.members_request_message != rhs.__isset.members_request_message)
+      return false;
+    else if (__isset.members_request_message && !(members_request_message == rhs.members_request_message))
+      return false;
+    if (__isset.members_reply_message != rhs.__isset.members_reply_message)
+      return false;
+    else if (__isset.members_reply_message && !(members_reply_message == rhs.members_reply_message))
+      return false;
     return true;
   }
   bool operator != (const message &rhs) const {
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -160,6 +160,26 @@
         body.__isset.workers = true;
         wire.__set_load_report_message(body);
     }
+
+    void operator()(const members_request& value) const
+    {
+        gen::members_request body;
+        body.__set_from_vm(value.from);
+        body.__set_after_vm(value.after);
+        wire.__set_members_request_message(body);
+    }
+
+    void operator()(const members_reply& value) const
+    {
+        gen::members_reply body;
+        body.__set_from_vm(value.from);
+        body.__set_more(value.more);
+        for (const auto& update : value.updates) {
+            body.updates.push_back(to_wire(update));
+        }
+        body.__isset.updates = true;
+        wire.__set_members_reply_message(body);
+    }
 };
 
 base::result<member_update> from_wire(gen::member_update& wire)
@@ -235,6 +255,21 @@
     return message{std::move(value)};
 }
 
+message from_wire(gen::members_request& wire)
+{
+    return members_request{.from = std::move(wire.from_vm), .after = std::move(wire.after_vm)};
+}
+
+base::result<message> from_wire(gen::members_reply& wire)
+{
+    members_reply value{.from = std::move(wire.from_vm), .more = wire.more};
+    for (auto& update : wire.updates) {
+        BOOST_OUTCOME_TRY(read, from_wire(update));
+        value.updates.push_back(std::move(read));
+    }
+    return message{std::move(value)};
+}
+
 message from_wire(gen::rules_request& wire)
 {
     return rules_request{.from = std::move(wire.from_vm),
@@ -261,7 +296,8 @@
     return int{isset.ping_message} + int{isset.ping_ack_message} + int{isset.ping_request_message} +
            int{isset.rules_request_message} + int{isset.rules_reply_message} +
            int{isset.leave_message} + int{isset.scheduler_forward_message} +
-           int{isset.scheduler_answer_message} + int{isset.load_report_message};
+           int{isset.scheduler_answer_message} + int{isset.load_report_message} +
+           int{isset.members_request_message} + int{isset.members_reply_message};
 }
 
 base::result<message> from_wire(gen::message& wire)
@@ -293,7 +329,13 @@
     if (wire.__isset.scheduler_answer_message) {
         return from_wire(wire.scheduler_answer_message);
     }
-    return from_wire(wire.load_report_message);
+    if (wire.__isset.load_report_message) {
+        return from_wire(wire.load_report_message);
+    }
+    if (wire.__isset.members_request_message) {
+        return from_wire(wire.members_request_message);
+    }
+    return from_wire(wire.members_reply_message);
 }
 
 /// Thrift reads through a pointer to mutable bytes but does not change them when it observes.
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -143,8 +143,26 @@
     bool operator==(const load_report&) const = default;
 };
 
+/// Asks for the members with a greater id than `after`; empty for the first page.
+struct members_request {
+    std::string from{};
+    std::string after{};
+
+    bool operator==(const members_request&) const = default;
+};
+
+/// One page of members by id. `more` says that another page follows.
+struct members_reply {
+    std::string from{};
+    std::vector<member_update> updates{};
+    bool more{};
+
+    bool operator==(const members_reply&) const = default;
+};
+
 /// Any message between VMs.
-using message = std::variant<ping, ping_ack, ping_request, rules_request, rules_reply, leave,
-                             scheduler_forward, scheduler_answer, load_report>;
+using message =
+    std::variant<ping, ping_ack, ping_request, rules_request, rules_reply, leave, scheduler_forward,
+                 scheduler_answer, load_report, members_request, members_reply>;
 
 } // namespace poplarstile::peer
