Probe a suspect often enough that it can deny the suspicion in time

A silence of 1.2 s ended in a death: the doubting VMs had stretched their own probes by their health score, so the suspect heard of the suspicion after its 1.5 s. A doubted member is now probed every probe timeout. membership.short_silence_is_not_death failed before and passes after.

--- a/src/events/event.cpp
+++ b/src/events/event.cpp
@@ -89,10 +89,10 @@
     std::ranges::sort(events, [](const event& left, const event& right) {
         return order_of(left) < order_of(right);
     });
-    const auto repeated = std::ranges::unique(events, [](const event& left, const event& right) {
+    const auto is_same = [](const event& left, const event& right) {
         return order_of(left) == order_of(right);
-    });
-    events.erase(repeated.begin(), repeated.end());
+    };
+    events.erase(std::unique(events.begin(), events.end(), is_same), events.end());
     return events;
 }
 
--- a/src/membership/internal/group_probes.cpp
+++ b/src/membership/internal/group_probes.cpp
@@ -71,6 +71,23 @@
     send_probe(probe_kind::other_domain, vm, address_of(vm));
 }
 
+// A suspect must hear of the suspicion in time to deny it, also from a VM whose own regular probes
+// are stretched by its health score.
+void group_state::probe_doubted()
+{
+    const bool delegate = is_delegate();
+    std::vector<const entry*> doubted;
+    for (const auto& [vm, known] : roster_.entries()) {
+        const bool ours = known.facts.failure_domain == self_.failure_domain;
+        if (known.doubt && (ours || delegate)) {
+            doubted.push_back(&known);
+        }
+    }
+    for (const auto* target : pick(std::move(doubted), 1)) {
+        send_probe(probe_kind::revival, target->facts.vm, target->facts.address);
+    }
+}
+
 // A VM that came back, or a domain that can be reached again, is found by asking the dead.
 void group_state::probe_missing()
 {
--- a/src/membership/internal/group_state.cpp
+++ b/src/membership/internal/group_state.cpp
@@ -79,6 +79,10 @@
             probe_other_domain();
         }
     }
+    if (now_ >= next_doubted_probe_) {
+        next_doubted_probe_ = now_ + limits_.probe_timeout;
+        probe_doubted();
+    }
     if (now_ >= next_missing_probe_) {
         const bool alone = roster_.entries().empty();
         next_missing_probe_ = now_ + (alone ? limits_.probe_interval : limits_.dead_probe_interval);
--- a/src/membership/internal/group_state.hpp
+++ b/src/membership/internal/group_state.hpp
@@ -85,6 +85,7 @@
     void probe_own_domain();
     void probe_other_domain();
     void probe_missing();
+    void probe_doubted();
     void ask_for_members();
     void send_probe(probe_kind kind, std::string_view vm, std::string_view address);
     void send_indirect_probes(std::uint64_t number, const pending_probe& probe);
@@ -129,6 +130,7 @@
     time_point next_own_probe_{};
     time_point next_delegate_probe_{};
     time_point next_missing_probe_{};
+    time_point next_doubted_probe_{};
     std::vector<std::string> probe_order_;
     std::size_t delegate_cursor_ = 0;
     /// While joining: the last member of the pages read so far.
--- a/tests/events/event_log_test.cpp
+++ b/tests/events/event_log_test.cpp
@@ -64,10 +64,10 @@
 
 TEST(event_log, loses_nothing_between_threads)
 {
-    constexpr int each = 500;
+    constexpr std::size_t each = 500;
     const auto log = make_log(4 * each);
     const auto write = [&log] {
-        for (int i = 0; i < each; ++i) {
+        for (std::size_t i = 0; i < each; ++i) {
             log->append({.part = "dispatch"}, wall_us);
         }
     };
@@ -78,7 +78,7 @@
 
     const auto page = log->read_after(0, std::nullopt, 4 * each);
 
-    ASSERT_EQ(page.events.size(), 2U * each);
+    ASSERT_EQ(page.events.size(), 2 * each);
     for (std::size_t i = 1; i < page.events.size(); ++i) {
         EXPECT_GT(page.events[i].hlc, page.events[i - 1].hlc) << "at " << i;
     }
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -117,6 +117,26 @@
     }
 }
 
+// A silence shorter than the shortest suspicion must be forgiven, however many probes it costs.
+TEST(membership, short_silence_is_not_death)
+{
+    auto bag = agreed_bag(8, 3);
+    bag.sightings.clear();
+
+    bag.faults.is_cut = [](const auto& from, const auto& to) {
+        return (from == "vm003") != (to == "vm003");
+    };
+    bag.run_for(milliseconds{1'200});
+    bag.faults.is_cut = {};
+    bag.run_for(seconds{20});
+
+    EXPECT_FALSE(bag.sightings.empty()) << "the silence must at least raise suspicion";
+    for (const auto& seen : bag.sightings) {
+        EXPECT_NE(seen.what.now_is.state, member_state::dead)
+            << seen.observer << " gave up " << seen.what.now_is.vm;
+    }
+}
+
 TEST(membership, domains_find_each_other_after_a_partition)
 {
     auto bag = agreed_bag(8, 3);
