Add poplarctl: the operators' command line

Operators check and apply rules, submit and follow jobs, and see status, fragmentation and events from one program.

--- /dev/null
+++ b/apps/poplarctl/arguments.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/result.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The operators' command line: what was asked for, and how it ended.
+namespace poplarstile::poplarctl
+{
+
+enum class exit_code : int { ok = 0, refused = 1, usage = 2, no_vm_answers = 3, conflict = 4 };
+
+enum class verb {
+    rules_check,
+    rules_show,
+    rules_diff,
+    rules_apply,
+    rules_log,
+    rules_explain,
+    submit,
+    job_list,
+    job_show,
+    job_why,
+    job_cancel,
+    status,
+    fragmentation,
+    drain,
+    timeline,
+};
+
+struct command {
+    verb action = verb::status;
+    /// What follows the command's words: a file, a job, a rule.
+    std::vector<std::string> operands{};
+};
+
+/// Values of the flags.
+struct options {
+    std::vector<std::string> vms{};
+    std::vector<std::string> callers{};
+    std::string key{};
+    std::string workspace{};
+    std::string idempotency_key{};
+    std::string author{};
+    std::string subject{};
+    bool json = false;
+    bool wait = false;
+};
+
+/// Reads the words after the flags; the error names what was expected.
+[[nodiscard]] base::result<command> parse_command(std::span<const std::string> words);
+
+/// Parts of a comma-separated list, without empty ones.
+[[nodiscard]] std::vector<std::string> split_list(std::string_view text);
+
+/// All commands, one a line, for the help text.
+[[nodiscard]] std::string command_help();
+
+} // namespace poplarstile::poplarctl
--- a/tests/rules/rule_convergence_test.cpp
+++ b/tests/rules/rule_convergence_test.cpp
@@ -53,7 +53,7 @@
         rc::gen::set(&wish::late_one_arrives));
 }
 
-void showValue(const wish& shown, std::ostream& stream)
+std::ostream& operator<<(std::ostream& stream, const wish& shown)
 {
     stream << fmt::format("operator {} reads {} line {} value {} late {} fates",
                           shown.operator_number, shown.reads_first, shown.line, shown.value,
@@ -61,6 +61,7 @@
     for (const auto step : shown.fates) {
         stream << ' ' << static_cast<int>(step);
     }
+    return stream;
 }
 
 enum class told { accepted, refused, not_known };
