--- a/apps/poplarctl/arguments.cpp
+++ b/apps/poplarctl/arguments.cpp
@@ -28,6 +28,8 @@
     {verb::rules_apply, "rules", "apply", "FILE", 1, "put FILE's changes in force; --wait until every VM has them"},
     {verb::rules_log, "rules", "log", "", 0, "list accepted changes, newest first"},
     {verb::rules_explain, "rules", "explain", "WORD", 1, "show the rules on WORD and who asked for them"},
+    {verb::settings_check, "settings", "check", "FILE", 1, "check a VM's settings file without any VM"},
+    {verb::settings_reference, "settings", "reference", "", 0, "print the page on all settings"},
     {verb::submit, "", "submit", "FILE", 1, "submit the job in FILE (needs --callers and --workspace)"},
     {verb::job_list, "job", "list", "", 0, "list jobs"},
     {verb::job_show, "job", "show", "JOB", 1, "show one job"},
--- a/apps/poplarctl/arguments.hpp
+++ b/apps/poplarctl/arguments.hpp
@@ -11,6 +11,7 @@
 namespace poplarstile::poplarctl
 {
 
+/// 0 done, 1 refused, 2 wrong usage, 3 no VM answers, 4 conflict with another change or key.
 enum class exit_code : int { ok = 0, refused = 1, usage = 2, no_vm_answers = 3, conflict = 4 };
 
 enum class verb {
@@ -20,6 +21,8 @@
     rules_apply,
     rules_log,
     rules_explain,
+    settings_check,
+    settings_reference,
     submit,
     job_list,
     job_show,
--- a/apps/poplarctl/commands.cpp
+++ b/apps/poplarctl/commands.cpp
@@ -183,6 +183,9 @@
     case verb::fragmentation:
         return call_and_show(call_of("GET", "/v1/fragmentation"), flags, streams,
                              fragmentation_text);
+    case verb::settings_check:
+    case verb::settings_reference:
+        return run_settings_command(wanted, streams);
     case verb::drain:
         return drain(flags, streams);
     case verb::timeline:
--- a/apps/poplarctl/commands.hpp
+++ b/apps/poplarctl/commands.hpp
@@ -26,6 +26,9 @@
 [[nodiscard]] exit_code run_rules_command(const command& wanted, const options& flags,
                                           const output& streams);
 
+/// Runs one of the `settings` commands.
+[[nodiscard]] exit_code run_settings_command(const command& wanted, const output& streams);
+
 /// Events of several VMs as lines in the order of their hybrid logical clock.
 [[nodiscard]] std::string merge_timeline(std::vector<nlohmann::json> events);
 
--- a/apps/poplarctl/rules_commands.cpp
+++ b/apps/poplarctl/rules_commands.cpp
@@ -117,6 +117,12 @@
     if (!loaded) {
         return exit_code::refused;
     }
+    if (flags.author.empty()) {
+        report({base::error_code::operator_argument_invalid, "--author", "no author was given",
+                "name who applies the rules"},
+               streams);
+        return exit_code::usage;
+    }
     auto client = vm_client::create(flags.vms, flags.key);
     if (client.has_error()) {
         return report(client.error(), streams);
