--- a/tests/settings/vm_settings_test.cpp
+++ b/tests/settings/vm_settings_test.cpp
@@ -188,6 +188,18 @@
     }
 }
 
+TEST(parse_settings, refuses_a_member_that_stands_twice)
+{
+    auto text = valid_document().dump();
+    text.insert(text.find("\"caller_port\""), "\"caller_port\":8001,");
+
+    const auto parsed = parse_settings(text);
+
+    ASSERT_TRUE(parsed.has_error());
+    EXPECT_EQ(parsed.error().errors.front().code, error_code::settings_contradictory);
+    EXPECT_EQ(parsed.error().errors.front().place, "listen.caller_port");
+}
+
 TEST(load_settings, reports_a_file_that_does_not_exist)
 {
     const auto loaded = load_settings("no/such/file.json");
