--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -148,7 +148,7 @@
     scan_after(std::string{prefix}, {}, {}, std::move(on_rows));
 }
 
-void table_client::scan_after(std::string prefix, std::string after, std::vector<table_row> found,
+void table_client::scan_after(std::string prefix, const std::string& after, std::vector<table_row> found,
                               rows_handler on_rows)
 {
     ++counters_.reads;
--- a/src/platform/table_client.hpp
+++ b/src/platform/table_client.hpp
@@ -67,7 +67,7 @@
     }
 
 private:
-    void scan_after(std::string prefix, std::string after, std::vector<table_row> found,
+    void scan_after(std::string prefix, const std::string& after, std::vector<table_row> found,
                     rows_handler on_rows);
     [[nodiscard]] net::http_call get(std::string_view path) const;
 
