--- a/tests/checker/promises_test.cpp
+++ b/tests/checker/promises_test.cpp
@@ -150,6 +150,27 @@
     EXPECT_EQ(only(promise::at_most_once, check(seen, {})).size(), 2) << "one for each member";
 }
 
+TEST(check, keeps_jobs_with_long_names_apart)
+{
+    auto seen = kept_history();
+    const auto members = std::vector<task_record>(seen.tasks.begin(), seen.tasks.begin() + 2);
+    const auto job = seen.jobs[0];
+    for (int number = 0; number < 8; ++number) {
+        const auto name = "a-job-whose-name-is-kept-on-the-heap-" + std::to_string(number);
+        seen.jobs.push_back(job);
+        seen.jobs.back().job = name;
+        for (const auto& member : members) {
+            seen.tasks.push_back(member);
+            seen.tasks.back().job = name;
+            seen.tasks.back().task = name + "." + std::to_string(member.member);
+        }
+    }
+
+    const auto twice = only(promise::at_most_once, check(seen, {}));
+
+    EXPECT_TRUE(twice.empty()) << "each job ran once, yet: " << twice[0].evidence;
+}
+
 TEST(check, allows_members_that_were_held_but_never_started)
 {
     auto seen = kept_history();
