Keep rules by the store, spread them by gossip and deltas

Cause: the provisional rules duty wrote whole files, lost removed lines and the log, told no conflicts, and answered a lost table answer with a conflict. A new VM is ready once the table confirmed its version, or after 2.5 s without the table when no known member is newer. The log keeps 256 changes, compacted in the transaction of a change. Peer messages carry the hybrid logical clock. Ruled out: each VM polling the head (the table's reads would grow with the number of VMs).

--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -58,10 +58,12 @@
     dispatch_ = std::make_unique<dispatch_duty>(node_);
     scheduler_ = std::make_unique<scheduler_duty>(node_);
     rules_ = std::make_unique<rules_duty>(node_, *link_);
+    rules_gateway_ = std::make_unique<rules_gateway>(node_, *rules_);
     jobs_ = std::make_unique<job_gateway>(node_, *scheduler_, *link_);
     BOOST_OUTCOME_TRY(peers, peer_duty::create(node_, *link_));
     peers_ = std::move(peers);
-    operators_ = std::make_unique<operator_gateway>(node_, *rules_, *jobs_, [this] { leave(); });
+    operators_ =
+        std::make_unique<operator_gateway>(node_, *rules_gateway_, *jobs_, [this] { leave(); });
     callers_ = std::make_unique<caller_gateway>(node_, *dispatch_, *jobs_);
 
     dispatch_->start();
--- a/apps/poplarstiled/daemon.hpp
+++ b/apps/poplarstiled/daemon.hpp
@@ -8,6 +8,7 @@
 #include "peer_duty.hpp"
 #include "peer_link.hpp"
 #include "rules_duty.hpp"
+#include "rules_gateway.hpp"
 #include "scheduler_duty.hpp"
 
 #include "net/http_server.hpp"
@@ -54,6 +55,7 @@
     std::unique_ptr<scheduler_duty> scheduler_;
     std::unique_ptr<peer_duty> peers_;
     std::unique_ptr<rules_duty> rules_;
+    std::unique_ptr<rules_gateway> rules_gateway_;
     std::unique_ptr<job_gateway> jobs_;
     std::unique_ptr<net::http_server> peer_port_;
     std::unique_ptr<caller_gateway> callers_;
--- a/apps/poplarstiled/node.hpp
+++ b/apps/poplarstiled/node.hpp
@@ -55,6 +55,9 @@
 
     /// Set once; the VM takes no new work from then on.
     std::atomic<bool> leaving{false};
+    /// When the table last told this VM which rules version is the newest, in microseconds since
+    /// the epoch; 0 when it never did.
+    std::atomic<std::int64_t> rules_confirmed_us{0};
     /// Set when the rules are known, which is when the VM first takes work.
     std::atomic<bool> ready{false};
 
--- a/apps/poplarstiled/operator_gateway.cpp
+++ b/apps/poplarstiled/operator_gateway.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-operator_gateway::operator_gateway(node& owner, rules_duty& rules, job_gateway& jobs,
+operator_gateway::operator_gateway(node& owner, rules_gateway& rules, job_gateway& jobs,
                                    std::function<void()> on_drain)
     : node_{owner}, rules_{rules}, jobs_{jobs}, on_drain_{std::move(on_drain)}
 {
@@ -185,6 +185,7 @@
             {"ready", node_.takes_work()},
             {"leaving", node_.leaving.load()},
             {"rules_version", node_.current_rules()->version},
+            {"rules_confirmed_ms_ago", rules_confirmed_ms_ago()},
             {"scheduler",
              {{"holder", scheduler->holder},
               {"epoch", scheduler->epoch},
@@ -199,6 +200,12 @@
             {"requests", {{"in_flight", requests->in_flight}, {"queued", requests->queued}}}};
 }
 
+json operator_gateway::rules_confirmed_ms_ago() const
+{
+    const auto confirmed = node_.rules_confirmed_us.load();
+    return confirmed == 0 ? json{} : json((base::wall_clock_us() - confirmed) / 1000);
+}
+
 json operator_gateway::events(const net::http_request& request) const
 {
     const auto subject = request.query_value("subject");
--- a/apps/poplarstiled/operator_gateway.hpp
+++ b/apps/poplarstiled/operator_gateway.hpp
@@ -2,7 +2,7 @@
 
 #include "job_gateway.hpp"
 #include "node.hpp"
-#include "rules_duty.hpp"
+#include "rules_gateway.hpp"
 
 #include "net/http_server.hpp"
 
@@ -16,7 +16,7 @@
 class operator_gateway
 {
 public:
-    operator_gateway(node& owner, rules_duty& rules, job_gateway& jobs,
+    operator_gateway(node& owner, rules_gateway& rules, job_gateway& jobs,
                      std::function<void()> on_drain);
 
     /// Error: `listen_failed`.
@@ -32,10 +32,12 @@
     [[nodiscard]] bool has_key(const net::http_request& request) const;
     [[nodiscard]] nlohmann::json status() const;
     [[nodiscard]] nlohmann::json events(const net::http_request& request) const;
+    /// Since the table last told which version is the newest; null when it never did.
+    [[nodiscard]] nlohmann::json rules_confirmed_ms_ago() const;
     void refresh_metrics() const;
 
     node& node_;
-    rules_duty& rules_;
+    rules_gateway& rules_;
     job_gateway& jobs_;
     std::function<void()> on_drain_;
     std::unique_ptr<net::http_server> server_;
--- a/apps/poplarstiled/peer_duty.cpp
+++ b/apps/poplarstiled/peer_duty.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t ring_capacity = 4'096;
 constexpr base::milliseconds tick_interval{50};
+constexpr std::int64_t us_per_ms = 1'000;
 constexpr std::string_view part = "membership";
 constexpr base::logger log{"membership"};
 
@@ -101,6 +102,7 @@
 void peer_duty::handle(message happened)
 {
     if (auto* const from_peer = std::get_if<received>(&happened)) {
+        observe(from_peer->body);
         const auto sender = sender_of(from_peer->body);
         auto actions =
             group_.decide(membership::message_received{base::now(), std::move(from_peer->body)});
@@ -147,7 +149,9 @@
             const bool answers_sender = responder != nullptr && outgoing->vm == sender &&
                                         std::holds_alternative<peer::ping_ack>(outgoing->body);
             if (answers_sender) {
-                responder->send(peer_response(outgoing->body));
+                auto body = outgoing->body;
+                stamp(body);
+                responder->send(peer_response(body));
             } else {
                 send(*outgoing);
             }
@@ -166,6 +170,29 @@
     }
 }
 
+void peer_duty::stamp(peer::message& body)
+{
+    const auto now = node_.events->clock().tick(base::wall_clock_us() / us_per_ms);
+    std::visit(
+        [now](auto& one) {
+            if constexpr (requires { one.header.hlc; }) {
+                one.header.hlc = now;
+            }
+        },
+        body);
+}
+
+void peer_duty::observe(const peer::message& body)
+{
+    std::visit(
+        [this](const auto& one) {
+            if constexpr (requires { one.header.hlc; }) {
+                node_.events->clock().observe(one.header.hlc, base::wall_clock_us() / us_per_ms);
+            }
+        },
+        body);
+}
+
 void peer_duty::send(const membership::send_message& action)
 {
     const auto timeout = node_.settings.times.gossip_interval;
@@ -173,8 +200,11 @@
     if (const auto* const ping = std::get_if<peer::ping>(&action.body)) {
         probe = ping->probe;
     }
-    link_.call(action.address, action.body, timeout, [this, probe](auto answer) {
+    auto body = action.body;
+    stamp(body);
+    link_.call(action.address, body, timeout, [this, probe](auto answer) {
         if (answer.has_value() && answer.value()) {
+            observe(*answer.value());
             (void)duty_.try_post(membership::event{
                 membership::message_received{base::now(), std::move(*answer.value())}});
         } else if (!answer.has_value() && probe) {
--- a/apps/poplarstiled/peer_duty.hpp
+++ b/apps/poplarstiled/peer_duty.hpp
@@ -53,6 +53,10 @@
                    const std::string& sender);
     void send(const membership::send_message& action);
     void publish();
+    /// Puts the process's clock into a message to be sent.
+    void stamp(peer::message& body);
+    /// Takes the sender's clock in, so that later events here are stamped after it.
+    void observe(const peer::message& body);
 
     node& node_;
     peer_link& link_;
--- a/apps/poplarstiled/rules_duty.cpp
+++ b/apps/poplarstiled/rules_duty.cpp
@@ -1,9 +1,6 @@
 #include "rules_duty.hpp"
 
-#include "answers.hpp"
-
 #include "base/log.hpp"
-#include "rules/rules_text.hpp"
 
 #include <fmt/format.h>
 
@@ -15,20 +12,41 @@
 namespace
 {
 
-using base::error_code;
-using nlohmann::json;
-
 constexpr std::size_t ring_capacity = 1'024;
 constexpr base::milliseconds tick_interval{100};
 constexpr base::milliseconds peer_timeout{1'000};
-constexpr std::string_view head_key = "rules/head";
-constexpr std::string_view line_prefix = "rules/line/";
+/// How long a new VM waits for the table before it takes work with its peers' newest rules.
+constexpr base::milliseconds table_patience{2'500};
+/// Poll interval of the VMs that are not readers of their failure domain, in poll intervals.
+constexpr int seldom = 20;
+/// More missing changes than this are read as a whole instead of one by one.
+constexpr rules::rules_version max_single_changes = 16;
 constexpr std::string_view part = "rules";
 constexpr base::logger log{"rules"};
 
-std::uint64_t version_of(const std::optional<platform::table_row>& head)
+std::optional<rules::rules_version> version_of(const std::optional<platform::table_row>& head)
 {
-    return head && head->value.is_object() ? head->value.value("version", std::uint64_t{0}) : 0;
+    if (!head) {
+        return 0;
+    }
+    const bool usable = head->value.is_object() && head->value.contains("version") &&
+                        head->value["version"].is_number_unsigned();
+    return usable ? std::optional{head->value["version"].get<rules::rules_version>()}
+                  : std::nullopt;
+}
+
+/// The changes of a peer's answer; nothing when one of them can't be read.
+std::optional<rules::rules_delta> delta_of(const peer::rules_reply& reply)
+{
+    rules::rules_delta delta{reply.from_version, {}};
+    for (const auto& entry : reply.entries) {
+        auto change = rules::change_from_json(nlohmann::json::parse(entry, nullptr, false), "peer");
+        if (!change.has_value()) {
+            return std::nullopt;
+        }
+        delta.changes.push_back(std::move(change).value());
+    }
+    return delta;
 }
 
 } // namespace
@@ -41,6 +59,7 @@
 void rules_duty::start(changed_handler on_changed)
 {
     on_changed_ = std::move(on_changed);
+    started_at_ = base::now();
     duty_.start([this](message&& happened) { handle(std::move(happened)); }, [this] { on_tick(); });
 }
 
@@ -49,6 +68,11 @@
     duty_.stop();
 }
 
+void rules_duty::look_now()
+{
+    (void)duty_.try_post(message{look_requested{}});
+}
+
 void rules_duty::handle(message happened)
 {
     std::visit([this](auto& one) { handle_one(one); }, happened);
@@ -56,227 +80,242 @@
 
 void rules_duty::on_tick()
 {
-    const bool due = base::now() - asked_at_ >= node_.settings.times.rules_poll;
+    const bool due = base::now() - asked_at_ >= poll_interval();
     if (due && !reading_) {
         read_head();
     }
+    become_ready();
+    run_deferred();
 }
 
-void rules_duty::handle_one(look_now& /*happened*/)
+void rules_duty::defer(base::milliseconds delay, std::function<void()> work)
 {
-    read_head();
+    duty_.post(message{deferred{base::now() + delay, std::move(work)}});
 }
 
+void rules_duty::handle_one(deferred& happened)
+{
+    deferred_.push_back(std::move(happened));
+}
+
+void rules_duty::run_deferred()
+{
+    const auto now = base::now();
+    const auto first_due = std::stable_partition(
+        deferred_.begin(), deferred_.end(), [now](const deferred& one) { return one.due > now; });
+    std::vector<deferred> due{std::make_move_iterator(first_due),
+                              std::make_move_iterator(deferred_.end())};
+    deferred_.erase(first_due, deferred_.end());
+    for (const auto& one : due) {
+        one.work();
+    }
+}
+
+base::milliseconds rules_duty::poll_interval() const
+{
+    const auto base_interval = node_.settings.times.rules_poll;
+    if (!node_.ready) {
+        return base_interval;
+    }
+    int rank = 0;
+    for (const auto& member : *node_.members.get()) {
+        const bool reads = member.failure_domain == node_.settings.vm.failure_domain &&
+                           member.state == peer::member_state::alive;
+        rank += reads && member.vm < node_.settings.vm.id ? 1 : 0;
+    }
+    return rank == 0 ? base_interval : base_interval * (rank == 1 ? 2 : seldom);
+}
+
+// The table.
+
 void rules_duty::read_head()
 {
     reading_ = true;
     asked_at_ = base::now();
-    node_.table->read(head_key, [this](auto row) {
-        if (row.has_value()) {
-            duty_.post(message{head_read{true, std::move(row).value()}});
-        } else {
-            duty_.post(message{head_read{}});
-        }
+    node_.table->read(rules::head_key, [this](auto row) {
+        duty_.post(message{head_read{row.has_value() ? version_of(row.value()) : std::nullopt}});
     });
 }
 
-void rules_duty::handle_one(head_read& happened)
+void rules_duty::read_change(rules::rules_version version, rules::rules_version newest)
 {
-    reading_ = false;
-    if (!happened.readable) {
-        return;
-    }
-    const auto version = version_of(happened.row);
-    if (version > node_.current_rules()->version) {
-        read_lines(version);
-    }
+    reading_ = true;
+    node_.table->read(rules::log_key(version), [this, newest](auto row) {
+        change_read read{{}, newest};
+        if (row.has_value() && row.value()) {
+            auto change = rules::change_from_json(row.value()->value, row.value()->key);
+            if (change.has_value()) {
+                read.change = std::move(change).value();
+            }
+        }
+        duty_.post(message{std::move(read)});
+    });
 }
 
-void rules_duty::read_lines(std::uint64_t version)
+void rules_duty::read_all()
 {
     reading_ = true;
-    node_.table->scan(line_prefix, [this, version](auto rows) {
-        if (!rows.has_value()) {
-            duty_.post(message{head_read{}});
-            return;
+    node_.table->scan(rules::rules_prefix, [this](auto rows) {
+        all_read read;
+        if (rows.has_value()) {
+            auto stored = rules::read_rules(rows.value(), rules::log_start(rows.value()));
+            if (stored.has_value()) {
+                read.stored = std::move(stored).value();
+            } else {
+                log.warning("The stored rules can't be used: {}.", base::describe(stored.error()));
+            }
         }
-        // The head is read again: lines read while the version moved on are not used.
-        node_.table->read(
-            head_key, [this, version, lines = std::move(rows).value()](auto head) mutable {
-                const bool same = head.has_value() && version_of(head.value()) == version;
-                if (same) {
-                    duty_.post(message{lines_read{version, std::move(lines)}});
-                } else {
-                    duty_.post(message{head_read{}});
-                }
-            });
+        duty_.post(message{std::move(read)});
     });
 }
 
-void rules_duty::handle_one(lines_read& happened)
+void rules_duty::handle_one(look_requested& /*happened*/)
 {
-    reading_ = false;
-    std::ranges::sort(happened.rows, {}, [](const platform::table_row& row) {
-        return row.value.value("order", std::uint64_t{0});
-    });
-    auto next = std::make_shared<rules::ruleset>();
-    next->version = happened.version;
-    for (const auto& row : happened.rows) {
-        auto line = rules::parse_rule(row.value.value("text", ""), row.value.value("comment", ""));
-        if (!line.has_value()) {
-            log.error("A stored rule can't be read: {}.", base::describe(line.error()));
-            return;
-        }
-        next->lines.push_back(std::move(line).value());
+    if (!reading_) {
+        read_head();
     }
-    take(std::move(next));
 }
 
-void rules_duty::take(std::shared_ptr<const rules::ruleset> rules)
+void rules_duty::handle_one(head_read& happened)
 {
-    if (rules->version <= node_.current_rules()->version) {
+    reading_ = false;
+    if (!happened.version) {
         return;
     }
-    node_.rules.set(rules);
-    log.info("Rules version {} is in force with {} lines.", rules->version, rules->lines.size());
-    node_.note(part, "rules.in_force", fmt::format("rules/{}", rules->version), "",
-               fmt::format("{} lines", rules->lines.size()));
-    on_changed_(rules);
-    node_.ready = true;
+    const auto newest = *happened.version;
+    node_.rules_confirmed_us = base::wall_clock_us();
+    if (newest <= replica_.version()) {
+        confirmed_ = newest > 0;
+        return;
+    }
+    const bool few = replica_.version() > 0 && newest - replica_.version() <= max_single_changes;
+    if (few) {
+        read_change(replica_.version() + 1, newest);
+    } else {
+        read_all();
+    }
 }
 
-// Peers.
-
-void rules_duty::ask_peer(std::string address)
+void rules_duty::handle_one(change_read& happened)
 {
-    const auto after = node_.current_rules()->version;
-    link_.call(
-        address, peer::rules_request{node_.settings.vm.id, after}, peer_timeout,
-        [this](auto answer) {
-            const auto* const reply = answer.has_value() && answer.value()
-                                          ? std::get_if<peer::rules_reply>(&*answer.value())
-                                          : nullptr;
-            if (reply != nullptr && !reply->snapshot.empty()) {
-                (void)duty_.try_post(message{peer_answered{reply->to_version, reply->snapshot}});
-            }
-        });
+    reading_ = false;
+    if (!happened.change) {
+        read_all();
+        return;
+    }
+    const auto version = happened.change->version;
+    if (replica_.take(rules::rules_delta{version - 1, {std::move(*happened.change)}})) {
+        publish();
+    } else if (replica_.version() < version) {
+        read_all();
+        return;
+    }
+    if (replica_.version() < happened.newest) {
+        read_change(replica_.version() + 1, happened.newest);
+        return;
+    }
+    confirmed_ = true;
 }
 
-void rules_duty::handle_one(peer_answered& happened)
+void rules_duty::handle_one(all_read& happened)
 {
-    auto parsed = rules::parse_rules(happened.text, "peer");
-    if (!parsed.has_value()) {
+    reading_ = false;
+    if (!happened.stored) {
         return;
     }
-    auto next = std::make_shared<rules::ruleset>(std::move(parsed).value());
-    next->version = happened.version;
-    take(std::move(next));
+    confirmed_ = happened.stored->state.version > 0;
+    if (replica_.take(*happened.stored)) {
+        publish();
+    }
 }
 
-void rules_duty::answer_peer(std::uint64_t after_version,
-                             const net::http_responder& responder) const
+void rules_duty::publish()
 {
-    const auto current = node_.current_rules();
-    peer::rules_reply reply{after_version, current->version, {}, ""};
-    if (current->version > after_version) {
-        reply.snapshot = rules::to_text(*current);
+    auto read = rules::to_ruleset(replica_.state());
+    if (!read.has_value()) {
+        log.error("Rules version {} can't be read: {}.", replica_.version(),
+                  base::describe(read.error()));
+        return;
     }
-    responder.send(peer_response(reply));
+    const auto rules = std::make_shared<const rules::ruleset>(std::move(read).value());
+    shared_.set(replica_);
+    node_.rules.set(rules);
+    log.info("Rules version {} is in force with {} lines.", rules->version, rules->lines.size());
+    node_.note(part, "rules.in_force", fmt::format("rules/{}", rules->version), "",
+               fmt::format("{} lines", rules->lines.size()));
+    on_changed_(rules);
 }
 
-// Operators.
-
-void rules_duty::apply(const std::string& body, const net::http_responder& responder)
+void rules_duty::become_ready()
 {
-    const auto asked = json::parse(body, nullptr, false);
-    const bool usable = asked.is_object() && asked.value("text", json{}).is_string();
-    if (!usable) {
-        responder.send(json_response(
-            400, error_body({error_code::operator_argument_invalid, "text", "", ""})));
+    if (node_.ready || replica_.version() == 0) {
         return;
     }
-    auto parsed = rules::parse_rules(asked["text"].get<std::string>());
-    if (!parsed.has_value()) {
-        json errors = json::array();
-        for (const auto& failure : parsed.error().errors) {
-            errors.push_back(error_body(failure));
-        }
-        responder.send(json_response(422, {{"errors", errors}}));
-        return;
+    const bool patient = base::now() - started_at_ < table_patience;
+    if (confirmed_ || (!patient && newest_among_peers())) {
+        node_.ready = true;
+        log.info("Ready with rules version {}{}.", replica_.version(),
+                 confirmed_ ? "" : ", from peers alone");
     }
-    const auto operation = asked.value("operation", fmt::format("{}", base::wall_clock_us()));
-    const auto text = std::make_shared<rules::ruleset>(std::move(parsed).value());
-    node_.table->read(head_key, [this, operation, text, responder](auto head) {
-        if (!head.has_value()) {
-            responder.send(json_response(503, error_body(head.error())));
-            return;
-        }
-        const auto& row = head.value();
-        const auto version = version_of(row) + 1;
-        platform::table_transaction transaction{
-            operation, {{std::string{head_key}, row ? row->version : 0}}, {}};
-        transaction.writes.push_back(
-            {std::string{head_key}, {{"version", version}, {"operation", operation}}});
-        std::uint64_t order = 0;
-        for (const auto& line : text->lines) {
-            transaction.writes.push_back({fmt::format("{}{}", line_prefix, line.id),
-                                          {{"text", line.text},
-                                           {"comment", line.comment},
-                                           {"order", order++},
-                                           {"version", version}}});
-        }
-        node_.table->transact(transaction, [this, version,
-                                            responder](const platform::commit_result& result) {
-            if (result.state == platform::commit_state::committed) {
-                (void)duty_.try_post(message{look_now{}});
-                responder.send(json_response(200, {{"version", version}}));
-                return;
-            }
-            responder.send(
-                json_response(409, error_body({error_code::rules_conflict, "rules/head", "", ""})));
-        });
+}
+
+bool rules_duty::newest_among_peers() const
+{
+    const auto members = node_.members.get();
+    return std::ranges::all_of(*members, [this](const membership::member& member) {
+        return member.rules_version <= replica_.version();
     });
 }
 
-void rules_duty::show(std::uint64_t /*version*/, const net::http_responder& responder) const
+// Peers.
+
+void rules_duty::ask_peer(std::string address)
 {
-    const auto current = node_.current_rules();
-    responder.send(
-        json_response(200, {{"version", current->version}, {"text", rules::to_text(*current)}}));
+    const auto after = node_.current_rules()->version;
+    link_.call(address, peer::rules_request{node_.settings.vm.id, after}, peer_timeout,
+               [this](auto answer) {
+                   auto* const reply = answer.has_value() && answer.value()
+                                           ? std::get_if<peer::rules_reply>(&*answer.value())
+                                           : nullptr;
+                   if (reply != nullptr) {
+                       (void)duty_.try_post(message{peer_answered{std::move(*reply)}});
+                   }
+               });
 }
 
-void rules_duty::show_log(std::uint64_t limit, const net::http_responder& responder)
+void rules_duty::handle_one(peer_answered& happened)
 {
-    node_.table->scan("rules/log/", [limit, responder](auto rows) {
-        if (!rows.has_value()) {
-            responder.send(json_response(503, error_body(rows.error())));
-            return;
-        }
-        json changes = json::array();
-        const auto& entries = rows.value();
-        for (auto entry = entries.rbegin(); entry != entries.rend() && changes.size() < limit;
-             ++entry) {
-            changes.push_back(entry->value);
+    const auto& reply = happened.reply;
+    if (!reply.snapshot.empty()) {
+        auto state =
+            rules::state_from_json(nlohmann::json::parse(reply.snapshot, nullptr, false), "peer");
+        if (state.has_value() && replica_.take(state.value())) {
+            publish();
         }
-        responder.send(json_response(200, {{"changes", changes}}));
-    });
+        return;
+    }
+    const auto delta = delta_of(reply);
+    if (delta && replica_.take(*delta)) {
+        publish();
+    }
 }
 
-json rules_duty::reach(std::uint64_t version) const
+void rules_duty::answer_peer(std::uint64_t after_version,
+                             const net::http_responder& responder) const
 {
-    json in_force = json::array();
-    json behind = json::array();
-    json out_of_reach = json::array();
-    for (const auto& member : *node_.members.get()) {
-        if (member.state == peer::member_state::dead) {
-            out_of_reach.push_back(member.vm);
-        } else if (member.rules_version >= version) {
-            in_force.push_back(member.vm);
+    const auto current = shared_.get();
+    peer::rules_reply reply{after_version, current->version(), {}, ""};
+    if (current->version() > after_version) {
+        const auto delta = current->changes_after(after_version);
+        if (delta) {
+            for (const auto& change : delta->changes) {
+                reply.entries.push_back(rules::to_json(change).dump());
+            }
         } else {
-            behind.push_back(member.vm);
+            reply.snapshot = rules::to_json(current->state()).dump();
         }
     }
-    return {{"in_force", in_force}, {"behind", behind}, {"out_of_reach", out_of_reach}};
+    responder.send(peer_response(reply));
 }
 
 } // namespace poplarstile::daemon
--- a/src/rules/rule_store.cpp
+++ b/src/rules/rule_store.cpp
@@ -79,20 +79,6 @@
     return base::success();
 }
 
-/// The state at an earlier version, by undoing the changes after it.
-result<rules_state> state_at(const stored_rules& stored, rules_version version)
-{
-    auto state = stored.state;
-    for (auto change = stored.changes.rbegin(); change != stored.changes.rend(); ++change) {
-        if (change->version <= version) {
-            break;
-        }
-        BOOST_OUTCOME_TRY(earlier, undo_change(state, *change));
-        state = std::move(earlier);
-    }
-    return state;
-}
-
 std::span<const change_record> changes_after(const stored_rules& stored, rules_version version)
 {
     return std::span{stored.changes}.subspan(version - stored.log_after);
@@ -214,6 +200,18 @@
     return check_rules(parsed.value(), "merged", check_guarantees);
 }
 
+/// Removes the oldest log rows past `max_log_rows`. The lines themselves are the snapshot that
+/// stands for them.
+void compact_log(const stored_rules& stored, platform::table_transaction& transaction)
+{
+    const auto kept = stored.changes.size() + 1;
+    const auto surplus = kept > max_log_rows ? kept - max_log_rows : 0;
+    const auto removed = std::min(surplus, max_compacted_rows);
+    for (std::size_t number = 0; number < removed; ++number) {
+        transaction.writes.push_back({log_key(stored.changes[number].version), nullptr});
+    }
+}
+
 apply_plan plan_merged(const stored_rules& stored, const rules_proposal& proposal,
                        rules_state merged, const guarantee_check& check_guarantees)
 {
@@ -226,17 +224,17 @@
         return apply_refused{std::move(faults)};
     }
     auto transaction = transaction_of(change, merged, stored.head_row);
+    compact_log(stored, transaction);
     return planned_change{std::move(transaction), std::move(change), std::move(merged),
                           stored.head_row};
 }
 
-apply_refused unknown_base(const rules_proposal& proposal, const stored_rules& stored)
+error unknown_version(rules_version version, const stored_rules& stored)
 {
-    return {
-        {error{error_code::rules_base_unknown,
-               fmt::format("version {}", proposal.base_version),
-               fmt::format("versions {} to {} are known", stored.log_after, stored.state.version),
-               {}}}};
+    return {error_code::rules_base_unknown,
+            fmt::format("version {}", version),
+            fmt::format("versions {} to {} are known", stored.log_after, stored.state.version),
+            {}};
 }
 
 } // namespace
@@ -266,15 +264,39 @@
     return stored;
 }
 
+rules_version log_start(std::span<const table_row> rows)
+{
+    const auto oldest = std::ranges::find_if(
+        rows, [](const table_row& row) { return row.key.starts_with(log_prefix); });
+    if (oldest == rows.end() || !oldest->value.is_object()) {
+        return 0;
+    }
+    const auto version = oldest->value.value("version", rules_version{0});
+    return version == 0 ? 0 : version - 1;
+}
+
+result<rules_state> state_at(const stored_rules& stored, rules_version version)
+{
+    if (version < stored.log_after || version > stored.state.version) {
+        return unknown_version(version, stored);
+    }
+    auto state = stored.state;
+    for (auto change = stored.changes.rbegin(); change != stored.changes.rend(); ++change) {
+        if (change->version <= version) {
+            break;
+        }
+        BOOST_OUTCOME_TRY(earlier, undo_change(state, *change));
+        state = std::move(earlier);
+    }
+    return state;
+}
+
 apply_plan plan_apply(const stored_rules& stored, const rules_proposal& proposal,
                       const guarantee_check& check_guarantees)
 {
     if (const auto* applied = find_operation(stored, proposal.operation)) {
         return already_in_force{applied->version};
     }
-    if (proposal.base_version < stored.log_after || proposal.base_version > stored.state.version) {
-        return unknown_base(proposal, stored);
-    }
     const auto base = state_at(stored, proposal.base_version);
     if (base.has_error()) {
         return apply_refused{{base.error()}};
--- a/src/rules/rule_store.hpp
+++ b/src/rules/rule_store.hpp
@@ -47,6 +47,19 @@
 [[nodiscard]] base::result<stored_rules> read_rules(std::span<const platform::table_row> rows,
                                                     rules_version log_after = 0);
 
+/// Longest log that `plan_apply` leaves in the table; older changes go in the same transaction.
+inline constexpr std::size_t max_log_rows = 256;
+
+/// Old log rows that one change removes at most, so that transactions stay small.
+inline constexpr std::size_t max_compacted_rows = 16;
+
+/// The version before the oldest change that the rows still hold, to be passed to `read_rules`.
+[[nodiscard]] rules_version log_start(std::span<const platform::table_row> rows);
+
+/// The state at an earlier version, by undoing the changes after it. `rules_base_unknown` when the
+/// log does not reach back that far.
+[[nodiscard]] base::result<rules_state> state_at(const stored_rules& stored, rules_version version);
+
 /// What an operator wants in force.
 struct rules_proposal {
     std::string author{};
