--- a/cmake/poplarstile.cmake
+++ b/cmake/poplarstile.cmake
@@ -25,6 +25,8 @@
   target_link_options(poplarstile_options INTERFACE -fsanitize=${sanitizers})
 endif()
 
+add_custom_target(sanitized_tests)
+
 # poplarstile_library(NAME LINK targets...): src/NAME/*.cpp as poplarstile::NAME,
 # and tests/NAME/*_test.cpp as its test program NAME_test.
 function(poplarstile_library name)
@@ -41,6 +43,9 @@
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*_test.cpp)
   if(tests)
     poplarstile_test(${name}_test SOURCES ${tests} LINK poplarstile::${name})
+    # What scripts/sanitize.sh builds and runs.
+    set_tests_properties(${name}_test PROPERTIES LABELS sanitized)
+    add_dependencies(sanitized_tests ${name}_test)
   endif()
 endfunction()
 
