--- a/bench/capacity/fake_domain.cpp
+++ b/bench/capacity/fake_domain.cpp
@@ -67,7 +67,7 @@
 void fake_domain::start_jobs(std::size_t jobs, std::uint32_t members)
 {
     for (std::size_t job = 0; job < jobs; ++job) {
-        settle(scheduler_.decide(scheduling::job_submitted{make_job(members)}, now_));
+        settle(scheduler_.decide(scheduling::job_submitted{make_job(next_job_++, members)}, now_));
     }
 }
 
@@ -75,7 +75,7 @@
 {
     scheduling::jobs_listed listed;
     for (std::size_t job = 0; job < jobs; ++job) {
-        listed.jobs.push_back(make_job(1));
+        listed.jobs.push_back(make_job(next_job_++, 1));
     }
     decide(std::move(listed));
 }
@@ -120,10 +120,10 @@
     }
 }
 
-scheduling::stored_job fake_domain::make_job(std::uint32_t members)
+scheduling::stored_job make_job(std::size_t number, std::uint32_t members)
 {
     scheduling::stored_job job;
-    job.spec.id = fmt::format("team-07-{:032x}", next_job_++);
+    job.spec.id = fmt::format("team-07-{:032x}", number);
     job.spec.workspace = "team-07";
     job.spec.class_name = "render";
     job.spec.shape = {members, 1};
--- a/bench/capacity/fake_domain.hpp
+++ b/bench/capacity/fake_domain.hpp
@@ -14,6 +14,9 @@
 inline constexpr std::uint32_t accelerators_per_worker = 8;
 inline constexpr std::size_t workers_per_rack = 8;
 
+/// A queued job of `members` gang members with one accelerator each.
+[[nodiscard]] scheduling::stored_job make_job(std::size_t number, std::uint32_t members);
+
 class fake_domain
 {
 public:
@@ -46,7 +49,6 @@
 
 private:
     void settle(scheduling::actions actions);
-    [[nodiscard]] scheduling::stored_job make_job(std::uint32_t members);
 
     std::vector<scheduling::worker_description> workers_;
     scheduling::scheduler scheduler_;
--- a/bench/capacity/scheduler_slopes.cpp
+++ b/bench/capacity/scheduler_slopes.cpp
@@ -174,15 +174,37 @@
                    });
 }
 
+/// What the daemon scans every two seconds.
+slope job_rows(const effort& how)
+{
+    return measure({.name = "scheduler.job_rows.bytes",
+                    .what = "Rows of live jobs as JSON, which the scheduler scans again and again.",
+                    .size_unit = "jobs",
+                    .cost_unit = "bytes"},
+                   job_sizes, how, [](std::size_t jobs) {
+                       std::size_t bytes = 0;
+                       for (std::size_t job = 0; job < jobs; ++job) {
+                           bytes += to_json(make_job(job, 1)).dump().size();
+                       }
+                       return static_cast<double>(bytes);
+                   });
+}
+
 } // namespace
 
 std::vector<slope> scheduler_slopes(const effort& how)
 {
-    return {state_per_worker(how),     state_per_task(how),
-            state_per_queued_job(how), heartbeat_round(how),
-            heartbeat_tasks(how),      tick(how),
-            queue_pass(how),           view(how),
-            placement_by_workers(how), placement_by_members(how)};
+    return {state_per_worker(how),
+            state_per_task(how),
+            state_per_queued_job(how),
+            heartbeat_round(how),
+            heartbeat_tasks(how),
+            tick(how),
+            queue_pass(how),
+            view(how),
+            placement_by_workers(how),
+            placement_by_members(how),
+            job_rows(how)};
 }
 
 } // namespace poplarstile::bench::capacity
--- a/cmake/poplarstile.cmake
+++ b/cmake/poplarstile.cmake
@@ -27,6 +27,12 @@
 
 add_custom_target(sanitized_tests)
 
+if(POPLARSTILE_FUZZ)
+  # Coverage everywhere; each fuzz target links the driver.
+  target_compile_options(poplarstile_options INTERFACE -fsanitize=fuzzer-no-link,address -fno-omit-frame-pointer)
+  target_link_options(poplarstile_options INTERFACE -fsanitize=address)
+endif()
+
 # poplarstile_library(NAME LINK targets...): src/NAME/*.cpp as poplarstile::NAME,
 # and tests/NAME/*_test.cpp as its test program NAME_test.
 function(poplarstile_library name)
--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -96,7 +96,9 @@
     return body;
 }
 
-base::result<std::vector<listed_vm>> vms_answer(const net::http_reply& reply)
+} // namespace
+
+base::result<std::vector<listed_vm>> read_vm_list(const net::http_reply& reply)
 {
     if (!reply.ok()) {
         return unreachable(reply, "vms");
@@ -117,8 +119,6 @@
     return listed;
 }
 
-} // namespace
-
 table_client::table_client(net::http_client& client, std::string_view address,
                            base::milliseconds read_timeout, base::milliseconds write_timeout)
     : client_{client}, base_url_{fmt::format("http://{}", address)}, read_timeout_{read_timeout},
@@ -148,8 +148,8 @@
     scan_after(std::string{prefix}, {}, {}, std::move(on_rows));
 }
 
-void table_client::scan_after(std::string prefix, const std::string& after, std::vector<table_row> found,
-                              rows_handler on_rows)
+void table_client::scan_after(std::string prefix, const std::string& after,
+                              std::vector<table_row> found, rows_handler on_rows)
 {
     ++counters_.reads;
     auto call = get(fmt::format("/table/scan?prefix={}&after={}&limit={}", net::url_encode(prefix),
@@ -204,7 +204,7 @@
 {
     ++counters_.reads;
     client_.send(get("/vms"), [on_vms = std::move(on_vms)](const net::http_reply& reply) {
-        on_vms(vms_answer(reply));
+        on_vms(read_vm_list(reply));
     });
 }
 
--- a/src/platform/table_client.hpp
+++ b/src/platform/table_client.hpp
@@ -26,6 +26,9 @@
     bool leaving = false;
 };
 
+/// Reads the answer to `GET /vms`. Errors: `platform_unreachable`, `platform_answer_invalid`.
+[[nodiscard]] base::result<std::vector<listed_vm>> read_vm_list(const net::http_reply& reply);
+
 /// What this VM has asked of the platform; the table's budget is shared by all VMs.
 struct platform_counters {
     std::atomic<std::uint64_t> reads{0};
