--- a/bench/checker/records.cpp
+++ b/bench/checker/records.cpp
@@ -12,12 +12,19 @@
 
 using nlohmann::json;
 
+/// The marker as sent; requests of others may carry none.
+std::string marker_of(const json& row)
+{
+    const auto marker = row.find("marker");
+    return marker != row.end() && marker->is_string() ? marker->get<std::string>() : std::string{};
+}
+
 execution execution_of(const json& row)
 {
     return {.worker = row.at("worker").get<std::string>(),
             .request = row.value("request", ""),
             .attempt = row.value("attempt", ""),
-            .marker = row.value("marker", ""),
+            .marker = marker_of(row),
             .started = row.at("started_us").get<wall_us>(),
             .ended = row.value("ended_us", wall_us{0}),
             .outcome = row.value("outcome", "")};
@@ -85,6 +92,21 @@
     return base::success();
 }
 
+base::result<void> add_platform_counts(std::string_view text, history& into)
+{
+    try {
+        const auto counts = json::parse(text);
+        into.platform = {.transactions = counts.at("transactions").get<std::uint64_t>(),
+                         .reads = counts.at("reads").get<std::uint64_t>(),
+                         .conflicts = counts.value("conflicts", std::uint64_t{0}),
+                         .refused = counts.value("refused", std::uint64_t{0})};
+    } catch (const json::exception& failure) {
+        return base::error{base::error_code::platform_answer_invalid, "/control/counters",
+                           failure.what()};
+    }
+    return base::success();
+}
+
 base::result<void> add_faults(std::string_view text, history& into)
 {
     std::size_t number = 0;
