Settle takeovers of the scheduler lease, confirm it after a pause, look at once after a death

Cause: a takeover whose answer was lost was forgotten when a later try conflicted, so that its VM waited for its own lease to time out; a holder that woke from a pause went on by its own belief until its next renewal was answered, also by an answer from before the pause. Change: the lease row's operation tells that a takeover was this run's; after a pause the scheduler holds its events back until a write sent after the pause is answered; a holder that membership calls dead or leaving is looked at once and given two renewals instead of the timeout. Ruled out: taking over on membership's word alone (a live holder would be deposed for a rumour; harmless under tokens, but work would be rebuilt for nothing).

--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -72,7 +72,8 @@
         [this](std::string address, std::uint64_t /*version*/) {
             rules_->ask_peer(std::move(address));
         },
-        [this](std::size_t live) { dispatch_->post(dispatch::sharing_vms_changed{live}); });
+        [this](std::size_t live) { dispatch_->post(dispatch::sharing_vms_changed{live}); },
+        [this](const std::string& vm) { scheduler_->vm_gone(vm); });
     rules_->start([this](const std::shared_ptr<const rules::ruleset>& rules) {
         dispatch_->post(dispatch::rules_changed{rules});
         scheduler_->rules_changed(rules);
--- a/apps/poplarstiled/peer_duty.cpp
+++ b/apps/poplarstiled/peer_duty.cpp
@@ -69,8 +69,10 @@
 {
 }
 
-void peer_duty::start(newer_rules_handler on_newer_rules, members_handler on_members)
+void peer_duty::start(newer_rules_handler on_newer_rules, members_handler on_members,
+                      gone_handler on_gone)
 {
+    on_gone_ = std::move(on_gone);
     on_newer_rules_ = std::move(on_newer_rules);
     on_members_ = std::move(on_members);
     publish();
@@ -159,6 +161,10 @@
             const auto& member = changed->now_is;
             node_.note(part, "member." + std::string{peer::name_of(member.state)},
                        "vm/" + member.vm, "", fmt::format("incarnation {}", member.incarnation));
+            if (member.state == peer::member_state::dead ||
+                member.state == peer::member_state::leaving) {
+                on_gone_(member.vm);
+            }
             log.info("{} is {}.", member.vm, peer::name_of(member.state));
         } else if (const auto* const rules = std::get_if<membership::newer_rules_seen>(&action)) {
             on_newer_rules_(rules->address, rules->version);
--- a/apps/poplarstiled/peer_duty.hpp
+++ b/apps/poplarstiled/peer_duty.hpp
@@ -30,11 +30,14 @@
     using newer_rules_handler = std::function<void(std::string address, std::uint64_t version)>;
     /// The live VMs of this failure domain have changed.
     using members_handler = std::function<void(std::size_t live_vms)>;
+    /// A VM was found dead or is leaving.
+    using gone_handler = std::function<void(const std::string& vm)>;
 
     [[nodiscard]] static base::result<std::unique_ptr<peer_duty>> create(node& owner,
                                                                          peer_link& link);
 
-    void start(newer_rules_handler on_newer_rules, members_handler on_members);
+    void start(newer_rules_handler on_newer_rules, members_handler on_members,
+               gone_handler on_gone);
     void stop();
 
     /// Takes a message over from the peer port.
@@ -63,6 +66,7 @@
     membership::group group_;
     newer_rules_handler on_newer_rules_;
     members_handler on_members_;
+    gone_handler on_gone_;
     std::size_t live_vms_ = 0;
     base::time_point vm_list_asked_{};
     duty<message> duty_;
--- a/apps/poplarstiled/scheduler_duty.cpp
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t ring_capacity = 16'384;
 constexpr base::milliseconds tick_interval{50};
+/// A longer gap between two things that the duty does means that the process was paused.
+constexpr base::milliseconds pause_threshold{1'000};
 constexpr base::milliseconds order_timeout{1'000};
 constexpr std::string_view part = "scheduler";
 constexpr base::logger log{"scheduler"};
@@ -128,10 +130,38 @@
             {"by_shape", by_shape}};
 }
 
+void scheduler_duty::vm_gone(std::string vm)
+{
+    (void)duty_.try_post(lease::event{lease::vm_gone{std::move(vm)}});
+}
+
+void scheduler_duty::notice_pause()
+{
+    const auto now = base::now();
+    const auto gap = now - std::exchange(ticked_at_, now);
+    if (gap > pause_threshold && lease_.held()) {
+        log.warning("Paused while holding the lease; it is confirmed before anything else.");
+        carry_out(lease_.decide(lease::event{lease::paused{}}, now));
+    }
+}
+
+void scheduler_duty::release_held_back()
+{
+    for (auto& event : std::exchange(held_back_, {})) {
+        carry_out(scheduler_.decide(std::move(event), base::now()));
+    }
+}
+
 void scheduler_duty::handle(message happened)
 {
+    notice_pause();
     if (auto* const about_lease = std::get_if<lease::event>(&happened)) {
         carry_out(lease_.decide(*about_lease, base::now()));
+        if (lease_.confirmed()) {
+            release_held_back();
+        }
+    } else if (!lease_.confirmed()) {
+        held_back_.push_back(std::move(std::get<scheduling::event>(happened)));
     } else {
         carry_out(scheduler_.decide(std::move(std::get<scheduling::event>(happened)), base::now()));
     }
--- a/apps/poplarstiled/scheduler_duty.hpp
+++ b/apps/poplarstiled/scheduler_duty.hpp
@@ -7,6 +7,7 @@
 #include "scheduling/scheduler.hpp"
 
 #include <variant>
+#include <vector>
 
 namespace poplarstile::daemon
 {
@@ -34,6 +35,8 @@
     [[nodiscard]] nlohmann::json fragmentation() const;
     /// Hands the lease over, so that another VM can take it at once.
     void leave();
+    /// Membership calls a VM dead or leaving.
+    void vm_gone(std::string vm);
 
 private:
     void handle(message happened);
@@ -56,10 +59,15 @@
     void carry_out_one(scheduling::note_event& action);
 
     void publish();
+    void notice_pause();
+    void release_held_back();
 
     node& node_;
     lease::scheduler_lease lease_;
     scheduling::scheduler scheduler_;
+    base::time_point ticked_at_{};
+    /// Events that wait until the lease is confirmed after a pause.
+    std::vector<scheduling::event> held_back_;
     duty<message> duty_;
 };
 
--- a/src/lease/scheduler_lease.cpp
+++ b/src/lease/scheduler_lease.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarstile::lease
@@ -84,24 +85,22 @@
     const bool changed = lease.version != lease_version_ || heartbeat.version != heartbeat_version_;
     lease_version_ = lease.version;
     heartbeat_version_ = heartbeat.version;
-    const auto operation = text_of(lease.value, "operation");
-    if (!takeover_.empty() && operation == takeover_) {
-        // The takeover took effect and its answer was lost.
-        held_ = true;
-        takeover_.clear();
-        out_.emplace_back(
-            gained{epoch_ * workers::token_ranks_per_epoch, lease_key_, lease_version_});
+    const bool own = text_of(lease.value, "operation").starts_with(operation_prefix());
+    if (own && holder_ == options_.vm && epoch_ > last_held_epoch_) {
+        // A takeover of this run took effect and its answer was lost.
+        gain();
         return;
     }
     if (changed) {
         heartbeat_seen_ = now_;
+        holder_gone_ = false;
         const bool first_look = holder_.empty();
         if (!first_look) {
             return;
         }
     }
     const bool vacant = holder_.empty();
-    if (vacant || now_ - heartbeat_seen_ >= options_.timeout) {
+    if (vacant || now_ - heartbeat_seen_ >= patience()) {
         take_over();
     }
 }
@@ -123,6 +122,12 @@
 {
     waiting_ = false;
     const auto state = happened.result.state;
+    const bool stale = std::exchange(stale_answer_, false);
+    if (held_ && stale && state != platform::commit_state::conflict) {
+        renew();
+        return;
+    }
+    doubtful_ = false;
     if (held_) {
         if (state == platform::commit_state::conflict) {
             lose("another VM holds the lease");
@@ -134,13 +139,10 @@
     }
     switch (state) {
     case platform::commit_state::committed:
-        held_ = true;
         ++epoch_;
         holder_ = options_.vm;
         lease_version_ = happened.result.version;
-        takeover_.clear();
-        out_.emplace_back(
-            gained{epoch_ * workers::token_ranks_per_epoch, lease_key_, lease_version_});
+        gain();
         return;
     case platform::commit_state::conflict:
     case platform::commit_state::not_applied:
@@ -159,6 +161,29 @@
     }
 }
 
+void scheduler_lease::handle(const vm_gone& happened)
+{
+    if (held_ || happened.vm != holder_) {
+        return;
+    }
+    holder_gone_ = true;
+    if (!waiting_ && !leaving_) {
+        read();
+    }
+}
+
+void scheduler_lease::handle(const paused& /*event*/)
+{
+    if (!held_) {
+        return;
+    }
+    doubtful_ = true;
+    stale_answer_ = waiting_;
+    if (!waiting_) {
+        renew();
+    }
+}
+
 void scheduler_lease::handle(const leaving& /*event*/)
 {
     leaving_ = true;
@@ -173,9 +198,26 @@
     lose("this VM is leaving");
 }
 
+void scheduler_lease::gain()
+{
+    held_ = true;
+    doubtful_ = false;
+    holder_gone_ = false;
+    last_held_epoch_ = epoch_;
+    takeover_.clear();
+    out_.emplace_back(gained{epoch_ * workers::token_ranks_per_epoch, lease_key_, lease_version_});
+}
+
+base::milliseconds scheduler_lease::patience() const
+{
+    // A holder that renews within two intervals is alive, whatever membership believes.
+    return holder_gone_ ? std::min(options_.timeout, options_.renewal * 2) : options_.timeout;
+}
+
 void scheduler_lease::lose(std::string reason)
 {
     held_ = false;
+    doubtful_ = false;
     holder_.clear();
     takeover_.clear();
     out_.emplace_back(lost{std::move(reason)});
@@ -183,7 +225,12 @@
 
 std::string scheduler_lease::next_operation()
 {
-    return fmt::format("{}-{}-l{}", options_.vm, options_.run_id, next_number_++);
+    return fmt::format("{}{}", operation_prefix(), next_number_++);
+}
+
+std::string scheduler_lease::operation_prefix() const
+{
+    return fmt::format("{}-{}-l", options_.vm, options_.run_id);
 }
 
 } // namespace poplarstile::lease
--- a/src/lease/scheduler_lease.hpp
+++ b/src/lease/scheduler_lease.hpp
@@ -42,8 +42,16 @@
 };
 struct time_passed {
 };
+/// Membership calls a VM dead or leaving: a hint to look at once, never the truth.
+struct vm_gone {
+    std::string vm{};
+};
+/// This process did not run for a while; another VM may hold the lease by now.
+struct paused {
+};
 
-using event = std::variant<rows_read, write_answered, deposed, leaving, time_passed>;
+using event =
+    std::variant<rows_read, write_answered, deposed, leaving, time_passed, vm_gone, paused>;
 
 // Actions.
 
@@ -83,6 +91,12 @@
     {
         return held_;
     }
+    /// False from a pause until the table answered: the holder must not act on its own belief
+    /// meanwhile. When the table can't answer, the fencing token alone protects.
+    [[nodiscard]] bool confirmed() const
+    {
+        return !doubtful_;
+    }
     [[nodiscard]] std::uint64_t epoch() const
     {
         return epoch_;
@@ -99,11 +113,16 @@
     void handle(const deposed& happened);
     void handle(const leaving& happened);
     void handle(const time_passed& happened);
+    void handle(const vm_gone& happened);
+    void handle(const paused& happened);
 
     void renew();
     void take_over();
     void read();
+    void gain();
     void lose(std::string reason);
+    [[nodiscard]] base::milliseconds patience() const;
+    [[nodiscard]] std::string operation_prefix() const;
     [[nodiscard]] std::string next_operation();
 
     lease_options options_;
@@ -111,6 +130,12 @@
     std::string heartbeat_key_;
     bool held_ = false;
     bool leaving_ = false;
+    bool doubtful_ = false;
+    /// The write under way was sent before a pause, so its answer proves nothing of now.
+    bool stale_answer_ = false;
+    /// Membership calls the holder dead.
+    bool holder_gone_ = false;
+    std::uint64_t last_held_epoch_ = 0;
     std::uint64_t epoch_ = 0;
     std::string holder_;
     platform::row_version lease_version_ = 0;
