Mend starvation, lost records and doubtful answers in the dispatcher

Cause: a review, and a model test that was red on the old code at once: calls were sent with no time left, which the client takes for no limit. Change: nothing is sent with under 2 ms left; work that finds no worker no longer holds up canaries of idempotent work; the record of an end is retried 8 times behind the caller's back; a table that failed three times in a row is asked by one request at a time and others are refused at once; a repeat whose key is taken is told unknown, not not_run, when the ledger can't be read; a short deadline no longer counts against a worker; an answer 'known' carries no result and is asked for again; the estimate of waiting no longer walks the queue, ranks are kept per class.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -30,8 +30,19 @@
 /// Part of the deadline kept for finding out what became of a lost attempt.
 constexpr milliseconds resolve_reserve{300};
 constexpr milliseconds retry_hint{1'000};
+/// With less time left nothing is sent any more.
+constexpr milliseconds least_attempt_time{2};
 constexpr std::size_t max_attempts = 3;
 constexpr std::uint32_t urgent_rank = 0;
+/// Silence of this length speaks against a worker; a shorter one only against the deadline.
+constexpr milliseconds telling_silence{1'000};
+/// Waiting requests that are passed over in one search for work that can start.
+constexpr std::size_t max_passed_over = 256;
+/// Unanswered calls in a row after which the table is asked by one request at a time.
+constexpr std::uint32_t failures_to_distrust_table = 3;
+constexpr std::size_t max_unconfirmed_records = 10'000;
+constexpr std::uint32_t max_record_tries = 8;
+constexpr milliseconds first_record_pause{200};
 
 } // namespace
 
@@ -61,6 +72,7 @@
     auto counters = counters_;
     counters.queued = queue_.size();
     counters.in_flight = pending_.size() - queue_.size();
+    counters.unconfirmed_records = records_.size();
     return counters;
 }
 
@@ -150,11 +162,15 @@
     return false;
 }
 
-std::uint32_t dispatcher::rank_of(const rules::class_rule& kind) const
+std::uint32_t dispatcher::rank_of(const rules::class_rule& kind)
 {
     if (kind.urgent_within) {
         return urgent_rank;
     }
+    const auto known = ranks_.find(kind.name);
+    if (known != ranks_.end()) {
+        return known->second;
+    }
     std::uint32_t rank = urgent_rank + 1;
     for (const auto& line : rules_->lines) {
         const auto* other = std::get_if<rules::class_rule>(&line.body);
@@ -163,6 +179,7 @@
             ++rank;
         }
     }
+    ranks_.emplace(kind.name, rank);
     return rank;
 }
 
@@ -179,17 +196,39 @@
 void dispatcher::pump()
 {
     std::vector<request_number> started;
-    queue_.for_each([this, &started](request_number number) {
-        auto* pending = find(number);
-        if (pending == nullptr || start(*pending)) {
+    std::vector<request_number> unsendable;
+    // Work of one kind that finds no worker must not hold up the other kind: canaries, for one, are
+    // open to idempotent work only.
+    bool room_for_idempotent = true;
+    bool room_for_other = true;
+    std::size_t passed_over = 0;
+    queue_.for_each([&](request_number number) {
+        auto* const pending = find(number);
+        if (pending == nullptr || time_left(*pending) < least_attempt_time) {
+            return true;
+        }
+        const bool idempotent = pending->kind.idempotent;
+        bool& room = idempotent ? room_for_idempotent : room_for_other;
+        if (room && !idempotent && !table_trusted() && reserving_ > 0) {
+            unsendable.push_back(number);
+            return true;
+        }
+        if (room && start(*pending)) {
             started.push_back(number);
             return true;
         }
-        return pool_.capacity() > 0 && !pending->tried.empty();
+        if (pending->tried.empty()) {
+            room = false;
+        }
+        return (room_for_idempotent || room_for_other) && ++passed_over < max_passed_over;
     });
     for (const auto number : started) {
         queue_.remove(number);
     }
+    for (const auto number : unsendable) {
+        answer_not_run(pending_.at(number), error_code::platform_unreachable,
+                       "the ledger does not answer, so the work was not sent");
+    }
 }
 
 bool dispatcher::start(pending_request& pending)
@@ -253,6 +292,7 @@
 namespace
 {
 
+/// For answers; silence is judged by its length.
 routing::attempt_verdict verdict_of(const workers::execute_answer& answer)
 {
     switch (answer.state) {
@@ -263,8 +303,8 @@
     case execute_state::refused:
         return answer.leaving ? routing::attempt_verdict::neutral : routing::attempt_verdict::busy;
     case execute_state::not_sent:
-    case execute_state::lost:
         return routing::attempt_verdict::unreachable;
+    case execute_state::lost:
     case execute_state::fenced:
     case execute_state::running:
     case execute_state::never_seen:
@@ -284,7 +324,8 @@
 void dispatcher::finish_attempt(pending_request& pending, const workers::execute_answer& answer,
                                 const attempt_state& attempt)
 {
-    pool_.end(attempt.worker, verdict_of(answer), now_);
+    const bool silent = answer.state == execute_state::lost;
+    pool_.end(attempt.worker, silent ? silence_verdict(attempt) : verdict_of(answer), now_);
     const auto& worker = pool_.description(attempt.worker).id;
     if (certainly_not_run(answer)) {
         --pending.uncertain_attempts;
@@ -310,6 +351,13 @@
     retry_or_answer(pending, answer, worker);
 }
 
+routing::attempt_verdict dispatcher::silence_verdict(const attempt_state& attempt) const
+{
+    // A caller's short deadline must not take healthy workers out.
+    return now_ - attempt.started >= telling_silence ? routing::attempt_verdict::unreachable
+                                                     : routing::attempt_verdict::neutral;
+}
+
 void dispatcher::retry_or_answer(pending_request& pending, const workers::execute_answer& answer,
                                  const std::string& worker)
 {
@@ -346,6 +394,7 @@
     for (auto& [number, pending] : pending_) {
         const bool may_hedge = pending.kind.idempotent && pending.kind.hedge_after &&
                                pending.where == stage::executing && !pending.hedged &&
+                               time_left(pending) >= least_attempt_time &&
                                pending.attempts.size() == 1;
         if (!may_hedge || now_ - pending.attempts.front().started < *pending.kind.hedge_after) {
             continue;
@@ -364,6 +413,7 @@
 void dispatcher::reserve(pending_request& pending, routing::worker_index worker)
 {
     pool_.begin(worker);
+    ++reserving_;
     pending.reserved_worker = worker;
     pending.where = stage::reserving;
     pending.ledger_key = ledger::ledger_key(pending.request.workspace, pending.request.service,
@@ -379,6 +429,22 @@
     write_entry(pending);
 }
 
+void dispatcher::release_reserved(pending_request& pending)
+{
+    pool_.end(pending.reserved_worker, routing::attempt_verdict::neutral, now_);
+    --reserving_;
+}
+
+void dispatcher::note_table(bool answers)
+{
+    table_failures_ = answers ? 0 : table_failures_ + 1;
+}
+
+bool dispatcher::table_trusted() const
+{
+    return table_failures_ < failures_to_distrust_table;
+}
+
 void dispatcher::write_entry(pending_request& pending)
 {
     out_.emplace_back(write_ledger{
@@ -388,39 +454,75 @@
 
 void dispatcher::handle(ledger_written& happened)
 {
+    using platform::commit_state;
+    const auto state = happened.result.state;
+    note_table(state == commit_state::committed || state == commit_state::conflict);
+    if (records_.contains(happened.number)) {
+        finish_record(happened.number, happened.result);
+        return;
+    }
     auto* pending = find(happened.number);
     if (pending == nullptr || pending->where != stage::reserving) {
         return;
     }
-    switch (happened.result.state) {
-    case platform::commit_state::committed:
+    switch (state) {
+    case commit_state::committed:
         pending->ledger_version = happened.result.version;
         note("ledger.dispatched", *pending, pending->entry.worker);
-        start_attempt(*pending, pending->reserved_worker);
+        send_reserved(*pending);
         return;
-    case platform::commit_state::not_applied:
-        pool_.end(pending->reserved_worker, routing::attempt_verdict::neutral, now_);
-        answer_not_run(*pending, error_code::platform_unreachable,
-                       "the ledger can't be written, so the work was not sent");
+    case commit_state::not_applied:
+        if (!pending->write_in_doubt) {
+            release_reserved(*pending);
+            answer_not_run(*pending, error_code::platform_unreachable,
+                           "the ledger can't be written, so the work was not sent");
+            return;
+        }
+        out_.emplace_back(read_ledger{happened.number, pending->ledger_key});
         return;
-    case platform::commit_state::conflict:
-    case platform::commit_state::unknown:
+    case commit_state::conflict:
+    case commit_state::unknown:
+        pending->key_taken =
+            pending->key_taken || (state == commit_state::conflict && !pending->write_in_doubt);
+        pending->write_in_doubt = pending->write_in_doubt || state == commit_state::unknown;
         out_.emplace_back(read_ledger{happened.number, pending->ledger_key});
         return;
     }
 }
 
+void dispatcher::send_reserved(pending_request& pending)
+{
+    if (time_left(pending) < least_attempt_time) {
+        give_up_unsent(pending);
+        return;
+    }
+    --reserving_;
+    start_attempt(pending, pending.reserved_worker);
+}
+
+void dispatcher::give_up_unsent(pending_request& pending)
+{
+    // Only this request would ever have sent the attempt, so that the row can say so at once.
+    release_reserved(pending);
+    record_fenced(pending);
+    answer_not_run(pending, error_code::request_deadline_passed, "the work was not sent");
+}
+
 void dispatcher::handle(ledger_read& happened)
 {
+    note_table(happened.row.has_value());
     auto* pending = find(happened.number);
     if (pending == nullptr || pending->where != stage::reserving) {
         return;
     }
     if (!happened.row.has_value()) {
-        // Nothing was sent. The row may still appear; the attempt it names is never used.
-        pool_.end(pending->reserved_worker, routing::attempt_verdict::neutral, now_);
-        answer_not_run(*pending, error_code::platform_unreachable,
-                       "the ledger can't be read, so the work was not sent");
+        // This attempt was not sent and never will be. The row may still appear; a row of another
+        // request, though, may stand for work that ran.
+        release_reserved(*pending);
+        const error failure{error_code::platform_unreachable, pending->request.service,
+                            "the ledger can't be read, so this attempt was not sent", ""};
+        answer(*pending, pending->key_taken ? outcome::unknown : outcome::not_run, failure, "", "",
+               retry_hint);
         return;
     }
     const auto& row = happened.row.value();
@@ -437,22 +539,19 @@
 void dispatcher::handle_entry(pending_request& pending, const platform::table_row& row)
 {
     auto read = ledger::read_entry(row);
-    const auto release_worker = [this, &pending] {
-        pool_.end(pending.reserved_worker, routing::attempt_verdict::neutral, now_);
-    };
     if (!read.has_value()) {
-        release_worker();
+        release_reserved(pending);
         answer_not_run(pending, error_code::platform_answer_invalid, read.error().detail);
         return;
     }
     auto& found = read.value();
     if (found.operation == pending.entry.operation) {
         pending.ledger_version = row.version;
-        start_attempt(pending, pending.reserved_worker);
+        send_reserved(pending);
         return;
     }
     if (found.body_hash != pending.entry.body_hash) {
-        release_worker();
+        release_reserved(pending);
         answer(pending, outcome::rejected,
                error{error_code::request_key_reused, pending.request.idempotency_key, "", ""});
         return;
@@ -464,18 +563,11 @@
         write_entry(pending);
         return;
     case ledger::entry_state::settled:
-        release_worker();
-        note("ledger.answered_repeat", pending, found.attempt);
-        if (found.succeeded) {
-            answer(pending, outcome::completed, {}, found.worker, found.body);
-        } else {
-            answer(pending, outcome::failed,
-                   error{error_code::worker_attempt_failed, found.worker, "", ""}, found.worker,
-                   found.body);
-        }
+        release_reserved(pending);
+        answer_repeat(pending, found);
         return;
     case ledger::entry_state::dispatched:
-        release_worker();
+        release_reserved(pending);
         pending.entry = std::move(found);
         pending.asks_for_other = true;
         resolve(pending, false);
@@ -483,6 +575,18 @@
     }
 }
 
+void dispatcher::answer_repeat(pending_request& pending, const ledger::ledger_entry& settled)
+{
+    note("ledger.answered_repeat", pending, settled.attempt);
+    if (settled.succeeded) {
+        answer(pending, outcome::completed, {}, settled.worker, settled.body);
+        return;
+    }
+    answer(pending, outcome::failed,
+           error{error_code::worker_attempt_failed, settled.worker, "", ""}, settled.worker,
+           settled.body);
+}
+
 void dispatcher::resolve(pending_request& pending, bool fence)
 {
     pending.where = stage::resolving;
@@ -562,10 +666,7 @@
     entry.state = ledger::entry_state::settled;
     entry.succeeded = answer.state == execute_state::completed;
     entry.body = answer.body;
-    entry.operation = next_id('o');
-    out_.emplace_back(
-        write_ledger{pending.request.number,
-                     ledger::write_entry(pending.ledger_key, pending.ledger_version, entry)});
+    record_end(pending, entry);
     note("ledger.settled", pending, entry.attempt);
     if (entry.succeeded) {
         this->answer(pending, outcome::completed, {}, entry.worker, answer.body);
@@ -602,10 +703,51 @@
     // depend on whether this write takes effect.
     auto entry = pending.entry;
     entry.state = ledger::entry_state::fenced;
+    record_end(pending, std::move(entry));
+}
+
+void dispatcher::record_end(const pending_request& pending, ledger::ledger_entry entry)
+{
     entry.operation = next_id('o');
-    out_.emplace_back(
-        write_ledger{pending.request.number,
-                     ledger::write_entry(pending.ledger_key, pending.ledger_version, entry)});
+    auto transaction =
+        ledger::write_entry(pending.ledger_key, pending.ledger_version, std::move(entry));
+    if (records_.size() < max_unconfirmed_records) {
+        records_[pending.request.number] = {.transaction = transaction};
+    } else {
+        ++counters_.abandoned_records;
+    }
+    out_.emplace_back(write_ledger{pending.request.number, std::move(transaction)});
+}
+
+void dispatcher::finish_record(request_number number, const platform::commit_result& result)
+{
+    const auto found = records_.find(number);
+    // A conflict means that the row already says this or more: an earlier try took effect, or
+    // another VM found out the same from the worker.
+    const bool settled = result.state == platform::commit_state::committed ||
+                         result.state == platform::commit_state::conflict;
+    if (settled) {
+        records_.erase(found);
+        return;
+    }
+    auto& record = found->second;
+    if (++record.tries >= max_record_tries) {
+        ++counters_.abandoned_records;
+        records_.erase(found);
+        return;
+    }
+    record.in_flight = false;
+    record.next_try = now_ + first_record_pause * (1U << record.tries);
+}
+
+void dispatcher::send_due_records()
+{
+    for (auto& [number, record] : records_) {
+        if (!record.in_flight && now_ >= record.next_try) {
+            record.in_flight = true;
+            out_.emplace_back(write_ledger{number, record.transaction});
+        }
+    }
 }
 
 // Time and settings.
@@ -615,6 +757,7 @@
     expire_overdue();
     hedge_slow_requests();
     send_due_queries();
+    send_due_records();
 }
 
 void dispatcher::expire_overdue()
@@ -628,12 +771,13 @@
     for (const auto number : overdue) {
         auto& pending = pending_.at(number);
         for (const auto& attempt : pending.attempts) {
-            pool_.end(attempt.worker, routing::attempt_verdict::unreachable, now_);
+            pool_.end(attempt.worker, silence_verdict(attempt), now_);
         }
         if (pending.where == stage::reserving) {
-            pool_.end(pending.reserved_worker, routing::attempt_verdict::neutral, now_);
+            release_reserved(pending);
         }
-        const bool under_way = !pending.attempts.empty() || pending.asks_for_other;
+        const bool under_way = !pending.attempts.empty() || pending.asks_for_other ||
+                               (pending.where == stage::reserving && pending.key_taken);
         if (pending.uncertain_attempts == 0 && !under_way) {
             ++counters_.dropped_late;
             answer_not_run(pending, error_code::request_deadline_passed, "");
@@ -655,6 +799,7 @@
 void dispatcher::handle(rules_changed& happened)
 {
     rules_ = std::move(happened.rules);
+    ranks_.clear();
     for (routing::worker_index worker = 0; worker < pool_.size(); ++worker) {
         pool_.set_avoided(worker, rules_->avoids(pool_.description(worker).id));
     }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -35,6 +35,9 @@
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t dropped_late = 0;
+    /// Ends of ledger rows that the table has not confirmed, and those given up.
+    std::size_t unconfirmed_records = 0;
+    std::uint64_t abandoned_records = 0;
 };
 
 /// Takes short requests to workers and answers each exactly once.
@@ -94,6 +97,10 @@
         routing::worker_index reserved_worker = 0;
         /// True while the row is another request's and only its fate is wanted.
         bool asks_for_other = false;
+        /// True once the key was seen to have another request's row, so that the work may have run.
+        bool key_taken = false;
+        /// True once a write of the row got no answer, so that a later conflict may be its own.
+        bool write_in_doubt = false;
         /// Since when the worker has not seen the attempt.
         std::optional<base::time_point> unseen_since{};
         base::time_point next_query{};
@@ -114,11 +121,12 @@
                                                        const rules::class_rule* kind);
     [[nodiscard]] bool within_rate(std::string_view workspace, base::milliseconds& wait);
     [[nodiscard]] bool can_be_in_time(const pending_request& pending) const;
-    [[nodiscard]] std::uint32_t rank_of(const rules::class_rule& kind) const;
+    [[nodiscard]] std::uint32_t rank_of(const rules::class_rule& kind);
 
     // Idempotent work.
     void pump();
     [[nodiscard]] bool start(pending_request& pending);
+    void release_reserved(pending_request& pending);
     void start_attempt(pending_request& pending, routing::worker_index worker);
     void finish_attempt(pending_request& pending, const workers::execute_answer& answer,
                         const attempt_state& attempt);
@@ -132,12 +140,24 @@
     void settle(pending_request& pending, const workers::execute_answer& answer);
     void finish_fenced(pending_request& pending);
     void record_fenced(pending_request& pending);
+    void give_up_unsent(pending_request& pending);
+    void send_reserved(pending_request& pending);
+    void answer_repeat(pending_request& pending, const ledger::ledger_entry& settled);
     void handle_entry(pending_request& pending, const platform::table_row& row);
     void resolve(pending_request& pending, bool fence);
     void handle_resolution(pending_request& pending, const workers::execute_answer& answer);
     void wait_to_resolve(pending_request& pending);
     void send_due_queries();
 
+    // Writes that record an end, retried behind the caller's back.
+    void record_end(const pending_request& pending, ledger::ledger_entry entry);
+    void finish_record(request_number number, const platform::commit_result& result);
+    void send_due_records();
+
+    // The table's health.
+    void note_table(bool answers);
+    [[nodiscard]] bool table_trusted() const;
+
     // Ends.
     void expire_overdue();
     void answer(pending_request& pending, outcome result, std::optional<base::error> failure = {},
@@ -147,8 +167,17 @@
     [[nodiscard]] pending_request* find(request_number number);
     [[nodiscard]] std::string next_id(char kind);
     [[nodiscard]] base::milliseconds time_left(const pending_request& pending) const;
+    [[nodiscard]] routing::attempt_verdict silence_verdict(const attempt_state& attempt) const;
     void note(std::string kind, const pending_request& pending, std::string detail);
 
+    /// A row's last state that the table has not confirmed yet.
+    struct unconfirmed_record {
+        platform::table_transaction transaction{};
+        std::uint32_t tries = 0;
+        base::time_point next_try{};
+        bool in_flight = true;
+    };
+
     dispatcher_options options_;
     routing::worker_pool pool_;
     limits::retry_budget retries_;
@@ -157,6 +186,12 @@
     std::size_t sharing_vms_ = 1;
     std::unordered_map<request_number, pending_request> pending_;
     request_queue queue_;
+    std::unordered_map<request_number, unconfirmed_record> records_;
+    /// Rank of each class under the rules in force.
+    std::unordered_map<std::string, std::uint32_t> ranks_;
+    /// Calls to the table in a row that got no answer.
+    std::uint32_t table_failures_ = 0;
+    std::size_t reserving_ = 0;
     dispatcher_counters counters_;
     /// Mean service time of recent requests, for estimates of waiting.
     double mean_service_ms_ = 5.0;
--- a/src/dispatch/request_queue.hpp
+++ b/src/dispatch/request_queue.hpp
@@ -23,6 +23,7 @@
         const place where{rank, next_sequence_++};
         waiting_.emplace(where, number);
         places_.emplace(number, where);
+        ++counts_[rank];
     }
 
     [[nodiscard]] std::optional<request_number> front() const
@@ -36,6 +37,10 @@
     {
         const auto found = places_.find(number);
         if (found != places_.end()) {
+            const auto count = counts_.find(found->second.first);
+            if (--count->second == 0) {
+                counts_.erase(count);
+            }
             waiting_.erase(found->second);
             places_.erase(found);
         }
@@ -50,9 +55,9 @@
     [[nodiscard]] std::size_t size_up_to(std::uint32_t rank) const
     {
         std::size_t count = 0;
-        for (auto entry = waiting_.begin(); entry != waiting_.end() && entry->first.first <= rank;
+        for (auto entry = counts_.begin(); entry != counts_.end() && entry->first <= rank;
              ++entry) {
-            ++count;
+            count += entry->second;
         }
         return count;
     }
@@ -74,6 +79,8 @@
 
     std::map<place, request_number> waiting_;
     std::unordered_map<request_number, place> places_;
+    /// Waiting requests of each rank; ranks are few, so that an estimate of waiting stays cheap.
+    std::map<std::uint32_t, std::size_t> counts_;
     std::uint64_t next_sequence_ = 0;
 };
 
--- a/src/workers/worker_client.cpp
+++ b/src/workers/worker_client.cpp
@@ -87,7 +87,9 @@
     if (reason == "fenced") {
         return execute_state::fenced;
     }
-    return reason == "known" ? attempt_state(text_member(body, "state")) : execute_state::lost;
+    // A known attempt came twice. Its result is not in this answer and has to be asked for.
+    const bool fenced = reason == "known" && text_member(body, "state") == "fenced";
+    return fenced ? execute_state::fenced : execute_state::lost;
 }
 
 task_report read_task(const json& entry)
