Ask a worker about idempotent work that stays without an answer

Cause: with all open connections of a VM gone silent, 3 of 20 idempotent requests waited for their whole deadline (4.3 s) and got no completed answer, though new connections worked. Ruled out: retrying at half the deadline (doubles long renders) and hedging classes that don't ask. Change: after 500 ms without an answer the worker is asked about the attempt on a connection of its own; a result is taken from there, an attempt it never saw is retried within the budget. Answers to such questions are marked, so that an unsent question is not taken for unsent work.

--- a/apps/poplarstiled/dispatch_duty.cpp
+++ b/apps/poplarstiled/dispatch_duty.cpp
@@ -106,7 +106,7 @@
     node_.workers->query_attempt(
         action.address, action.attempt, action.timeout,
         [this, number, attempt = action.attempt](auto answer) {
-            duty_.post(dispatch::attempt_reported{number, attempt, std::move(answer)});
+            duty_.post(dispatch::attempt_reported{number, attempt, std::move(answer), true});
         });
 }
 
@@ -116,7 +116,7 @@
     node_.workers->fence_attempt(
         action.address, action.attempt, action.timeout,
         [this, number, attempt = action.attempt](auto answer) {
-            duty_.post(dispatch::attempt_reported{number, attempt, std::move(answer)});
+            duty_.post(dispatch::attempt_reported{number, attempt, std::move(answer), true});
         });
 }
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -36,6 +36,9 @@
 constexpr std::uint32_t urgent_rank = 0;
 /// Silence of this length speaks against a worker; a shorter one only against the deadline.
 constexpr milliseconds telling_silence{1'000};
+/// Idempotent work without an answer for this long is asked after on a connection of its own: the
+/// one that it was sent on may have gone silent.
+constexpr milliseconds silence_before_query{500};
 /// Waiting requests that are passed over in one search for work that can start.
 constexpr std::size_t max_passed_over = 256;
 /// Unanswered calls in a row after which the table is asked by one request at a time.
@@ -255,7 +258,7 @@
     pending.where = stage::executing;
     pending.tried.push_back(worker);
     ++pending.uncertain_attempts;
-    pending.attempts.push_back({id, worker, now_});
+    pending.attempts.push_back({id, worker, now_, now_ + silence_before_query});
     const auto& target = pool_.description(worker);
     note(first ? "request.sent" : "request.sent_again", pending, target.id);
     auto timeout = time_left(pending);
@@ -285,10 +288,52 @@
         return;
     }
     const auto attempt = *found;
+    if (happened.asked) {
+        handle_word_on_attempt(*pending, attempt, happened.answer);
+        return;
+    }
     pending->attempts.erase(found);
     finish_attempt(*pending, happened.answer, attempt);
 }
 
+void dispatcher::ask_after_silent_attempts()
+{
+    for (auto& [number, pending] : pending_) {
+        if (!pending.kind.idempotent || pending.where != stage::executing) {
+            continue;
+        }
+        for (auto& attempt : pending.attempts) {
+            if (now_ < attempt.next_query || time_left(pending) < least_attempt_time) {
+                continue;
+            }
+            attempt.next_query = now_ + silence_before_query * 2;
+            const auto timeout = std::min(time_left(pending), silence_before_query);
+            out_.emplace_back(
+                send_query{number, pool_.description(attempt.worker).address, attempt.id, timeout});
+        }
+    }
+}
+
+void dispatcher::handle_word_on_attempt(pending_request& pending, const attempt_state& attempt,
+                                        const workers::execute_answer& answer)
+{
+    if (answer.state == execute_state::running) {
+        return;
+    }
+    auto known = answer;
+    const bool has_result =
+        answer.state == execute_state::completed || answer.state == execute_state::failed;
+    if (!has_result) {
+        // Not seen, or its worker can't be asked: it may still run, but no answer is to be
+        // expected.
+        known.state = execute_state::lost;
+    }
+    const auto ended = attempt;
+    std::erase_if(pending.attempts,
+                  [&ended](const attempt_state& each) { return each.id == ended.id; });
+    finish_attempt(pending, known, ended);
+}
+
 namespace
 {
 
@@ -756,6 +801,7 @@
 {
     expire_overdue();
     hedge_slow_requests();
+    ask_after_silent_attempts();
     send_due_queries();
     send_due_records();
 }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -77,6 +77,8 @@
         std::string id{};
         routing::worker_index worker = 0;
         base::time_point started{};
+        /// When its worker is next asked about it.
+        base::time_point next_query{};
     };
 
     struct pending_request {
@@ -133,6 +135,9 @@
     void retry_or_answer(pending_request& pending, const workers::execute_answer& answer,
                          const std::string& worker);
     void hedge_slow_requests();
+    void ask_after_silent_attempts();
+    void handle_word_on_attempt(pending_request& pending, const attempt_state& attempt,
+                                const workers::execute_answer& answer);
 
     // Work that is not idempotent.
     void reserve(pending_request& pending, routing::worker_index worker);
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -63,6 +63,8 @@
     request_number number = 0;
     std::string attempt{};
     workers::execute_answer answer{};
+    /// True for the answer to a question about the attempt, false for that of the attempt itself.
+    bool asked = false;
 };
 struct ledger_written {
     request_number number = 0;
--- a/tests/dispatch/dispatcher_model_test.cpp
+++ b/tests/dispatch/dispatcher_model_test.cpp
@@ -32,7 +32,7 @@
 )";
 constexpr milliseconds tick{20};
 constexpr milliseconds load_time{1'500};
-constexpr milliseconds longest_deadline{2'000};
+constexpr milliseconds longest_deadline{6'000};
 constexpr milliseconds settle_time{70'000};
 constexpr int vms = 2;
 constexpr int workers_in_all = 3;
@@ -188,7 +188,7 @@
 
     /// An answer on its way back: lost after `timeout`, late, or twice.
     void reply(int vm, request_number number, const std::string& id, execute_answer answer,
-               milliseconds timeout, time_point sent)
+               milliseconds timeout, time_point sent, bool is_word)
     {
         const auto back = transit();
         const auto timed_out = sent + timeout;
@@ -199,22 +199,23 @@
         const auto at = arrives ? now_ + back : std::max(timed_out, now_);
         const int times = happens(fault_share_) ? 2 : 1;
         for (int time = 0; time < times; ++time) {
-            agenda_.emplace(at + milliseconds{time * 7}, [this, vm, number, id, answer] {
-                deliver(vm, attempt_reported{number, id, answer});
+            agenda_.emplace(at + milliseconds{time * 7}, [this, vm, number, id, answer, is_word] {
+                deliver(vm, attempt_reported{number, id, answer, is_word});
             });
         }
     }
 
-    void lose(int vm, request_number number, const std::string& id, milliseconds timeout)
+    void lose(int vm, request_number number, const std::string& id, milliseconds timeout,
+              bool is_word)
     {
-        later(timeout, [this, vm, number, id] {
-            deliver(vm, attempt_reported{number, id, {.state = execute_state::lost}});
+        later(timeout, [this, vm, number, id, is_word] {
+            deliver(vm, attempt_reported{number, id, {.state = execute_state::lost}, is_word});
         });
     }
 
     template <class Handle>
     void to_worker(int vm, request_number number, const std::string& address, const std::string& id,
-                   milliseconds timeout, Handle handle)
+                   milliseconds timeout, bool is_word, Handle handle)
     {
         if (timeout.count() <= 0) {
             ADD_FAILURE() << "a call without time for its answer";
@@ -222,18 +223,20 @@
         auto& target = workers_.at(static_cast<std::size_t>(std::stoi(address)));
         if (happens(fault_share_)) {
             const execute_answer unsent{.state = execute_state::not_sent};
-            later(between(0, 3), [=, this] { deliver(vm, attempt_reported{number, id, unsent}); });
+            later(between(0, 3), [=, this] {
+                deliver(vm, attempt_reported{number, id, unsent, is_word});
+            });
             return;
         }
         if (happens(fault_share_)) {
-            lose(vm, number, id, timeout);
+            lose(vm, number, id, timeout, is_word);
             return;
         }
         const auto sent = now_;
         later(transit(), [=, this, &target] {
             if (target.dead) {
                 const auto gone = std::chrono::duration_cast<milliseconds>(now_ - sent);
-                lose(vm, number, id, std::max(timeout - gone, milliseconds{0}));
+                lose(vm, number, id, std::max(timeout - gone, milliseconds{0}), is_word);
                 return;
             }
             handle(target, sent);
@@ -245,7 +248,7 @@
         const auto call = action.call;
         const auto number = action.number;
         to_worker(
-            vm, number, action.address, call.attempt, call.deadline,
+            vm, number, action.address, call.attempt, call.deadline, false,
             [=, this](worker& target, time_point sent) { start(vm, number, target, call, sent); });
     }
 
@@ -257,12 +260,12 @@
         if (known != target.attempts.end()) {
             answer.state = known->second.state == execute_state::fenced ? execute_state::fenced
                                                                         : execute_state::lost;
-            reply(vm, number, call.attempt, answer, call.deadline, sent);
+            reply(vm, number, call.attempt, answer, call.deadline, sent, false);
             return;
         }
         if (target.busy >= slots) {
             answer.state = execute_state::refused;
-            reply(vm, number, call.attempt, answer, call.deadline, sent);
+            reply(vm, number, call.attempt, answer, call.deadline, sent, false);
             return;
         }
         ++target.busy;
@@ -279,7 +282,7 @@
             auto done = answer;
             done.state = running.state;
             done.body = call.body;
-            reply(vm, number, call.attempt, done, call.deadline, sent);
+            reply(vm, number, call.attempt, done, call.deadline, sent, false);
         });
     }
 
@@ -295,21 +298,21 @@
 
     void carry_out(int vm, send_query& action)
     {
-        to_worker(vm, action.number, action.address, action.attempt, action.timeout,
+        to_worker(vm, action.number, action.address, action.attempt, action.timeout, true,
                   [=, this](worker& target, time_point sent) {
                       reply(vm, action.number, action.attempt, word_on(target, action.attempt),
-                            action.timeout, sent);
+                            action.timeout, sent, true);
                   });
     }
 
     void carry_out(int vm, send_fence& action)
     {
-        to_worker(vm, action.number, action.address, action.attempt, action.timeout,
+        to_worker(vm, action.number, action.address, action.attempt, action.timeout, true,
                   [=, this](worker& target, time_point sent) {
                       target.attempts.try_emplace(action.attempt,
                                                   attempt{.state = execute_state::fenced});
                       reply(vm, action.number, action.attempt, word_on(target, action.attempt),
-                            action.timeout, sent);
+                            action.timeout, sent, true);
                   });
     }
 
