--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -48,6 +48,11 @@
     net::http_client_options client_options;
     client_options.proxy = settings.outbound_proxy;
     client_options.max_connections_per_target = settings.limits.max_connections_per_worker;
+    client_options.on_bytes = [this](std::string_view purpose, std::size_t bytes) {
+        if (purpose != net::http_call{}.purpose) {
+            node_.metrics->record_control_bytes(purpose, bytes);
+        }
+    };
     BOOST_OUTCOME_TRY(client, net::http_client::start(client_options));
     node_.client = std::move(client);
     node_.table = std::make_unique<platform::table_client>(*node_.client, settings.platform.address,
--- a/apps/poplarstiled/peer_link.cpp
+++ b/apps/poplarstiled/peer_link.cpp
@@ -29,11 +29,11 @@
                             .url = fmt::format("http://{}{}", address, peer_path),
                             .body = std::move(bytes).value(),
                             .connect_timeout = timeout,
-                            .timeout = timeout};
+                            .timeout = timeout,
+                            .purpose = "peer"};
     node_.client->send(std::move(exchange), [this, address = std::string{address},
                                              on_answer = std::move(on_answer)](
                                                 const net::http_reply& reply) {
-        node_.metrics->record_control_bytes("peer", reply.wire_bytes);
         if (!reply.ok()) {
             on_answer(base::error{base::error_code::peer_unreachable, address, reply.failure, ""});
             return;
--- a/apps/poplarstiled/rules_gateway.cpp
+++ b/apps/poplarstiled/rules_gateway.cpp
@@ -81,13 +81,18 @@
 void rules_gateway::apply(const std::string& body, const net::http_responder& responder)
 {
     const auto asked = json::parse(body, nullptr, false);
-    for (const auto* const name : {"author", "text", "operation"}) {
+    for (const auto* const name : {"author", "text"}) {
         if (text_member(asked, name).empty()) {
             responder.send(json_response(400, error_body({error_code::operator_argument_invalid,
                                                           name, "a text is expected", ""})));
             return;
         }
     }
+    auto operation = text_member(asked, "operation");
+    if (operation.empty()) {
+        operation =
+            fmt::format("{}-{}-{}", node_.settings.vm.id, node_.run_id, base::wall_clock_us());
+    }
     auto parsed = rules::parse_rules(text_member(asked, "text"));
     if (!parsed.has_value()) {
         responder.send(json_response(422, errors_body(parsed.error().errors)));
@@ -97,7 +102,7 @@
     rules::rules_proposal proposal{
         text_member(asked, "author"),
         base.is_number_unsigned() ? base.get<rules::rules_version>() : parsed.value().version,
-        std::move(parsed).value(), text_member(asked, "operation"), base::wall_clock_us()};
+        std::move(parsed).value(), std::move(operation), base::wall_clock_us()};
     plan(std::make_shared<wish>(
         wish{std::move(proposal), responder, base::now() + apply_patience, false, 0}));
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -254,6 +254,9 @@
         }
         auto current = std::move(entry.mapped());
         read_transfer_facts(*current, code);
+        if (options.on_bytes) {
+            options.on_bytes(current->call.purpose, current->reply.wire_bytes);
+        }
         curl_multi_remove_handle(multi.get(), easy);
         curl_easy_reset(easy);
         idle_handles.push_back(std::move(current->easy));
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace poplarstile::net
 {
@@ -24,6 +25,8 @@
     /// Opens a connection for this call alone and closes it afterwards. A completed handshake is a
     /// proof of life that an idle connection cannot give, and the library never resends on it.
     bool fresh_connection = false;
+    /// What the bytes are for, in the client's account; a string literal.
+    std::string_view purpose = "work";
     std::size_t max_response_bytes = 4 * 1024 * 1024;
 };
 
@@ -62,6 +65,8 @@
     std::string proxy{};
     /// Calls waiting to be taken up by the client's thread.
     std::size_t ring_capacity = 8192;
+    /// Told of each exchange's bytes both ways, on the client's thread; may be empty.
+    std::function<void(std::string_view purpose, std::size_t wire_bytes)> on_bytes{};
 };
 
 /// An HTTP/1.1 client on its own thread (libcurl multi).
--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -126,6 +126,20 @@
 {
 }
 
+namespace
+{
+
+/// The account of a row's bytes.
+std::string_view purpose_of(std::string_view key)
+{
+    if (key.starts_with("lease/") || key.starts_with("heartbeat/")) {
+        return "scheduler_lease";
+    }
+    return key.starts_with("rules/") ? "rules" : "table";
+}
+
+} // namespace
+
 net::http_call table_client::get(std::string_view path) const
 {
     return {.method = "GET", .url = base_url_ + std::string{path}, .timeout = read_timeout_};
@@ -135,6 +149,7 @@
 {
     ++counters_.reads;
     auto call = get(fmt::format("/table/row?key={}", net::url_encode(key)));
+    call.purpose = purpose_of(key);
     client_.send(std::move(call), [this, key = std::string{key},
                                    on_row = std::move(on_row)](const net::http_reply& reply) {
         auto row = read_answer(reply, key);
@@ -148,13 +163,14 @@
     scan_after(std::string{prefix}, {}, {}, std::move(on_rows));
 }
 
-void table_client::scan_after(std::string prefix, const std::string& after, std::vector<table_row> found,
-                              rows_handler on_rows)
+void table_client::scan_after(std::string prefix, const std::string& after,
+                              std::vector<table_row> found, rows_handler on_rows)
 {
     ++counters_.reads;
     auto call = get(fmt::format("/table/scan?prefix={}&after={}&limit={}", net::url_encode(prefix),
                                 net::url_encode(after), scan_page_rows));
     call.max_response_bytes *= 4;
+    call.purpose = purpose_of(prefix);
     client_.send(std::move(call), [this, prefix = std::move(prefix), found = std::move(found),
                                    on_rows = std::move(on_rows)](const net::http_reply& reply) {
         auto rows = found;
@@ -190,6 +206,9 @@
                         .headers = {{"Content-Type", "application/json"}},
                         .body = transaction_body(transaction).dump(),
                         .timeout = write_timeout_};
+    if (!transaction.writes.empty()) {
+        call.purpose = purpose_of(transaction.writes.front().key);
+    }
     client_.send(std::move(call),
                  [this, on_commit = std::move(on_commit)](const net::http_reply& reply) {
                      auto result = commit_answer(reply);
@@ -203,7 +222,9 @@
 void table_client::list_vms(vms_handler on_vms)
 {
     ++counters_.reads;
-    client_.send(get("/vms"), [on_vms = std::move(on_vms)](const net::http_reply& reply) {
+    auto call = get("/vms");
+    call.purpose = "vm_list";
+    client_.send(std::move(call), [on_vms = std::move(on_vms)](const net::http_reply& reply) {
         on_vms(vms_answer(reply));
     });
 }
--- a/src/workers/worker_client.cpp
+++ b/src/workers/worker_client.cpp
@@ -289,10 +289,11 @@
                           lease_handler on_answer)
 {
     const json body{{"token", token}, {"domain", failure_domain}, {"lease_ms", lease.count()}};
-    client_.send(post(address, "/v1/lease", body, timeout),
-                 [on_answer = std::move(on_answer)](const net::http_reply& reply) {
-                     on_answer(read_lease_answer(reply));
-                 });
+    auto call = post(address, "/v1/lease", body, timeout);
+    call.purpose = "worker_heartbeat";
+    client_.send(std::move(call), [on_answer = std::move(on_answer)](const net::http_reply& reply) {
+        on_answer(read_lease_answer(reply));
+    });
 }
 
 void worker_client::list(std::string_view address, base::milliseconds timeout,
