--- a/apps/poplarctl/rules_commands.cpp
+++ b/apps/poplarctl/rules_commands.cpp
@@ -49,7 +49,7 @@
 }
 
 /// The rules in force, read from the first VM that answers.
-base::result<rules::ruleset> rules_in_force(const options& flags)
+base::result<rules::ruleset> rules_in_force(const options& flags, const output& streams)
 {
     BOOST_OUTCOME_TRY(answer, get(flags, "/v1/rules"));
     if (!answer.ok()) {
@@ -62,12 +62,16 @@
         return parsed.error().errors.front();
     }
     parsed.value().version = answer.body.value("version", rules::rules_version{0});
+    if (!answer.body.value("confirmed", true)) {
+        *streams.messages << fmt::format(
+            "{} can't reach the platform: these rules may not be the newest\n", answer.vm);
+    }
     return std::move(parsed.value());
 }
 
 exit_code show_rules(const options& flags, const output& streams)
 {
-    const auto in_force = rules_in_force(flags);
+    const auto in_force = rules_in_force(flags, streams);
     if (in_force.has_error()) {
         return report(in_force.error(), streams);
     }
@@ -81,7 +85,7 @@
     if (!loaded) {
         return exit_code::refused;
     }
-    const auto in_force = rules_in_force(flags);
+    const auto in_force = rules_in_force(flags, streams);
     if (in_force.has_error()) {
         return report(in_force.error(), streams);
     }
@@ -169,7 +173,7 @@
 
 exit_code explain(const command& wanted, const options& flags, const output& streams)
 {
-    const auto in_force = rules_in_force(flags);
+    const auto in_force = rules_in_force(flags, streams);
     if (in_force.has_error()) {
         return report(in_force.error(), streams);
     }
