Read answers of wrong types without ending the process; fuzz all readers

Cause: the fuzz targets of worker answers and of the VM list ended on their first seeds: a member of another type, such as "broken":1 or "id":5, threw on the HTTP client's thread, which ends the daemon. Change: base::member_or takes such a member for absent. An answer to a transaction without a version is unknown, not committed. Ruled out: catching in the client, which would hide a half-read answer.

--- a/fuzz/vm_list.cpp
+++ b/fuzz/vm_list.cpp
@@ -1,4 +1,4 @@
-// The platform's VM list: a list or an error.
+// The platform's VM list and its answer to a transaction, which are never misunderstood fatally.
 #include "fuzz_input.hpp"
 #include "platform/table_client.hpp"
 
@@ -9,5 +9,8 @@
                                 .status = 200,
                                 .body = std::string{fuzz::as_text(data, size)}};
     (void)platform::read_vm_list(reply);
+    const auto commit = platform::read_commit_answer(reply);
+    const bool claims = commit.state == platform::commit_state::committed;
+    fuzz::expect(!claims || commit.version != 0);
     return 0;
 }
--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -1,5 +1,7 @@
 #include "platform/table_client.hpp"
 
+#include "base/json_member.hpp"
+
 #include <fmt/format.h>
 
 #include <utility>
@@ -56,32 +58,12 @@
 {
     std::vector<table_condition> conflicts;
     for (const auto& entry : answer.value("conflicts", json::array())) {
-        conflicts.push_back(
-            {entry.value("key", std::string{}), entry.value("version", row_version{0})});
+        conflicts.push_back({base::member_or(entry, "key", std::string{}),
+                             base::member_or(entry, "version", row_version{0})});
     }
     return conflicts;
 }
 
-commit_result commit_answer(const net::http_reply& reply)
-{
-    if (reply.outcome == net::delivery::not_sent) {
-        return {.state = commit_state::not_applied};
-    }
-    if (reply.outcome == net::delivery::lost) {
-        return {.state = commit_state::unknown};
-    }
-    const auto answer = json::parse(reply.body, nullptr, false);
-    if (reply.status == 409 && answer.is_object()) {
-        return {.state = commit_state::conflict, .version = 0, .conflicts = conflicts_of(answer)};
-    }
-    if (reply.status == 200 && answer.is_object() && answer.value("committed", false)) {
-        return {.state = commit_state::committed,
-                .version = answer.value("version", row_version{0})};
-    }
-    const bool refused = reply.status == 429 || reply.status == 503;
-    return {.state = refused ? commit_state::not_applied : commit_state::unknown};
-}
-
 json transaction_body(const table_transaction& transaction)
 {
     json body{{"operation", transaction.operation},
@@ -98,6 +80,26 @@
 
 } // namespace
 
+commit_result read_commit_answer(const net::http_reply& reply)
+{
+    if (reply.outcome == net::delivery::not_sent) {
+        return {.state = commit_state::not_applied};
+    }
+    if (reply.outcome == net::delivery::lost) {
+        return {.state = commit_state::unknown};
+    }
+    const auto answer = json::parse(reply.body, nullptr, false);
+    if (reply.status == 409 && answer.is_object()) {
+        return {.state = commit_state::conflict, .version = 0, .conflicts = conflicts_of(answer)};
+    }
+    const auto version = base::member_or(answer, "version", row_version{0});
+    if (reply.status == 200 && base::member_or(answer, "committed", false) && version != 0) {
+        return {.state = commit_state::committed, .version = version};
+    }
+    const bool refused = reply.status == 429 || reply.status == 503;
+    return {.state = refused ? commit_state::not_applied : commit_state::unknown};
+}
+
 base::result<std::vector<listed_vm>> read_vm_list(const net::http_reply& reply)
 {
     if (!reply.ok()) {
@@ -112,9 +114,11 @@
         if (!entry.is_object()) {
             return invalid_answer("vms");
         }
-        listed.push_back({entry.value("id", ""), entry.value("failure_domain", ""),
-                          entry.value("region", ""), entry.value("address", ""),
-                          entry.value("state", "") == "leaving"});
+        const auto text = [&entry](const char* name) {
+            return base::member_or(entry, name, std::string{});
+        };
+        listed.push_back({text("id"), text("failure_domain"), text("region"), text("address"),
+                          text("state") == "leaving"});
     }
     return listed;
 }
@@ -173,7 +177,7 @@
             }
             rows.push_back(std::move(*row));
         }
-        if (answer.value("more", false) && !rows.empty()) {
+        if (base::member_or(answer, "more", false) && !rows.empty()) {
             auto last = rows.back().key;
             scan_after(prefix, std::move(last), std::move(rows), on_rows);
             return;
@@ -192,7 +196,7 @@
                         .timeout = write_timeout_};
     client_.send(std::move(call),
                  [this, on_commit = std::move(on_commit)](const net::http_reply& reply) {
-                     auto result = commit_answer(reply);
+                     auto result = read_commit_answer(reply);
                      const bool failed = result.state == commit_state::not_applied ||
                                          result.state == commit_state::unknown;
                      counters_.failures += failed ? 1 : 0;
--- a/src/platform/table_client.hpp
+++ b/src/platform/table_client.hpp
@@ -29,6 +29,10 @@
 /// Reads the answer to `GET /vms`. Errors: `platform_unreachable`, `platform_answer_invalid`.
 [[nodiscard]] base::result<std::vector<listed_vm>> read_vm_list(const net::http_reply& reply);
 
+/// Reads the answer to a transaction. An answer that is not understood is `unknown`: the
+/// transaction may have been applied.
+[[nodiscard]] commit_result read_commit_answer(const net::http_reply& reply);
+
 /// What this VM has asked of the platform; the table's budget is shared by all VMs.
 struct platform_counters {
     std::atomic<std::uint64_t> reads{0};
--- a/src/workers/worker_client.cpp
+++ b/src/workers/worker_client.cpp
@@ -1,5 +1,7 @@
 #include "workers/worker_client.hpp"
 
+#include "base/json_member.hpp"
+
 #include <fmt/format.h>
 
 #include <array>
@@ -40,14 +42,12 @@
 
 std::string text_member(const json& object, const char* name)
 {
-    const auto found = object.find(name);
-    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
+    return base::member_or(object, name, std::string{});
 }
 
 std::uint64_t number_member(const json& object, const char* name)
 {
-    const auto found = object.find(name);
-    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+    return base::member_or(object, name, std::uint64_t{0});
 }
 
 std::vector<std::uint32_t> number_list(const json& list)
@@ -111,12 +111,12 @@
         }
     }
     for (const auto& entry : body.value("accelerators", json::array())) {
-        if (entry.is_object() && entry.value("broken", false)) {
+        if (base::member_or(entry, "broken", false)) {
             report.broken_accelerators.push_back(
                 static_cast<std::uint32_t>(number_member(entry, "index")));
         }
     }
-    report.leaving = body.value("leaving", false);
+    report.leaving = base::member_or(body, "leaving", false);
     return report;
 }
 
