--- a/apps/poplarctl/arguments.hpp
+++ b/apps/poplarctl/arguments.hpp
@@ -49,6 +49,8 @@
     std::string idempotency_key{};
     std::string author{};
     std::string subject{};
+    /// Where the time line goes as a page; empty for text.
+    std::string html{};
     bool json = false;
     bool wait = false;
 };
--- a/apps/poplarctl/commands.cpp
+++ b/apps/poplarctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "poplarctl/commands.hpp"
 
 #include "poplarctl/text_table.hpp"
+#include "poplarctl/timeline_page.hpp"
 
 #include <fmt/format.h>
 
@@ -107,6 +108,17 @@
     return call_and_show(call_of("POST", "/v1/drain"), first_only, streams, members_as_lines);
 }
 
+exit_code write_page(const std::string& path, const std::string& text, const output& streams)
+{
+    std::ofstream file{path};
+    file << text;
+    if (!file.flush()) {
+        return report({base::error_code::operator_argument_invalid, path, "can't be written", {}},
+                      streams);
+    }
+    return exit_code::ok;
+}
+
 exit_code timeline(const options& flags, const output& streams)
 {
     auto client = vm_client::create(flags.vms, flags.key);
@@ -134,6 +146,9 @@
         return report({base::error_code::operator_no_vm_answers, "--vm", "none gave events", {}},
                       streams);
     }
+    if (!flags.html.empty()) {
+        return write_page(flags.html, timeline_page(std::move(events)), streams);
+    }
     *streams.results << (flags.json ? json(events).dump(2) + '\n' : merge_timeline(events));
     return exit_code::ok;
 }
--- a/apps/poplarctl/poplarctl.cpp
+++ b/apps/poplarctl/poplarctl.cpp
@@ -16,6 +16,7 @@
 ABSL_FLAG(std::string, idempotency_key, "", "key of a submitted job; a new one by default");
 ABSL_FLAG(std::string, author, "", "who applies the rules");
 ABSL_FLAG(std::string, subject, "", "timeline: only events of this subject");
+ABSL_FLAG(std::string, html, "", "timeline: write a page to this file");
 ABSL_FLAG(bool, json, false, "print JSON for programs");
 ABSL_FLAG(bool, wait, false, "rules apply: wait until every VM in reach has the rules");
 
@@ -34,6 +35,7 @@
     flags.idempotency_key = absl::GetFlag(FLAGS_idempotency_key);
     flags.author = absl::GetFlag(FLAGS_author);
     flags.subject = absl::GetFlag(FLAGS_subject);
+    flags.html = absl::GetFlag(FLAGS_html);
     flags.json = absl::GetFlag(FLAGS_json);
     flags.wait = absl::GetFlag(FLAGS_wait);
     if (const auto path = absl::GetFlag(FLAGS_key_file); !path.empty()) {
--- a/scripts/completion/poplarctl.bash
+++ b/scripts/completion/poplarctl.bash
@@ -1,7 +1,7 @@
 # Tab completion of poplarctl for bash: source this file.
 _poplarctl() {
     local word=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD - 1]}
-    local flags="--vm --callers --key --key_file --workspace --idempotency_key --author --subject --json --wait --help"
+    local flags="--vm --callers --key --key_file --workspace --idempotency_key --author --subject --html --json --wait --help"
     COMPREPLY=()
     case $word in
         -*) mapfile -t COMPREPLY < <(compgen -W "$flags" -- "$word"); return ;;
