Order cells without defaulted three-way comparisons; list mutations

Mutations of the code, one at a time, and the tests that failed: pinned work ignores guarantees: allocation.keeps_work_that_does_not_give_way..., allocation_history; binding ignores other guarantees: allocation_history; guaranteed work gives way: allocation.never_reclaims_beyond_the_guarantee, allocation_history; broken bound cell owes nothing: allocation.owes_another_cell; larger cells survive a removal: shortfall.thinks_a_cell_away, allocation_history; buddy lost: cell_index.agrees_with_linear_scan; claims count as free: allocation.runs_the_owners_work...; members cross workers: topology.keeps_members_on_single_workers; narrow lines serve wide shapes: shortfall.agrees_with_exhaustive_search; one held member is enough, released without a row, successor ignores the released mark, work not idempotent runs again, forgotten tasks unnoticed, stops not repeated, orphans run on, a part counts as completed: scheduler_history; a lost member stops nobody: gang. Survived, no test yet: late reports believed, late table answers believed, silent workers stop nobody before leases lapse, no bound on the checkpoint wait.

--- a/src/placement/allocation_plan.cpp
+++ b/src/placement/allocation_plan.cpp
@@ -39,7 +39,7 @@
             ++same->count;
         }
     }
-    std::ranges::sort(demands, std::ranges::greater{}, &cell_demand::need);
+    sort_largest_first(demands);
     return demands;
 }
 
@@ -92,8 +92,9 @@
             unbound.push_back(index);
         }
     }
-    std::ranges::sort(unbound, {},
-                      [this](std::size_t index) { return need_of(guarantees_[index].shape); });
+    std::ranges::sort(unbound, [this](std::size_t left, std::size_t right) {
+        return need_of(guarantees_[left].shape) < need_of(guarantees_[right].shape);
+    });
     for (const auto index : unbound) {
         if (best && best->victims.empty()) {
             return best;
--- a/src/placement/guarantees.cpp
+++ b/src/placement/guarantees.cpp
@@ -20,7 +20,7 @@
     for (const auto& line : lines) {
         demands.push_back({need_of(line.rule->guaranteed), line.rule->count});
     }
-    std::ranges::stable_sort(demands, std::ranges::greater{}, &cell_demand::need);
+    sort_largest_first(demands);
     return demands;
 }
 
@@ -87,6 +87,13 @@
 
 } // namespace
 
+void sort_largest_first(std::span<cell_demand> demands)
+{
+    std::ranges::stable_sort(demands, [](const cell_demand& left, const cell_demand& right) {
+        return right.need < left.need;
+    });
+}
+
 std::vector<std::uint32_t> shortfall(const cell_index& available,
                                      std::span<const cell_demand> demands,
                                      const std::optional<removed_cell>& without)
--- a/src/placement/guarantees.hpp
+++ b/src/placement/guarantees.hpp
@@ -16,6 +16,9 @@
     std::uint32_t count = 0;
 };
 
+/// Sorts demands as `shortfall` wants them.
+void sort_largest_first(std::span<cell_demand> demands);
+
 /// A whole cell that is thought away: its width level, its level, and the level of the largest
 /// whole cell that holds it.
 struct removed_cell {
@@ -23,7 +26,11 @@
     std::uint32_t level = 0;
     std::uint32_t enclosing_level = 0;
 
-    auto operator<=>(const removed_cell&) const = default;
+    bool operator<(const removed_cell& other) const
+    {
+        return std::tie(width_level, level, enclosing_level) <
+               std::tie(other.width_level, other.level, other.enclosing_level);
+    }
 };
 
 /// How many of each demand can't be had; the largest first.
--- a/src/placement/topology.hpp
+++ b/src/placement/topology.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 /// Which accelerators are adjacent, and what runs on them.
@@ -50,7 +51,11 @@
     {
         return holds(other) || other.holds(*this);
     }
-    auto operator<=>(const cell&) const = default;
+    bool operator==(const cell&) const = default;
+    bool operator<(const cell& other) const
+    {
+        return std::tie(line, first, level) < std::tie(other.line, other.first, other.level);
+    }
 };
 
 /// One accelerator: its line and its number there.
@@ -65,7 +70,11 @@
     /// Logarithm of the accelerators that one worker must have for one member.
     std::uint32_t width_level = 0;
 
-    auto operator<=>(const cell_need&) const = default;
+    bool operator==(const cell_need&) const = default;
+    bool operator<(const cell_need& other) const
+    {
+        return std::tie(level, width_level) < std::tie(other.level, other.width_level);
+    }
 };
 
 [[nodiscard]] cell_need need_of(const rules::shape& wanted);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -167,6 +167,7 @@
         return left->sequence < right->sequence;
     });
     std::vector<std::string> order;
+    order.reserve(waiting.size());
     for (const auto* job : waiting) {
         order.push_back(job->stored.spec.id);
     }
--- a/src/scheduling/scheduler_placement.cpp
+++ b/src/scheduling/scheduler_placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 /// Where gangs go, and how cells are reclaimed for guarantees.
@@ -21,7 +22,12 @@
     rules::shape shape{};
     bool stoppable = false;
 
-    auto operator<=>(const request_kind&) const = default;
+    bool operator<(const request_kind& other) const
+    {
+        return std::tie(workspace, shape.members, shape.accelerators, stoppable) <
+               std::tie(other.workspace, other.shape.members, other.shape.accelerators,
+                        other.stoppable);
+    }
 };
 
 } // namespace
--- a/src/scheduling/scheduler_views.cpp
+++ b/src/scheduling/scheduler_views.cpp
@@ -50,7 +50,7 @@
     std::vector<job_view> views;
     views.reserve(jobs_.size());
     // Jobs that the allocation can't tell apart wait for the same.
-    std::map<std::tuple<std::string_view, rules::shape, bool>, job_reason> reasons;
+    std::map<std::tuple<std::string_view, std::uint32_t, std::uint32_t, bool>, job_reason> reasons;
     for (const auto& [id, job] : jobs_) {
         views.push_back(view_of(job));
         auto& reason = views.back().reason;
@@ -59,8 +59,10 @@
             continue;
         }
         const auto request = request_of(job);
-        const auto [known, added] = reasons.try_emplace(
-            {job.stored.spec.workspace, request.shape, request.stoppable}, job_reason{});
+        const auto [known, added] =
+            reasons.try_emplace({job.stored.spec.workspace, request.shape.members,
+                                 request.shape.accelerators, request.stoppable},
+                                job_reason{});
         if (added) {
             known->second = place_reason_of(job);
         }
--- a/tests/placement/guarantees_test.cpp
+++ b/tests/placement/guarantees_test.cpp
@@ -79,7 +79,7 @@
                                   *rc::gen::element(1U, 1U, 2U, 4U)};
         needs.push_back(need_of(wanted));
     }
-    std::ranges::sort(needs, std::ranges::greater{});
+    std::ranges::sort(needs, [](const auto& left, const auto& right) { return right < left; });
     return needs;
 }
 
@@ -96,6 +96,7 @@
     }
     const auto needs = arbitrary_needs();
     std::vector<cell_demand> demands;
+    demands.reserve(needs.size());
     for (const auto& need : needs) {
         demands.push_back({need, 1});
     }
