Lose an answer for its whole timeout in the reclaim test

Cause: the fake answered a lost order at once as lost, so that the test of the bound passed also without the bound on the wait for checkpoints (mutation). Now no answer comes before the caller's timeout; with the wait unbounded scheduler_reclaim.keeps_its_bound_when_no_checkpoint_answers_and_a_stop_is_lost fails, with the bound it passes. Mutations caught besides: victims that do not give way (allocation), progress not kept (scheduler_reclaim). Not judged by the plain tests: a conflict that hides a cancellation, stale rows that start jobs again.

--- a/tests/scheduling/fake_cluster.hpp
+++ b/tests/scheduling/fake_cluster.hpp
@@ -195,7 +195,8 @@
         schedule(now + delay(), [this, lost, effect, answer_with, gives_up] {
             const auto answer = effect();
             const auto back = now + delay();
-            if (chance(faults.lost_answers) || back >= gives_up) {
+            const bool dropped = std::exchange(drop_answer_, false);
+            if (dropped || chance(faults.lost_answers) || back >= gives_up) {
                 answer_with(std::max(gives_up, now), lost);
                 return;
             }
@@ -279,9 +280,8 @@
         call<workers::task_answer>(
             node, reaches(action.address), {},
             [this, action, loses_answer] {
-                const auto answer =
-                    workers[action.address].order(action.task, action.order, action.token, now);
-                return loses_answer ? workers::task_answer{} : answer;
+                drop_answer_ = loses_answer;
+                return workers[action.address].order(action.task, action.order, action.token, now);
             },
             [action](const workers::task_answer& answer) -> event {
                 return task_answered{action.task, action.order, answer};
@@ -313,6 +313,8 @@
     std::priority_queue<planned> queue_{};
     std::uint64_t next_number_ = 0;
     std::uint64_t epoch_ = 0;
+    /// Set by an effect whose answer is lost for certain.
+    bool drop_answer_ = false;
 };
 
 } // namespace poplarstile::scheduling::testing
