Order waiting jobs by lanes, make room by attained service, reserve for the oldest

Cause: jobs were sorted at every event by arrival and precedence alone. Change: ordering::job_queue keeps lanes of alike jobs; the scheduler stops work of lower service queues for jobs without a place, and keeps one cell free for the job that has waited longest past the ageing time.

--- a/bench/scheduling/fake_worker.cpp
+++ b/bench/scheduling/fake_worker.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// What it costs to go on from a checkpoint.
+constexpr milliseconds resume_cost{500};
+
 workers::task_answer accepted(task_state state, milliseconds progress)
 {
     return {workers::task_answer::kind::accepted, state, "", progress};
@@ -68,7 +71,8 @@
 
 void fake_worker::end_due_task(task& one, milliseconds now)
 {
-    const auto due = one.started + one.fate.run - one.resumed_from;
+    const auto cost = one.resumed_from.count() > 0 ? resume_cost : milliseconds{0};
+    const auto due = one.started + one.fate.run - one.resumed_from + cost;
     if (one.state == task_state::running && due <= now && due <= one.lease_ends) {
         one.state = one.fate.fails || one.fate.kills_worker ? task_state::failed
                                                             : task_state::completed;
--- a/bench/scheduling/main.cpp
+++ b/bench/scheduling/main.cpp
@@ -34,8 +34,23 @@
 {
 
 namespace product = poplarstile::scheduling;
+namespace base = poplarstile::base;
+namespace ordering = poplarstile::ordering;
 namespace bench_scheduling = poplarstile::bench::scheduling;
 
+/// Sets one constant, given as `NAME:MILLISECONDS`.
+void sweep(ordering::policy& order, std::string_view name, std::int64_t value)
+{
+    const base::milliseconds time{value};
+    if (name == "ageing") {
+        order.ageing = time;
+    } else if (name == "level") {
+        order.level_bounds = {time, time * 4, time * 16};
+    } else if (name == "least_run") {
+        order.least_run = time;
+    }
+}
+
 bench_scheduling::run_record run_policy(const std::string& policy, const bench_scheduling::scenario& drawn)
 {
     if (policy == "fcfs_strict") {
@@ -45,6 +60,15 @@
         return bench_scheduling::run_baseline(drawn, bench_scheduling::baseline_kind::first_fit);
     }
     product::scheduler_options options;
+    if (policy == "previous") {
+        options.order = {.arrival_order = true, .preempt = false, .reserve = false};
+    } else if (policy == "no_preempt") {
+        options.order.preempt = false;
+    } else if (policy == "no_reserve") {
+        options.order.reserve = false;
+    } else if (const auto at = policy.find(':'); at != std::string::npos) {
+        sweep(options.order, policy.substr(0, at), std::stoll(policy.substr(at + 1)));
+    }
     auto record = bench_scheduling::run_scheduler(drawn, options);
     record.policy = policy;
     return record;
--- a/bench/scheduling/measures.cpp
+++ b/bench/scheduling/measures.cpp
@@ -52,6 +52,7 @@
 void measure_jobs(const scenario& drawn, const run_record& record, run_measures& measures)
 {
     std::vector<double> all;
+    double run_sum = 0;
     std::map<std::string, std::vector<double>> by_class;
     std::vector<double> largest_waits;
     std::vector<double> urgent_starts;
@@ -68,6 +69,7 @@
         const double completion = seconds(times.ended.value_or(drawn.ends) - job.arrives);
         const double wait = seconds(times.started.value_or(drawn.ends) - job.arrives);
         all.push_back(completion);
+        run_sum += seconds(job.true_run);
         by_class[job.spec.class_name].push_back(completion);
         if (job.spec.shape.total() == largest) {
             largest_waits.push_back(wait);
@@ -76,6 +78,7 @@
             urgent_starts.push_back(wait);
         }
     }
+    measures.mean_run_s = all.empty() ? 0 : run_sum / static_cast<double>(all.size());
     measures.all = times_of("all", std::move(all));
     for (auto& [name, values] : by_class) {
         measures.classes.push_back(times_of(name, std::move(values)));
@@ -93,15 +96,19 @@
     measure_jobs(drawn, record, measures);
     std::uint64_t free = 0;
     std::uint64_t stranded = 0;
+    std::uint64_t existing = 0;
     for (const auto& sample : record.samples) {
         if (sample.at < drawn.arrivals_end) {
             free += sample.free;
             stranded += sample.stranded;
+            existing += drawn.accelerators();
         }
         measures.guarantee_violations += sample.guarantees_short > 0 ? 1 : 0;
     }
     measures.fragmentation =
         free == 0 ? 0 : static_cast<double>(stranded) / static_cast<double>(free);
+    measures.stranded_share =
+        existing == 0 ? 0 : static_cast<double>(stranded) / static_cast<double>(existing);
     measures.reclaimed_gangs = record.reclaimed_gangs;
     measures.lost_accelerator_s = static_cast<double>(record.lost_accelerator_ms) / 1'000;
     auto costs = record.decision_us;
@@ -132,6 +139,8 @@
             {"p99_s", measures.all.p99_s},
             {"classes", std::move(classes)},
             {"fragmentation", measures.fragmentation},
+            {"stranded_share", measures.stranded_share},
+            {"mean_run_s", measures.mean_run_s},
             {"largest_wait_p99_s", measures.largest_wait_p99_s},
             {"urgent_start_p99_s", measures.urgent_start_p99_s},
             {"urgent_start_max_s", measures.urgent_start_max_s},
@@ -145,17 +154,19 @@
 
 std::string to_table(const std::vector<run_measures>& rows)
 {
-    auto table = fmt::format("{:<20} {:>4} {:<16} {:>6} {:>5} {:>6} {:>7} {:>7} {:>7} {:>5} {:>7} "
-                             "{:>7} {:>5} {:>7} {:>8} {:>7}\n",
+    auto table = fmt::format("{:<20} {:>4} {:<16} {:>6} {:>5} {:>6} {:>7} {:>7} {:>7} {:>5} "
+                             "{:>5} {:>7} {:>7} {:>5} {:>7} {:>7} {:>8} {:>7}\n",
                              "scenario", "load", "policy", "done", "fail", "open", "mean", "p95",
-                             "p99", "frag", "lrg99", "urg99", "viol", "lost", "dec99us", "maxus");
+                             "p99", "run", "frag", "strand", "lrg99", "urg99", "viol", "moved", "lost", "dec99us", "maxus");
     for (const auto& row : rows) {
-        table += fmt::format("{:<20} {:>4.2f} {:<16} {:>6} {:>5} {:>6} {:>7.1f} {:>7.1f} {:>7.1f} "
-                             "{:>5.2f} {:>7.1f} {:>7.2f} {:>5} {:>7.0f} {:>8.0f} {:>7.0f}\n",
+        table += fmt::format("{:<20} {:>4.2f} {:<16} {:>6} {:>5} {:>6} {:>7.1f} {:>7.1f} {:>7.1f} {:>5.1f} "
+                             "{:>5.2f} {:>7.3f} {:>7.1f} {:>7.2f} {:>5} {:>7} {:>7.0f} {:>8.0f} {:>7.0f}\n",
                              row.scenario, row.load, row.policy, row.completed, row.failed,
                              row.unfinished, row.all.mean_s, row.all.p95_s, row.all.p99_s,
-                             row.fragmentation, row.largest_wait_p99_s, row.urgent_start_p99_s,
-                             row.guarantee_violations, row.lost_accelerator_s, row.decision_p99_us,
+                             row.mean_run_s, row.fragmentation, row.stranded_share,
+                             row.largest_wait_p99_s, row.urgent_start_p99_s,
+                             row.guarantee_violations, row.reclaimed_gangs,
+                             row.lost_accelerator_s, row.decision_p99_us,
                              row.decision_max_us);
     }
     return table;
--- a/bench/scheduling/measures.hpp
+++ b/bench/scheduling/measures.hpp
@@ -32,6 +32,10 @@
     std::vector<class_times> classes{};
     /// Stranded accelerators as a share of the free ones, both summed while jobs arrived.
     double fragmentation = 0;
+    /// The same as a share of all accelerators.
+    double stranded_share = 0;
+    /// Mean of the true run times: no policy completes sooner.
+    double mean_run_s = 0;
     double largest_wait_p99_s = 0;
     double urgent_start_p99_s = 0;
     double urgent_start_max_s = 0;
--- a/src/placement/allocation.hpp
+++ b/src/placement/allocation.hpp
@@ -147,6 +147,11 @@
         return guarantees_;
     }
 
+    /// True when a usable accelerator lies in no bound cell and nothing has claimed it.
+    [[nodiscard]] bool claimable(const accelerator_place& place) const;
+    /// The work that runs or is held there; 0 when none.
+    [[nodiscard]] work_id occupant_of(const accelerator_place& place) const;
+
     /// Why `plan` finds nothing for the request.
     [[nodiscard]] placement_wait explain(const work_request& request) const;
 
--- a/src/placement/allocation_views.cpp
+++ b/src/placement/allocation_views.cpp
@@ -145,4 +145,15 @@
     return 1.0 - static_cast<double>(whole) / static_cast<double>(free_accelerators_);
 }
 
+bool allocation::claimable(const accelerator_place& place) const
+{
+    const auto& state = state_at(place);
+    return state.usable && !state.bound && state.claimant == 0;
+}
+
+work_id allocation::occupant_of(const accelerator_place& place) const
+{
+    return state_at(place).occupant;
+}
+
 } // namespace poplarstile::placement
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -25,7 +25,8 @@
 } // namespace
 
 scheduler::scheduler(const scheduler_options& options, std::span<const worker_description> workers)
-    : options_{options}, hardware_{hardware_of(workers)}, allocation_{hardware_}
+    : options_{options}, hardware_{hardware_of(workers)}, allocation_{hardware_},
+      queue_{options.order, options.failure_domain}
 {
     for (const auto& hardware : hardware_.workers()) {
         const auto found = std::ranges::find(workers, hardware.id, &worker_description::id);
@@ -58,6 +59,9 @@
 
 void scheduler::reset()
 {
+    queue_.clear();
+    reserved_for_.reset();
+    allocation_.clear_reservations();
     jobs_.clear();
     task_jobs_.clear();
     works_.clear();
@@ -107,11 +111,13 @@
     }
     allocation_.set_guarantees(
         placement::allocation::instances_of(*rules_, options_.failure_domain));
+    queue_.set_rules(rules_);
     // A claim rests on a guarantee; without it the job is placed anew.
     for (const auto& id : claimants_) {
         const auto found = jobs_.find(id);
         if (found != jobs_.end() && !allocation_.guarantee_level_of(found->second.sequence)) {
             allocation_.release(found->second.sequence);
+            enqueue(found->second);
         }
     }
     place_again_ = true;
@@ -138,37 +144,7 @@
         ended_.clear();
     }
     place_again_ = true;
-}
-
-std::vector<std::string> scheduler::placement_order() const
-{
-    std::vector<const job_record*> waiting;
-    for (const auto& [id, job] : jobs_) {
-        const bool waits = job.state == job_state::queued && !job.attempt && job.writing.empty();
-        if (waits) {
-            waiting.push_back(&job);
-        }
-    }
-    const auto urgent = [this](const job_record& job) {
-        const auto* kind = rules_->find_class(job.stored.spec.class_name);
-        return kind != nullptr && kind->urgent_within.has_value();
-    };
-    std::ranges::stable_sort(waiting, [&](const job_record* left, const job_record* right) {
-        if (urgent(*left) != urgent(*right)) {
-            return urgent(*left);
-        }
-        const auto& one = left->stored.spec.class_name;
-        const auto& other = right->stored.spec.class_name;
-        if (rules_->goes_before(one, other) != rules_->goes_before(other, one)) {
-            return rules_->goes_before(one, other);
-        }
-        return left->sequence < right->sequence;
-    });
-    std::vector<std::string> order;
-    for (const auto* job : waiting) {
-        order.push_back(job->stored.spec.id);
-    }
-    return order;
+    make_room();
 }
 
 } // namespace poplarstile::scheduling
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ordering/job_queue.hpp"
 #include "placement/allocation.hpp"
 #include "scheduling/gang.hpp"
 #include "scheduling/job_view.hpp"
@@ -29,6 +30,7 @@
     base::milliseconds job_scan{2'000};
     /// Different workers on which a job may fail before it is at fault itself.
     std::size_t failures_to_give_up = 3;
+    ordering::policy order{};
 };
 
 /// Longest time from the decision to reclaim cells to the release of the work that they were
@@ -193,8 +195,20 @@
     [[nodiscard]] placement::work_request request_of(const job_record& job) const;
     [[nodiscard]] double loss_of(placement::work_id work) const;
     [[nodiscard]] base::milliseconds attained_by(const job_record& job) const;
-    /// Ids of queued jobs in the order in which places are looked for.
-    [[nodiscard]] std::vector<std::string> placement_order() const;
+    /// Adds a job without attempt or claim to the waiting ones.
+    void enqueue(const job_record& job);
+
+    // Order.
+    void make_room();
+    [[nodiscard]] bool may_stop(const job_record& victim, const job_record& waiting,
+                                ordering::order_reason reason) const;
+    [[nodiscard]] std::optional<std::vector<placement::work_id>>
+    stoppable_in(const placement::cell& where, const job_record& job,
+                 ordering::order_reason reason) const;
+    [[nodiscard]] std::optional<placement::placement_plan>
+    claim_plan(const job_record& job, ordering::order_reason reason) const;
+    [[nodiscard]] bool claim_cell(job_record& job, ordering::order_reason reason);
+    void reserve_cell(const job_record& job);
 
     // Table writes.
     void write_final(job_record& job);
@@ -210,6 +224,9 @@
     scheduler_options options_;
     placement::topology hardware_;
     placement::allocation allocation_;
+    ordering::job_queue queue_;
+    /// The job that cells are kept free for.
+    std::optional<ordering::job_number> reserved_for_{};
     /// In the order of the hardware's workers.
     std::vector<worker_state> workers_;
     std::unordered_map<std::string, std::size_t> worker_indices_;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -84,6 +84,7 @@
     } else if (!hardware_.can_hold(job.stored.spec.shape)) {
         finish_job(job, job_state::rejected, "no adjacent workers have room for this shape");
     } else {
+        enqueue(job);
         place_again_ = true;
     }
 }
@@ -235,6 +236,7 @@
     const auto ended = std::move(*job.attempt);
     job.attempt.reset();
     forget_tasks(ended);
+    queue_.remove_use(job.stored.spec.workspace, job.stored.spec.shape.total());
     end_attempt(job, ended);
     job.yielding.reset();
 }
@@ -279,12 +281,14 @@
     job.state = job_state::queued;
     job.detail = std::move(detail);
     job.queued_since = now_;
+    enqueue(job);
     note("job.requeued", job, job.detail);
 }
 
 void scheduler::finish_job(job_record& job, job_state state, std::string detail)
 {
     allocation_.release(job.sequence);
+    (void)queue_.remove(job.sequence);
     place_again_ = true;
     job.state = state;
     job.detail = std::move(detail);
--- a/src/scheduling/scheduler_placement.cpp
+++ b/src/scheduling/scheduler_placement.cpp
@@ -34,15 +34,20 @@
 void scheduler::place_queued()
 {
     std::set<request_kind> without_place;
-    for (const auto& id : placement_order()) {
-        auto& job = jobs_.find(id)->second;
-        if (allocation_.has(job.sequence) || now_ < job.retry_at) {
+    ordering::job_queue::pass order{queue_, now_};
+    while (const auto number = order.next()) {
+        auto& job = *works_.at(*number);
+        if (now_ < job.retry_at) {
             continue;
         }
         const auto& spec = job.stored.spec;
         const request_kind kind{spec.workspace, spec.shape, spec.checkpointable && spec.idempotent};
-        if (!without_place.contains(kind) && !try_place(job)) {
+        const bool reserved = reserved_for_ == number;
+        if ((without_place.contains(kind) && !reserved) || !try_place(job)) {
             without_place.insert(kind);
+            if (!reserved) {
+                order.skip_lane();
+            }
         }
     }
 }
@@ -51,11 +56,13 @@
 {
     const auto request = request_of(job);
     const auto plan =
-        allocation_.plan(request, [this](placement::work_id work) { return loss_of(work); });
+        allocation_.plan(request, [this](placement::work_id work) { return loss_of(work); },
+                         {.use_reserved = reserved_for_ == job.sequence});
     if (!plan) {
         return false;
     }
     allocation_.commit(*plan, request);
+    (void)queue_.remove(job.sequence);
     if (plan->victims.empty()) {
         start_holding(job);
         return true;
@@ -83,6 +90,7 @@
     }
     note("job.placed", job, workers_[members.front().worker].description.id);
     job.attempt = gang{std::move(members), now_};
+    queue_.add_use(job.stored.spec.workspace, job.stored.spec.shape.total());
     job.state = job_state::starting;
     job.detail = "members are being held";
 }
@@ -135,6 +143,7 @@
             return true;
         case placement::allocation::claim_state::broken:
             allocation_.release(job.sequence);
+            enqueue(job);
             place_again_ = true;
             return true;
         }
--- a/src/scheduling/scheduler_rebuild.cpp
+++ b/src/scheduling/scheduler_rebuild.cpp
@@ -143,6 +143,7 @@
     }
     allocation_.adopt(request_of(job), live, found.guarantee_level);
     job.attempt = gang::adopt(found.members, found.gang_size, job.stored.released, now_);
+    queue_.add_use(job.stored.spec.workspace, job.stored.spec.shape.total());
     job.state = job_state::starting;
     job.detail = "found on its workers";
     const bool whole = found.members.size() == found.gang_size;
