--- a/bench/scheduling/main.cpp
+++ b/bench/scheduling/main.cpp
@@ -38,7 +38,7 @@
 namespace ordering = poplarstile::ordering;
 namespace bench_scheduling = poplarstile::bench::scheduling;
 
-/// Sets one constant, given as `NAME:MILLISECONDS`.
+/// Sets one constant; times are milliseconds.
 void sweep(ordering::policy& order, std::string_view name, std::int64_t value)
 {
     const base::milliseconds time{value};
@@ -48,6 +48,14 @@
         order.level_bounds = {time, time * 4, time * 16};
     } else if (name == "least_run") {
         order.least_run = time;
+    } else if (name == "small_first") {
+        order.small_first = value != 0;
+    } else if (name == "reserve") {
+        order.reserve = value != 0;
+    } else if (name == "preempt") {
+        order.preempt = value != 0;
+    } else if (name == "max_claims") {
+        order.max_claims = static_cast<std::size_t>(value);
     }
 }
 
@@ -66,8 +74,14 @@
         options.order.preempt = false;
     } else if (policy == "no_reserve") {
         options.order.reserve = false;
-    } else if (const auto at = policy.find(':'); at != std::string::npos) {
-        sweep(options.order, policy.substr(0, at), std::stoll(policy.substr(at + 1)));
+    } else {
+        // `NAME:VALUE`, several joined by `+`.
+        for (const std::string& constant : std::vector<std::string>(absl::StrSplit(policy, '+'))) {
+            const auto at = constant.find(':');
+            if (at != std::string::npos) {
+                sweep(options.order, constant.substr(0, at), std::stoll(constant.substr(at + 1)));
+            }
+        }
     }
     auto record = bench_scheduling::run_scheduler(drawn, options);
     record.policy = policy;
--- a/src/ordering/job_queue.cpp
+++ b/src/ordering/job_queue.cpp
@@ -147,6 +147,7 @@
     key.weighted_use = static_cast<double>(account.used) / account.weight;
     key.above_share = key.weighted_use > queue_.fair_use();
     key.level = lane.level;
+    key.size = queue_.policy_.small_first ? lane.shape.total() : 0;
     return key;
 }
 
--- a/src/ordering/job_queue.hpp
+++ b/src/ordering/job_queue.hpp
@@ -105,6 +105,7 @@
             bool above_guarantee = true;
             bool above_share = false;
             std::size_t level = 0;
+            std::uint64_t size = 0;
             double weighted_use = 0;
             base::time_point queued_since{};
             job_number number = 0;
--- a/src/ordering/policy.hpp
+++ b/src/ordering/policy.hpp
@@ -21,6 +21,8 @@
     /// discretised least attained service; declared run times are not used).
     std::array<base::milliseconds, service_bounds> level_bounds{
         base::milliseconds{5'000}, base::milliseconds{20'000}, base::milliseconds{80'000}};
+    /// True when smaller shapes of one service queue go first.
+    bool small_first = false;
     /// True when running work that gives way makes room for work of a higher queue.
     bool preempt = true;
     /// Work that ran less than this since its start is not stopped for the sake of the order.
