--- a/bench/scheduling/fake_worker.cpp
+++ b/bench/scheduling/fake_worker.cpp
@@ -19,8 +19,8 @@
 
 milliseconds progress_of(const fake_worker::task& one, milliseconds now)
 {
-    return one.resumed_from + (one.state == task_state::running ? now - one.started
-                                                                : milliseconds{0});
+    return one.resumed_from +
+           (one.state == task_state::running ? now - one.started : milliseconds{0});
 }
 
 } // namespace
@@ -74,8 +74,8 @@
     const auto cost = one.resumed_from.count() > 0 ? resume_cost : milliseconds{0};
     const auto due = one.started + one.fate.run - one.resumed_from + cost;
     if (one.state == task_state::running && due <= now && due <= one.lease_ends) {
-        one.state = one.fate.fails || one.fate.kills_worker ? task_state::failed
-                                                            : task_state::completed;
+        one.state =
+            one.fate.fails || one.fate.kills_worker ? task_state::failed : task_state::completed;
     } else if (!workers::ended(one.state) && one.lease_ends < now) {
         one.state = task_state::expired;
     }
--- a/bench/scheduling/main.cpp
+++ b/bench/scheduling/main.cpp
@@ -59,7 +59,8 @@
     }
 }
 
-bench_scheduling::run_record run_policy(const std::string& policy, const bench_scheduling::scenario& drawn)
+bench_scheduling::run_record run_policy(const std::string& policy,
+                                        const bench_scheduling::scenario& drawn)
 {
     if (policy == "fcfs_strict") {
         return bench_scheduling::run_baseline(drawn, bench_scheduling::baseline_kind::strict);
@@ -70,6 +71,8 @@
     product::scheduler_options options;
     if (policy == "previous") {
         options.order = {.arrival_order = true, .preempt = false, .reserve = false};
+    } else if (policy == "fragmentation") {
+        options.order = ordering::policy_for(ordering::objective::fragmentation);
     } else if (policy == "no_preempt") {
         options.order.preempt = false;
     } else if (policy == "no_reserve") {
@@ -90,9 +93,10 @@
 
 std::vector<bench_scheduling::scenario_request> requests()
 {
-    constexpr std::array all{bench_scheduling::disturbance::none,        bench_scheduling::disturbance::small_burst,
-                             bench_scheduling::disturbance::large_burst, bench_scheduling::disturbance::cancel_wave,
-                             bench_scheduling::disturbance::rack_lost,   bench_scheduling::disturbance::bad_workers};
+    constexpr std::array all{
+        bench_scheduling::disturbance::none,        bench_scheduling::disturbance::small_burst,
+        bench_scheduling::disturbance::large_burst, bench_scheduling::disturbance::cancel_wave,
+        bench_scheduling::disturbance::rack_lost,   bench_scheduling::disturbance::bad_workers};
     std::vector<bench_scheduling::scenario_request> wanted;
     for (const auto& shape : absl::GetFlag(FLAGS_shapes)) {
         for (const auto& name : absl::GetFlag(FLAGS_with)) {
@@ -123,9 +127,11 @@
         if (labels.empty() || labels.back() != label) {
             labels.push_back(label);
         }
-        const auto found = std::ranges::find(series, row.policy, &bench_scheduling::plot_series::name);
-        auto& one = found == series.end() ? series.emplace_back(bench_scheduling::plot_series{row.policy, {}})
-                                          : *found;
+        const auto found =
+            std::ranges::find(series, row.policy, &bench_scheduling::plot_series::name);
+        auto& one = found == series.end()
+                        ? series.emplace_back(bench_scheduling::plot_series{row.policy, {}})
+                        : *found;
         one.values.push_back(value(row));
     }
     std::ofstream file{std::filesystem::path{absl::GetFlag(FLAGS_plots)} / (name + ".svg")};
@@ -136,7 +142,8 @@
 {
     std::filesystem::create_directories(absl::GetFlag(FLAGS_plots));
     using row = const bench_scheduling::run_measures&;
-    write_plot("completion", "Mean completion time", "s", rows, [](row one) { return one.all.mean_s; });
+    write_plot("completion", "Mean completion time", "s", rows,
+               [](row one) { return one.all.mean_s; });
     write_plot("fragmentation", "Free accelerators that can't serve the largest guaranteed shape",
                "share", rows, [](row one) { return one.fragmentation; });
     write_plot("largest_wait", "Wait of the largest gangs, p99", "s", rows,
--- a/bench/scheduling/measures.cpp
+++ b/bench/scheduling/measures.cpp
@@ -157,17 +157,17 @@
     auto table = fmt::format("{:<20} {:>4} {:<16} {:>6} {:>5} {:>6} {:>7} {:>7} {:>7} {:>5} "
                              "{:>5} {:>7} {:>7} {:>5} {:>7} {:>7} {:>8} {:>7}\n",
                              "scenario", "load", "policy", "done", "fail", "open", "mean", "p95",
-                             "p99", "run", "frag", "strand", "lrg99", "urg99", "viol", "moved", "lost", "dec99us", "maxus");
+                             "p99", "run", "frag", "strand", "lrg99", "urg99", "viol", "moved",
+                             "lost", "dec99us", "maxus");
     for (const auto& row : rows) {
-        table += fmt::format("{:<20} {:>4.2f} {:<16} {:>6} {:>5} {:>6} {:>7.1f} {:>7.1f} {:>7.1f} {:>5.1f} "
-                             "{:>5.2f} {:>7.3f} {:>7.1f} {:>7.2f} {:>5} {:>7} {:>7.0f} {:>8.0f} {:>7.0f}\n",
-                             row.scenario, row.load, row.policy, row.completed, row.failed,
-                             row.unfinished, row.all.mean_s, row.all.p95_s, row.all.p99_s,
-                             row.mean_run_s, row.fragmentation, row.stranded_share,
-                             row.largest_wait_p99_s, row.urgent_start_p99_s,
-                             row.guarantee_violations, row.reclaimed_gangs,
-                             row.lost_accelerator_s, row.decision_p99_us,
-                             row.decision_max_us);
+        table += fmt::format(
+            "{:<20} {:>4.2f} {:<16} {:>6} {:>5} {:>6} {:>7.1f} {:>7.1f} {:>7.1f} {:>5.1f} "
+            "{:>5.2f} {:>7.3f} {:>7.1f} {:>7.2f} {:>5} {:>7} {:>7.0f} {:>8.0f} {:>7.0f}\n",
+            row.scenario, row.load, row.policy, row.completed, row.failed, row.unfinished,
+            row.all.mean_s, row.all.p95_s, row.all.p99_s, row.mean_run_s, row.fragmentation,
+            row.stranded_share, row.largest_wait_p99_s, row.urgent_start_p99_s,
+            row.guarantee_violations, row.reclaimed_gangs, row.lost_accelerator_s,
+            row.decision_p99_us, row.decision_max_us);
     }
     return table;
 }
--- a/bench/scheduling/occupancy.cpp
+++ b/bench/scheduling/occupancy.cpp
@@ -28,8 +28,7 @@
             }
         }
         const auto found = places.size();
-        for (std::uint32_t at = 0;
-             worker.usable && at + wanted.accelerators <= worker.taken.size();
+        for (std::uint32_t at = 0; worker.usable && at + wanted.accelerators <= worker.taken.size();
              at += wanted.accelerators) {
             if (block_free(worker, at, wanted.accelerators)) {
                 places.push_back({index, at});
--- a/bench/scheduling/workload.cpp
+++ b/bench/scheduling/workload.cpp
@@ -166,9 +166,9 @@
 
     planned_job& add_job(const job_mix& kind, double arrives_ms)
     {
-        const double run = std::min(
-            longest_run_ms, std::lognormal_distribution<>{std::log(kind.median_run_ms),
-                                                          run_sigma}(random_));
+        const double run =
+            std::min(longest_run_ms, std::lognormal_distribution<>{std::log(kind.median_run_ms),
+                                                                   run_sigma}(random_));
         const double error = std::pow(declared_error, uniform(-1.0, 1.0));
         planned_job job;
         job.arrives = base::milliseconds{static_cast<std::int64_t>(arrives_ms)};
@@ -178,8 +178,7 @@
                     .workspace = kind.workspace,
                     .class_name = kind.class_name,
                     .shape = kind.shape,
-                    .declared_run =
-                        base::milliseconds{static_cast<std::int64_t>(run * error) + 1},
+                    .declared_run = base::milliseconds{static_cast<std::int64_t>(run * error) + 1},
                     .checkpointable = kind.checkpointable,
                     .idempotent = kind.idempotent,
                     .failure_domain = "centro",
@@ -192,8 +191,8 @@
     {
         const double mean_run = kind.median_run_ms * std::exp(run_sigma * run_sigma / 2);
         const double work = mean_run * static_cast<double>(kind.shape.total());
-        const double rate = request_.load * kind.work_share *
-                            static_cast<double>(drawn_.accelerators()) / work;
+        const double rate =
+            request_.load * kind.work_share * static_cast<double>(drawn_.accelerators()) / work;
         std::exponential_distribution<> gap{rate};
         const auto end = static_cast<double>(request_.arrivals.count());
         for (double at = gap(random_); at < end; at += gap(random_)) {
--- a/src/ordering/job_queue.cpp
+++ b/src/ordering/job_queue.cpp
@@ -107,6 +107,18 @@
     return weight > 0 ? used / weight : 0;
 }
 
+bool job_queue::within_quota(const lane_key& key) const
+{
+    const auto& account = accounts_.find(key.workspace)->second;
+    return !account.quota || account.used + key.shape.total() <= *account.quota;
+}
+
+bool job_queue::may_start(job_number number) const
+{
+    const auto found = entries_.find(number);
+    return found != entries_.end() && within_quota(found->second.at->first);
+}
+
 job_queue::pass::pass(job_queue& queue, base::time_point now)
     : queue_{queue}, now_{now}, ranks_{queue.class_ranks()}
 {
@@ -126,13 +138,13 @@
     std::ranges::push_heap(heap_, std::greater<>{});
 }
 
-job_queue::pass::order_key job_queue::pass::key_of(const lane_key& lane,
+job_queue::pass::order_key job_queue::pass::key_of(const lane_key& alike,
                                                    const queued_job& job) const
 {
     order_key key{.queued_since = job.queued_since, .number = job.number};
-    const auto* kind = queue_.rules_->find_class(lane.class_name);
+    const auto* kind = queue_.rules_->find_class(alike.class_name);
     key.not_urgent = kind == nullptr || !kind->urgent_within;
-    const auto rank = ranks_.find(lane.class_name);
+    const auto rank = ranks_.find(alike.class_name);
     key.rank = rank == ranks_.end() ? 0 : rank->second;
     if (queue_.policy_.arrival_order) {
         return key;
@@ -142,12 +154,12 @@
         key.rank = 0;
         return key;
     }
-    const auto& account = queue_.accounts_.find(lane.workspace)->second;
-    key.above_guarantee = account.used + lane.shape.total() > account.guaranteed;
+    const auto& account = queue_.accounts_.find(alike.workspace)->second;
+    key.above_guarantee = account.used + alike.shape.total() > account.guaranteed;
     key.weighted_use = static_cast<double>(account.used) / account.weight;
     key.above_share = key.weighted_use > queue_.fair_use();
-    key.level = lane.level;
-    key.size = queue_.policy_.small_first ? lane.shape.total() : 0;
+    key.level = alike.level;
+    key.size = queue_.policy_.small_first ? alike.shape.total() : 0;
     return key;
 }
 
@@ -164,9 +176,7 @@
             push(best.at, best.job);
             continue;
         }
-        const auto& account = queue_.accounts_.find(best.at->first.workspace)->second;
-        const auto wanted = account.used + best.at->first.shape.total();
-        if (account.quota && wanted > *account.quota) {
+        if (!queue_.within_quota(best.at->first)) {
             continue;
         }
         taken_ = best;
--- a/src/ordering/job_queue.hpp
+++ b/src/ordering/job_queue.hpp
@@ -71,6 +71,8 @@
     {
         return entries_.contains(number);
     }
+    /// True when the job waits here and its workspace's quota has room for it.
+    [[nodiscard]] bool may_start(job_number number) const;
     [[nodiscard]] std::size_t size() const
     {
         return entries_.size();
@@ -125,7 +127,7 @@
 
         void push(lane_map::iterator at, lane::iterator job);
         void return_taken();
-        [[nodiscard]] order_key key_of(const lane_key& lane, const queued_job& job) const;
+        [[nodiscard]] order_key key_of(const lane_key& alike, const queued_job& job) const;
 
         job_queue& queue_;
         base::time_point now_;
@@ -151,6 +153,7 @@
 
     [[nodiscard]] std::map<std::string, std::uint32_t, std::less<>> class_ranks() const;
     [[nodiscard]] double fair_use() const;
+    [[nodiscard]] bool within_quota(const lane_key& key) const;
 
     policy policy_;
     std::string failure_domain_;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -25,8 +25,8 @@
 } // namespace
 
 scheduler::scheduler(const scheduler_options& options, std::span<const worker_description> workers)
-    : options_{options}, hardware_{hardware_of(workers)}, allocation_{hardware_},
-      queue_{options.order, options.failure_domain}
+    : options_{options}, hardware_{hardware_of(workers)},
+      allocation_{hardware_}, queue_{options.order, options.failure_domain}
 {
     for (const auto& hardware : hardware_.workers()) {
         const auto found = std::ranges::find(workers, hardware.id, &worker_description::id);
@@ -66,6 +66,8 @@
     task_jobs_.clear();
     works_.clear();
     claimants_.clear();
+    arrived_.clear();
+    looked_at_ = {};
     ended_.clear();
     jobs_known_ = false;
     allocation_ = placement::allocation{hardware_};
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -85,6 +85,7 @@
         finish_job(job, job_state::rejected, "no adjacent workers have room for this shape");
     } else {
         enqueue(job);
+        arrived_.push_back(job.stored.spec.id);
         place_again_ = true;
     }
 }
--- a/src/scheduling/scheduler_order.cpp
+++ b/src/scheduling/scheduler_order.cpp
@@ -61,8 +61,8 @@
                          ordering::order_reason reason) const
 {
     const auto& spec = victim.stored.spec;
-    const bool gives_way = spec.checkpointable && spec.idempotent &&
-                           !allocation_.guarantee_level_of(victim.sequence);
+    const bool gives_way =
+        spec.checkpointable && spec.idempotent && !allocation_.guarantee_level_of(victim.sequence);
     if (!gives_way || victim.state != job_state::running || victim.yielding) {
         return false;
     }
@@ -102,8 +102,8 @@
 }
 
 /// The cell whose works hold the fewest accelerators.
-std::optional<placement::placement_plan>
-scheduler::claim_plan(const job_record& job, ordering::order_reason reason) const
+std::optional<placement::placement_plan> scheduler::claim_plan(const job_record& job,
+                                                               ordering::order_reason reason) const
 {
     std::optional<placement::placement_plan> best;
     const auto need = placement::need_of(job.stored.spec.shape);
@@ -167,12 +167,13 @@
     const auto need = placement::need_of(shape);
     for (std::uint32_t line = 0; line < hardware_.lines().size(); ++line) {
         const auto size = hardware_.lines()[line].size();
-        for (std::uint32_t first = 0; first < size && hardware_.width_level(line) >= need.width_level;
+        for (std::uint32_t first = 0;
+             first < size && hardware_.width_level(line) >= need.width_level;
              first += 1U << need.level) {
             const placement::cell where{line, first, need.level};
             std::size_t used = 0;
-            const bool whole = std::ranges::all_of(
-                placement::footprint(where, shape), [&](std::uint32_t offset) {
+            const bool whole =
+                std::ranges::all_of(placement::footprint(where, shape), [&](std::uint32_t offset) {
                     const placement::accelerator_place place{line, offset};
                     const bool exists = offset < size && allocation_.claimable(place);
                     used += exists && allocation_.occupant_of(place) != 0 ? 1 : 0;
--- a/tests/ordering/job_queue_test.cpp
+++ b/tests/ordering/job_queue_test.cpp
@@ -170,25 +170,29 @@
         const auto key = [&](const queued_job& job) {
             const bool urgent = job.class_name == "preview";
             if (now - job.queued_since >= policy{}.ageing) {
-                return std::tuple{!urgent, false, 0, false,
-                                  false,   std::size_t{0}, 0.0, job.queued_since, job.number};
+                return std::tuple{!urgent,
+                                  false,
+                                  0,
+                                  false,
+                                  false,
+                                  std::size_t{0},
+                                  std::uint64_t{0},
+                                  0.0,
+                                  job.queued_since,
+                                  job.number};
             }
             const bool behind =
                 job.class_name == "draw" &&
                 std::ranges::count(jobs, std::string{"allocation"}, &queued_job::class_name) > 0;
             const auto use = used.at(job.workspace);
-            const bool above = job.workspace != "north" ||
-                               use + static_cast<double>(job.shape.total()) > 16;
+            const bool above =
+                job.workspace != "north" || use + static_cast<double>(job.shape.total()) > 16;
             const double weighted = use / (job.workspace == "north" ? 2 : 1);
-            return std::tuple{!urgent,
-                              true,
-                              behind ? 1 : 0,
-                              above,
-                              weighted > fair,
-                              service_level(policy{}, job.attained),
-                              weighted,
-                              job.queued_since,
-                              job.number};
+            return std::tuple{!urgent,           true,
+                              behind ? 1 : 0,    above,
+                              weighted > fair,   service_level(policy{}, job.attained),
+                              job.shape.total(), weighted,
+                              job.queued_since,  job.number};
         };
         auto sorted = jobs;
         std::ranges::sort(sorted, {}, key);
