--- a/bench/scheduling/fake_worker.cpp
+++ b/bench/scheduling/fake_worker.cpp
@@ -50,7 +50,7 @@
     } else if (what == "stop" && !workers::ended(one.state)) {
         one.state = task_state::stopped;
     }
-    const auto answer = accepted(one.state, progress);
+    auto answer = accepted(one.state, progress);
     if (what == "forget" && workers::ended(one.state)) {
         tasks_.erase(found);
     }
--- a/tests/ordering/job_queue_test.cpp
+++ b/tests/ordering/job_queue_test.cpp
@@ -228,7 +228,7 @@
                 .shape = shapes.at(*rc::gen::inRange<std::size_t>(0, shapes.size())),
                 .stoppable = *rc::gen::arbitrary<bool>(),
                 .attained = milliseconds{*rc::gen::inRange(0, 120'000)},
-                .queued_since = at(step * 2'000)};
+                .queued_since = at(std::int64_t{step} * 2'000)};
             queue.add(job);
             naive.jobs.push_back(job);
         } else if (choice < 8 && !naive.jobs.empty()) {
@@ -240,7 +240,8 @@
             queue.add_use(name, 2);
             naive.used[name] += 2;
         }
-        RC_ASSERT(order_of(queue, at(step * 2'000)) == naive.order(at(step * 2'000)));
+        RC_ASSERT(order_of(queue, at(std::int64_t{step} * 2'000)) ==
+                  naive.order(at(std::int64_t{step} * 2'000)));
     }
 }
 
