--- a/apps/poplarstiled/scheduler_duty.cpp
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -35,6 +35,9 @@
     options.run_id = owner.settings.vm.id + "-" + owner.run_id;
     options.worker_heartbeat = owner.settings.times.worker_heartbeat;
     options.worker_lease = owner.settings.times.worker_lease;
+    const bool packs = owner.settings.policy_objective == settings::objective::fragmentation;
+    options.order = ordering::policy_for(packs ? ordering::objective::fragmentation
+                                               : ordering::objective::completion_time);
     return options;
 }
 
--- a/bench/scheduling/baseline_run.cpp
+++ b/bench/scheduling/baseline_run.cpp
@@ -152,8 +152,8 @@
         }
         for (std::size_t job = 0; job < places_.size(); ++job) {
             const bool hit = job != killer && std::ranges::any_of(places_[job], [&](auto& place) {
-                return workers.contains(place.worker);
-            });
+                                 return workers.contains(place.worker);
+                             });
             if (hit) {
                 requeue(job, now);
             }
--- a/bench/scheduling/fake_worker.cpp
+++ b/bench/scheduling/fake_worker.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// What it costs to go on from a checkpoint.
+constexpr milliseconds resume_cost{500};
+
 workers::task_answer accepted(task_state state, milliseconds progress)
 {
     return {workers::task_answer::kind::accepted, state, "", progress};
@@ -16,8 +19,8 @@
 
 milliseconds progress_of(const fake_worker::task& one, milliseconds now)
 {
-    return one.resumed_from + (one.state == task_state::running ? now - one.started
-                                                                : milliseconds{0});
+    return one.resumed_from +
+           (one.state == task_state::running ? now - one.started : milliseconds{0});
 }
 
 } // namespace
@@ -47,7 +50,7 @@
     } else if (what == "stop" && !workers::ended(one.state)) {
         one.state = task_state::stopped;
     }
-    const auto answer = accepted(one.state, progress);
+    auto answer = accepted(one.state, progress);
     if (what == "forget" && workers::ended(one.state)) {
         tasks_.erase(found);
     }
@@ -68,10 +71,11 @@
 
 void fake_worker::end_due_task(task& one, milliseconds now)
 {
-    const auto due = one.started + one.fate.run - one.resumed_from;
+    const auto cost = one.resumed_from.count() > 0 ? resume_cost : milliseconds{0};
+    const auto due = one.started + one.fate.run - one.resumed_from + cost;
     if (one.state == task_state::running && due <= now && due <= one.lease_ends) {
-        one.state = one.fate.fails || one.fate.kills_worker ? task_state::failed
-                                                            : task_state::completed;
+        one.state =
+            one.fate.fails || one.fate.kills_worker ? task_state::failed : task_state::completed;
     } else if (!workers::ended(one.state) && one.lease_ends < now) {
         one.state = task_state::expired;
     }
--- a/bench/scheduling/main.cpp
+++ b/bench/scheduling/main.cpp
@@ -34,9 +34,33 @@
 {
 
 namespace product = poplarstile::scheduling;
+namespace base = poplarstile::base;
+namespace ordering = poplarstile::ordering;
 namespace bench_scheduling = poplarstile::bench::scheduling;
 
-bench_scheduling::run_record run_policy(const std::string& policy, const bench_scheduling::scenario& drawn)
+/// Sets one constant; times are milliseconds.
+void sweep(ordering::policy& order, std::string_view name, std::int64_t value)
+{
+    const base::milliseconds time{value};
+    if (name == "ageing") {
+        order.ageing = time;
+    } else if (name == "level") {
+        order.level_bounds = {time, time * 4, time * 16};
+    } else if (name == "least_run") {
+        order.least_run = time;
+    } else if (name == "small_first") {
+        order.small_first = value != 0;
+    } else if (name == "reserve") {
+        order.reserve = value != 0;
+    } else if (name == "preempt") {
+        order.preempt = value != 0;
+    } else if (name == "max_claims") {
+        order.max_claims = static_cast<std::size_t>(value);
+    }
+}
+
+bench_scheduling::run_record run_policy(const std::string& policy,
+                                        const bench_scheduling::scenario& drawn)
 {
     if (policy == "fcfs_strict") {
         return bench_scheduling::run_baseline(drawn, bench_scheduling::baseline_kind::strict);
@@ -45,6 +69,23 @@
         return bench_scheduling::run_baseline(drawn, bench_scheduling::baseline_kind::first_fit);
     }
     product::scheduler_options options;
+    if (policy == "previous") {
+        options.order = {.arrival_order = true, .preempt = false, .reserve = false};
+    } else if (policy == "fragmentation") {
+        options.order = ordering::policy_for(ordering::objective::fragmentation);
+    } else if (policy == "no_preempt") {
+        options.order.preempt = false;
+    } else if (policy == "no_reserve") {
+        options.order.reserve = false;
+    } else {
+        // `NAME:VALUE`, several joined by `+`.
+        for (const std::string& constant : std::vector<std::string>(absl::StrSplit(policy, '+'))) {
+            const auto at = constant.find(':');
+            if (at != std::string::npos) {
+                sweep(options.order, constant.substr(0, at), std::stoll(constant.substr(at + 1)));
+            }
+        }
+    }
     auto record = bench_scheduling::run_scheduler(drawn, options);
     record.policy = policy;
     return record;
@@ -52,9 +93,10 @@
 
 std::vector<bench_scheduling::scenario_request> requests()
 {
-    constexpr std::array all{bench_scheduling::disturbance::none,        bench_scheduling::disturbance::small_burst,
-                             bench_scheduling::disturbance::large_burst, bench_scheduling::disturbance::cancel_wave,
-                             bench_scheduling::disturbance::rack_lost,   bench_scheduling::disturbance::bad_workers};
+    constexpr std::array all{
+        bench_scheduling::disturbance::none,        bench_scheduling::disturbance::small_burst,
+        bench_scheduling::disturbance::large_burst, bench_scheduling::disturbance::cancel_wave,
+        bench_scheduling::disturbance::rack_lost,   bench_scheduling::disturbance::bad_workers};
     std::vector<bench_scheduling::scenario_request> wanted;
     for (const auto& shape : absl::GetFlag(FLAGS_shapes)) {
         for (const auto& name : absl::GetFlag(FLAGS_with)) {
@@ -85,9 +127,11 @@
         if (labels.empty() || labels.back() != label) {
             labels.push_back(label);
         }
-        const auto found = std::ranges::find(series, row.policy, &bench_scheduling::plot_series::name);
-        auto& one = found == series.end() ? series.emplace_back(bench_scheduling::plot_series{row.policy, {}})
-                                          : *found;
+        const auto found =
+            std::ranges::find(series, row.policy, &bench_scheduling::plot_series::name);
+        auto& one = found == series.end()
+                        ? series.emplace_back(bench_scheduling::plot_series{row.policy, {}})
+                        : *found;
         one.values.push_back(value(row));
     }
     std::ofstream file{std::filesystem::path{absl::GetFlag(FLAGS_plots)} / (name + ".svg")};
@@ -98,7 +142,8 @@
 {
     std::filesystem::create_directories(absl::GetFlag(FLAGS_plots));
     using row = const bench_scheduling::run_measures&;
-    write_plot("completion", "Mean completion time", "s", rows, [](row one) { return one.all.mean_s; });
+    write_plot("completion", "Mean completion time", "s", rows,
+               [](row one) { return one.all.mean_s; });
     write_plot("fragmentation", "Free accelerators that can't serve the largest guaranteed shape",
                "share", rows, [](row one) { return one.fragmentation; });
     write_plot("largest_wait", "Wait of the largest gangs, p99", "s", rows,
--- a/bench/scheduling/plots.cpp
+++ b/bench/scheduling/plots.cpp
@@ -58,7 +58,8 @@
                              "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n",
                              width, height);
     drawn += text(left, 20, title, "start") + axis(greatest, unit);
-    const double group = (width - left) / static_cast<double>(std::max<std::size_t>(1, labels.size()));
+    const double group =
+        (width - left) / static_cast<double>(std::max<std::size_t>(1, labels.size()));
     const double bar = group * 0.85 / static_cast<double>(std::max<std::size_t>(1, series.size()));
     for (std::size_t index = 0; index < series.size(); ++index) {
         const auto* const colour = colours.at(index % colours.size());
@@ -78,8 +79,8 @@
     }
     for (std::size_t at = 0; at < labels.size(); ++at) {
         const double x = left + (static_cast<double>(at) + 0.5) * group;
-        drawn += text(x, height - bottom + 18 + static_cast<double>(at % 2) * 16, labels[at],
-                      "middle");
+        drawn +=
+            text(x, height - bottom + 18 + static_cast<double>(at % 2) * 16, labels[at], "middle");
     }
     return drawn + "</svg>\n";
 }
--- a/bench/scheduling/scheduler_run.cpp
+++ b/bench/scheduling/scheduler_run.cpp
@@ -149,8 +149,7 @@
         const auto before = std::chrono::steady_clock::now();
         const auto actions = decides_.decide(event, time);
         const auto spent = std::chrono::steady_clock::now() - before;
-        record_.decision_us.push_back(
-            std::chrono::duration<float, std::micro>(spent).count());
+        record_.decision_us.push_back(std::chrono::duration<float, std::micro>(spent).count());
         for (const auto& action : actions) {
             std::visit([this](const auto& one) { carry_out(one); }, action);
         }
@@ -206,14 +205,14 @@
             answer(product::task_answered{action.task, action.order, {}}, call_timeout);
             return;
         }
-        answer(product::task_answered{
-            action.task, action.order,
-            fakes_[worker].order(action.task, action.order, now_)});
+        answer(product::task_answered{action.task, action.order,
+                                      fakes_[worker].order(action.task, action.order, now_)});
     }
 
     void carry_out(const product::write_job& action)
     {
-        answer(product::job_written{action.job, action.transaction.operation,
+        answer(product::job_written{action.job,
+                                    action.transaction.operation,
                                     {platform::commit_state::committed, ++version_, {}}});
     }
 
--- a/src/scheduling/scheduler_placement.cpp
+++ b/src/scheduling/scheduler_placement.cpp
@@ -49,31 +49,42 @@
         allocation_.freed_count() != looked_at_freed_ || now_ - looked_at_ >= whole_queue_interval;
     const auto arrived = std::exchange(arrived_, {});
     if (!whole_queue) {
-        place_in_order(arrived);
+        place_arrived(arrived);
         return;
     }
     looked_at_freed_ = allocation_.freed_count();
     looked_at_ = now_;
-    place_in_order(placement_order());
+    place_in_order();
 }
 
-void scheduler::place_in_order(std::span<const std::string> order)
+void scheduler::place_arrived(std::span<const std::string> arrived)
 {
-    std::set<request_kind> without_place;
-    for (const auto& id : order) {
+    for (const auto& id : arrived) {
         const auto found = jobs_.find(id);
-        if (found == jobs_.end()) {
+        if (found == jobs_.end() || !queue_.may_start(found->second.sequence)) {
             continue;
         }
-        auto& job = found->second;
-        const bool waits = job.state == job_state::queued && !job.attempt && job.writing.empty();
-        if (!waits || allocation_.has(job.sequence) || now_ < job.retry_at) {
+        (void)try_place(found->second);
+    }
+}
+
+void scheduler::place_in_order()
+{
+    std::set<request_kind> without_place;
+    ordering::job_queue::pass order{queue_, now_};
+    while (const auto number = order.next()) {
+        auto& job = *works_.at(*number);
+        if (now_ < job.retry_at) {
             continue;
         }
         const auto& spec = job.stored.spec;
         const request_kind kind{spec.workspace, spec.shape, spec.checkpointable && spec.idempotent};
-        if (!without_place.contains(kind) && !try_place(job)) {
+        const bool reserved = reserved_for_ == number;
+        if ((without_place.contains(kind) && !reserved) || !try_place(job)) {
             without_place.insert(kind);
+            if (!reserved) {
+                order.skip_lane();
+            }
         }
     }
 }
@@ -82,11 +93,13 @@
 {
     const auto request = request_of(job);
     const auto plan =
-        allocation_.plan(request, [this](placement::work_id work) { return loss_of(work); });
+        allocation_.plan(request, [this](placement::work_id work) { return loss_of(work); },
+                         {.use_reserved = reserved_for_ == job.sequence});
     if (!plan) {
         return false;
     }
     allocation_.commit(*plan, request);
+    (void)queue_.remove(job.sequence);
     if (plan->victims.empty()) {
         start_holding(job);
         return true;
@@ -114,6 +127,7 @@
     }
     note("job.placed", job, workers_[members.front().worker].description.id);
     job.attempt = gang{std::move(members), now_};
+    queue_.add_use(job.stored.spec.workspace, job.stored.spec.shape.total());
     job.state = job_state::starting;
     job.detail = "members are being held";
 }
@@ -166,6 +180,7 @@
             return true;
         case placement::allocation::claim_state::broken:
             allocation_.release(job.sequence);
+            enqueue(job);
             place_again_ = true;
             return true;
         }
