Let a leaving VM flush every answer; limit the connections of one caller

Cause: the daemon left when its dispatcher was idle: submissions of jobs were not counted, nor answers that were decided but not written. max_connections_per_caller was never enforced. Change: the callers' port counts a request until its response is written, and the daemon waits for that; requests on connections beyond a caller's limit get error 3014 and the connection is closed.

--- a/apps/poplarstiled/answers.cpp
+++ b/apps/poplarstiled/answers.cpp
@@ -59,7 +59,10 @@
     case outcome::rejected:
         return rejected_status(code);
     case outcome::not_run:
-        return code == error_code::request_rate_limited ? 429 : 503;
+        return code == error_code::request_rate_limited ||
+                       code == error_code::request_too_many_connections
+                   ? 429
+                   : 503;
     case outcome::unknown:
         return 504;
     }
--- a/apps/poplarstiled/caller_gateway.cpp
+++ b/apps/poplarstiled/caller_gateway.cpp
@@ -40,6 +40,7 @@
     options.address = settings.listen.address;
     options.port = settings.listen.caller_port;
     options.max_connections = settings.limits.max_caller_connections;
+    options.max_connections_per_address = settings.limits.max_connections_per_caller;
     options.max_body_bytes = settings.limits.max_body_bytes;
     options.max_header_bytes = settings.limits.max_header_bytes;
     options.read_timeout = settings.times.caller_read_timeout;
@@ -53,6 +54,11 @@
     return base::success();
 }
 
+std::size_t caller_gateway::open_requests() const
+{
+    return server_ ? server_->open_requests() : 0;
+}
+
 void caller_gateway::handle(net::http_request request, const net::http_responder& responder)
 {
     const auto path_text = request.path;
@@ -62,6 +68,15 @@
         responder.send(json_response(up ? 200 : 503, {{"ready", up}}));
         return;
     }
+    if (request.over_connection_limit) {
+        auto response = error_response(
+            outcome::not_run,
+            {error_code::request_too_many_connections, request.remote_address, "", ""},
+            not_ready_retry);
+        response.close = true;
+        responder.send(std::move(response));
+        return;
+    }
     const bool is_short =
         request.method == "POST" && path.size() == 3 && path[0] == "v1" && path[1] == "requests";
     const bool is_job = path.size() >= 2 && path[0] == "v1" && path[1] == "jobs";
--- a/apps/poplarstiled/caller_gateway.hpp
+++ b/apps/poplarstiled/caller_gateway.hpp
@@ -20,6 +20,9 @@
     /// Error: `listen_failed`.
     [[nodiscard]] base::result<void> start();
 
+    /// Requests and job submissions whose answers have not been written out to the end.
+    [[nodiscard]] std::size_t open_requests() const;
+
 private:
     void handle(net::http_request request, const net::http_responder& responder);
     void handle_short(net::http_request request, std::string_view service,
--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -135,7 +135,9 @@
     }
     const auto waited = base::now() - left_at_;
     const auto requests = node_.dispatch.get();
-    const bool idle = requests->in_flight == 0 && requests->queued == 0;
+    // The callers' port counts until an answer is written out, submissions of jobs included.
+    const bool idle =
+        requests->in_flight == 0 && requests->queued == 0 && callers_->open_requests() == 0;
     return (idle && waited >= leave_notice) || waited >= node_.settings.times.drain_timeout;
 }
 
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -26,6 +26,8 @@
     std::string body{};
     /// Address of the caller without its port.
     std::string remote_address{};
+    /// True when the caller's address held more connections than allowed when this one was opened.
+    bool over_connection_limit = false;
 
     /// Value of the first header of this name, in any case.
     [[nodiscard]] std::optional<std::string_view> header(std::string_view name) const;
@@ -42,6 +44,8 @@
     std::vector<http_header> headers{};
     std::string body{};
     std::string content_type = "application/json";
+    /// Closes the connection after the response.
+    bool close = false;
 };
 
 /// True when both are the same name; header names ignore case.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,8 +5,11 @@
 #include <restinio/all.hpp>
 
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <string_view>
 #include <thread>
+#include <unordered_set>
 #include <utility>
 
 namespace poplarstile::net
@@ -14,9 +17,47 @@
 namespace
 {
 
+/// Counts the open connections of each IP number and remembers those beyond the limit.
+class connection_counter
+{
+public:
+    explicit connection_counter(std::size_t most) : most_{most} {}
+
+    void state_changed(const restinio::connection_state::notice_t& notice) noexcept
+    {
+        const auto address = notice.remote_endpoint().address();
+        const auto& cause = notice.cause();
+        const std::lock_guard lock{mutex_};
+        if (restinio::holds_alternative<restinio::connection_state::accepted_t>(cause)) {
+            if (++open_[address] > most_) {
+                over_limit_.insert(notice.connection_id());
+            }
+        } else if (restinio::holds_alternative<restinio::connection_state::closed_t>(cause)) {
+            over_limit_.erase(notice.connection_id());
+            const auto found = open_.find(address);
+            if (found != open_.end() && --found->second == 0) {
+                open_.erase(found);
+            }
+        }
+    }
+
+    [[nodiscard]] bool over_limit(restinio::connection_id_t connection) const
+    {
+        const std::lock_guard lock{mutex_};
+        return over_limit_.contains(connection);
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::size_t most_;
+    std::map<asio::ip::address, std::size_t> open_;
+    std::unordered_set<restinio::connection_id_t> over_limit_;
+};
+
 struct server_traits : restinio::default_traits_t {
     using request_handler_t =
         std::function<restinio::request_handling_status_t(const restinio::request_handle_t&)>;
+    using connection_state_listener_t = connection_counter;
     static constexpr bool use_connection_count_limiter = true;
 };
 
@@ -50,6 +91,10 @@
         return "Not Found";
     case 409:
         return "Conflict";
+    case 413:
+        return "Payload Too Large";
+    case 422:
+        return "Unprocessable Entity";
     case 429:
         return "Too Many Requests";
     case 503:
@@ -59,7 +104,9 @@
     }
 }
 
-void send_response(const restinio::request_handle_t& incoming, http_response response)
+/// `counted` lives until the response is written or the connection is gone.
+void send_response(const restinio::request_handle_t& incoming, http_response response,
+                   const std::shared_ptr<void>& counted)
 {
     const restinio::http_status_line_t line{restinio::http_status_code_t{response.status},
                                             std::string{reason_phrase(response.status)}};
@@ -68,11 +115,11 @@
     for (auto& header : response.headers) {
         answer.append_header(std::move(header.name), std::move(header.value));
     }
-    if (!incoming->header().should_keep_alive()) {
+    if (response.close || !incoming->header().should_keep_alive()) {
         answer.connection_close();
     }
     answer.set_body(std::move(response.body));
-    answer.done();
+    answer.done([counted](const auto& /*failure*/) {});
 }
 
 restinio::incoming_http_msg_limits_t message_limits(const http_server_options& options)
@@ -111,13 +158,20 @@
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t& incoming) const
     {
-        handler(to_request(incoming), http_responder{[incoming](http_response response) {
-                    send_response(incoming, std::move(response));
+        auto request = to_request(incoming);
+        request.over_connection_limit = connections->over_limit(incoming->connection_id());
+        ++*open_requests;
+        const std::shared_ptr<void> counted{nullptr, [open = open_requests](void*) { --*open; }};
+        handler(std::move(request), http_responder{[incoming, counted](http_response response) {
+                    send_response(incoming, std::move(response), counted);
                 }});
         return restinio::request_accepted();
     }
 
     http_handler handler;
+    std::shared_ptr<connection_counter> connections;
+    std::shared_ptr<std::atomic<std::size_t>> open_requests =
+        std::make_shared<std::atomic<std::size_t>>(0);
     std::uint16_t port = 0;
     asio::io_context context;
     std::unique_ptr<restinio_server> server;
@@ -131,6 +185,7 @@
 {
     auto impl = std::make_unique<implementation>(std::move(handler));
     auto* const raw = impl.get();
+    raw->connections = std::make_shared<connection_counter>(options.max_connections_per_address);
     try {
         impl->server = std::make_unique<restinio_server>(
             restinio::external_io_context(impl->context),
@@ -142,6 +197,7 @@
                     .handle_request_timeout(options.handle_timeout)
                     .write_http_response_timelimit(options.read_timeout)
                     .max_parallel_connections(options.max_connections)
+                    .connection_state_listener(raw->connections)
                     .separate_accept_and_create_connect(true)
                     .socket_options_setter([](auto& socket_options) {
                         socket_options.set_option(asio::ip::tcp::no_delay{true});
@@ -180,4 +236,9 @@
     return impl_->port;
 }
 
+std::size_t http_server::open_requests() const
+{
+    return *impl_->open_requests;
+}
+
 } // namespace poplarstile::net
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -21,6 +21,8 @@
     std::uint16_t port = 0;
     std::size_t threads = 1;
     std::size_t max_connections = 4096;
+    /// Connections of one IP number; requests on later ones are marked as over the limit.
+    std::size_t max_connections_per_address = 4096;
     std::size_t max_body_bytes = 1024 * 1024;
     std::size_t max_header_bytes = 8 * 1024;
     std::size_t max_header_count = 64;
@@ -63,6 +65,9 @@
     /// The port listened on.
     [[nodiscard]] std::uint16_t port() const;
 
+    /// Requests taken whose responses have not been written out to the end.
+    [[nodiscard]] std::size_t open_requests() const;
+
 private:
     struct implementation;
     explicit http_server(std::unique_ptr<implementation> impl);
--- a/tests/dispatch/dispatcher_model_test.cpp
+++ b/tests/dispatch/dispatcher_model_test.cpp
@@ -406,11 +406,8 @@
         std::ranges::count(seen.runs, request, &world::run_record::request));
 }
 
-RC_GTEST_PROP(DispatcherModel, KeepsItsPromisesUnderEveryFault, (std::uint64_t seed))
+void expect_promises_kept(const world& seen)
 {
-    world seen{seed};
-    seen.run();
-
     for (const auto& [id, request] : seen.requests) {
         RC_ASSERT(request.answers.size() == 1U);
         RC_ASSERT(request.answered <= request.deadline + tick);
@@ -436,5 +433,16 @@
     }
 }
 
+/// Several worlds for each case: some faults need a rare meeting of events.
+RC_GTEST_PROP(DispatcherModel, KeepsItsPromisesUnderEveryFault, (std::uint64_t seed))
+{
+    constexpr std::uint64_t worlds_of_case = 10;
+    for (std::uint64_t index = 0; index < worlds_of_case; ++index) {
+        world seen{seed + index};
+        seen.run();
+        expect_promises_kept(seen);
+    }
+}
+
 } // namespace
 } // namespace poplarstile::dispatch
--- a/tests/integration/requests_under_faults_test.cpp
+++ b/tests/integration/requests_under_faults_test.cpp
@@ -232,24 +232,29 @@
     EXPECT_EQ(system_->vm(vm1_).wait_for_exit(milliseconds{8'000}), 0);
 }
 
-TEST_F(RequestsUnderFaults, TerminationWaitsForAJobSubmissionInFlight)
+TEST(RequestsAtTermination, AJobSubmissionInFlightIsAnswered)
 {
-    system_->set_platform({{"delay_ms", 450}});
-    system_->set_link(vm1_, "platform", "delay", milliseconds{100});
-    auto submitted = std::async(std::launch::async, [this] {
-        return system_->caller_call(
-            vm1_, {.method = "POST",
-                   .url = "/v1/jobs",
-                   .headers = {{"X-Workspace", "kits"}, {"Idempotency-Key", "j1"}},
-                   .body = R"({"class":"chart","shape":"1x1","payload":{"run_ms":10}})",
-                   .timeout = milliseconds{9'000}});
+    auto started = cluster::start(
+        {.rules = request_rules(), .settings = {{"platform", {{"write_timeout_ms", 5'000}}}}});
+    ASSERT_TRUE(started.has_value()) << base::describe(started.error());
+    auto& system = *started.value();
+    const auto& vm = system.vms().front();
+    system.set_platform({{"delay_ms", 2'500}});
+    auto submitted = std::async(std::launch::async, [&system, &vm] {
+        return system.caller_call(
+            vm, {.method = "POST",
+                 .url = "/v1/jobs",
+                 .headers = {{"X-Workspace", "kits"}, {"Idempotency-Key", "j1"}},
+                 .body = R"({"class":"chart","shape":"1x1","payload":{"run_ms":10}})",
+                 .timeout = milliseconds{9'000}});
     });
-    std::this_thread::sleep_for(milliseconds{100});
-    system_->terminate_vm(vm1_);
+    std::this_thread::sleep_for(milliseconds{200});
+    system.terminate_vm(vm);
 
     const auto got = submitted.get();
     EXPECT_EQ(got.outcome, net::delivery::answered) << got.failure;
-    EXPECT_EQ(system_->vm(vm1_).wait_for_exit(milliseconds{9'000}), 0);
+    EXPECT_EQ(got.status, 202) << got.body;
+    EXPECT_EQ(system.vm(vm).wait_for_exit(milliseconds{9'000}), 0);
 }
 
 } // namespace
