--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -754,8 +754,7 @@
 void dispatcher::record_end(const pending_request& pending, ledger::ledger_entry entry)
 {
     entry.operation = next_id('o');
-    auto transaction =
-        ledger::write_entry(pending.ledger_key, pending.ledger_version, std::move(entry));
+    auto transaction = ledger::write_entry(pending.ledger_key, pending.ledger_version, entry);
     if (records_.size() < max_unconfirmed_records) {
         records_[pending.request.number] = {.transaction = transaction};
     } else {
--- a/tests/dispatch/dispatcher_model_test.cpp
+++ b/tests/dispatch/dispatcher_model_test.cpp
@@ -43,13 +43,13 @@
 class world
 {
 public:
-    explicit world(std::uint64_t seed) : random_{seed}
+    explicit world(std::uint64_t seed)
+        : random_{seed}, fault_share_{0.3 * share()}, slow_share_{0.2 * share()}
     {
-        fault_share_ = 0.3 * share();
-        slow_share_ = 0.2 * share();
         auto parsed = rules::parse_rules(rules_text);
         auto rules = std::make_shared<rules::ruleset>(std::move(parsed).value());
         std::vector<routing::worker_description> described;
+        described.reserve(workers_in_all);
         for (int index = 0; index < workers_in_all; ++index) {
             described.push_back({fmt::format("w{}", index), std::to_string(index), slots});
         }
@@ -179,7 +179,7 @@
         }
     }
 
-    void deliver(int vm, event happened)
+    void deliver(int vm, const event& happened)
     {
         for (auto& action : vms_.at(static_cast<std::size_t>(vm))->decide(happened, now_)) {
             std::visit([this, vm](auto& one) { carry_out(vm, one); }, action);
@@ -320,7 +320,7 @@
     {
         using platform::commit_state;
         const auto number = action.number;
-        const auto answer = [=, this](platform::commit_result result, milliseconds delay) {
+        const auto answer = [=, this](const platform::commit_result& result, milliseconds delay) {
             later(delay, [=, this] { deliver(vm, ledger_written{number, result}); });
         };
         if (table_down_ && happens(0.5)) {
@@ -388,8 +388,8 @@
     void carry_out(int /*vm*/, note_event& /*action*/) {}
 
     std::mt19937_64 random_;
-    double fault_share_ = 0;
-    double slow_share_ = 0;
+    double fault_share_;
+    double slow_share_;
     time_point now_{};
     std::multimap<time_point, std::function<void()>> agenda_;
     std::vector<std::unique_ptr<dispatcher>> vms_;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -21,10 +21,10 @@
 workspace kits share 1
 )";
 
-class DispatcherTest : public testing::Test
+class dispatcher_test : public testing::Test
 {
 protected:
-    DispatcherTest()
+    dispatcher_test()
     {
         auto parsed = rules::parse_rules(rules_text);
         (void)vm_.decide(rules_changed{std::make_shared<rules::ruleset>(std::move(parsed).value())},
@@ -82,7 +82,7 @@
     dispatcher vm_{{.vm = "vm", .run_id = "r", .pool = {.max_ejected_share = 1.0}}, workers_};
 };
 
-TEST_F(DispatcherTest, WorkThatFindsNoWorkerDoesNotHoldUpTheCanaryBehindIt)
+TEST_F(dispatcher_test, WorkThatFindsNoWorkerDoesNotHoldUpTheCanaryBehindIt)
 {
     eject_both_workers();
     ASSERT_TRUE(both_ejected());
@@ -95,7 +95,7 @@
         << "only idempotent work may try an ejected worker, so it must not wait behind other work";
 }
 
-TEST_F(DispatcherTest, ShortDeadlinesDoNotEjectWorkers)
+TEST_F(dispatcher_test, ShortDeadlinesDoNotEjectWorkers)
 {
     for (request_number number = 1; number <= 20; ++number) {
         (void)ask(number, "chart", milliseconds{30});
@@ -106,7 +106,7 @@
     EXPECT_FALSE(vm_.workers().ejected(1));
 }
 
-TEST_F(DispatcherTest, SilenceOfASecondEjectsAWorker)
+TEST_F(dispatcher_test, SilenceOfASecondEjectsAWorker)
 {
     for (request_number number = 1; number <= 8; ++number) {
         (void)ask(number, "chart", milliseconds{1'500});
@@ -120,7 +120,7 @@
     EXPECT_TRUE(both_ejected());
 }
 
-TEST_F(DispatcherTest, NothingIsSentAfterTheDeadline)
+TEST_F(dispatcher_test, NothingIsSentAfterTheDeadline)
 {
     const auto written = only<write_ledger>(ask(1, "sheet", milliseconds{100}));
     ASSERT_EQ(written.size(), 1U);
@@ -135,7 +135,7 @@
     EXPECT_EQ(answers.front().answer.result, outcome::not_run);
 }
 
-TEST_F(DispatcherTest, RetriesTheRecordOfAnEndUntilTheTableTakesIt)
+TEST_F(dispatcher_test, RetriesTheRecordOfAnEndUntilTheTableTakesIt)
 {
     (void)ask(1, "sheet", milliseconds{5'000});
     const auto sent = only<send_execute>(vm_.decide(
@@ -155,7 +155,7 @@
     EXPECT_TRUE(only<write_ledger>(pass(milliseconds{10'000})).empty());
 }
 
-TEST_F(DispatcherTest, ATableThatDoesNotAnswerIsAskedByOneRequestAtATime)
+TEST_F(dispatcher_test, ATableThatDoesNotAnswerIsAskedByOneRequestAtATime)
 {
     for (request_number number = 1; number <= 3; ++number) {
         (void)ask(number, "sheet", milliseconds{5'000});
--- a/tests/integration/requests_bad_input_test.cpp
+++ b/tests/integration/requests_bad_input_test.cpp
@@ -12,7 +12,7 @@
 using base::error_code;
 using nlohmann::json;
 
-class RequestsBadInput : public testing::Test
+class requests_bad_input : public testing::Test
 {
 protected:
     static void SetUpTestSuite()
@@ -23,11 +23,11 @@
              .settings = {
                  {"limits", {{"max_connections_per_caller", 16}, {"max_body_bytes", 4'096}}}}});
         ASSERT_TRUE(started.has_value()) << base::describe(started.error());
-        system_ = std::move(started).value();
+        system = std::move(started).value();
     }
     static void TearDownTestSuite()
     {
-        system_.reset();
+        system.reset();
     }
 
     struct refusal {
@@ -40,10 +40,10 @@
                         std::string body, const std::string& method = "POST")
     {
         const auto reply =
-            system_->caller_call(system_->vms().front(), {.method = method,
-                                                          .url = path,
-                                                          .headers = std::move(headers),
-                                                          .body = std::move(body)});
+            system->caller_call(system->vms().front(), {.method = method,
+                                                        .url = path,
+                                                        .headers = std::move(headers),
+                                                        .body = std::move(body)});
         const auto read = json::parse(reply.body, nullptr, false);
         if (!read.is_object()) {
             return {reply.status, 0, reply.body};
@@ -58,13 +58,13 @@
         EXPECT_EQ(got.outcome, "rejected");
     }
 
-    static inline std::unique_ptr<cluster> system_;
+    static inline std::unique_ptr<cluster> system;
     const net::http_header kits_{"X-Workspace", "kits"};
     const std::string chart_ = "/v1/requests/chart";
     const std::string sheet_ = "/v1/requests/sheet";
 };
 
-TEST_F(RequestsBadInput, EachFaultyRequestGetsItsNumberedError)
+TEST_F(requests_bad_input, EachFaultyRequestGetsItsNumberedError)
 {
     const std::string deep(100, '[');
     expect(send(chart_, {kits_}, "{\"a\":"), 400, error_code::request_malformed);
@@ -83,16 +83,16 @@
            error_code::request_malformed);
 }
 
-TEST_F(RequestsBadInput, TheSameKeyWithAnotherBodyIsRefused)
+TEST_F(requests_bad_input, TheSameKeyWithAnotherBodyIsRefused)
 {
     const net::http_header key{"Idempotency-Key", "same"};
     EXPECT_EQ(send(sheet_, {kits_, key}, R"({"marker":"one"})").outcome, "completed");
 
     expect(send(sheet_, {kits_, key}, R"({"marker":"two"})"), 409, error_code::request_key_reused);
-    EXPECT_EQ(system_->executions_of("two"), 0U);
+    EXPECT_EQ(system->executions_of("two"), 0U);
 }
 
-TEST_F(RequestsBadInput, OversizedRequestsAreCutOffAndTheVmGoesOn)
+TEST_F(requests_bad_input, OversizedRequestsAreCutOffAndTheVmGoesOn)
 {
     const auto body = send(chart_, {kits_}, "\"" + std::string(100'000, 'b') + "\"");
     EXPECT_NE(body.status, 200);
--- a/tests/integration/requests_under_faults_test.cpp
+++ b/tests/integration/requests_under_faults_test.cpp
@@ -17,7 +17,7 @@
 using base::milliseconds;
 using bench::checker::answer;
 
-class RequestsUnderFaults : public testing::Test
+class requests_under_faults : public testing::Test
 {
 protected:
     void SetUp() override
@@ -59,7 +59,7 @@
     std::unique_ptr<cluster> system_;
 };
 
-TEST_F(RequestsUnderFaults, RepeatOfAKeyAfterItsVmWasKilledRunsNothingTwice)
+TEST_F(requests_under_faults, RepeatOfAKeyAfterItsVmWasKilledRunsNothingTwice)
 {
     const short_request sheet{
         .service = "sheet", .key = "k1", .marker = "k1", .service_time = milliseconds{600}};
@@ -75,7 +75,7 @@
     EXPECT_EQ(system_->executions_of("k1"), 1U);
 }
 
-TEST_F(RequestsUnderFaults, RepeatOfAKeyWhileItsVmIsPausedRunsNothingTwice)
+TEST_F(requests_under_faults, RepeatOfAKeyWhileItsVmIsPausedRunsNothingTwice)
 {
     const short_request sheet{
         .service = "sheet", .key = "k2", .marker = "k2", .service_time = milliseconds{200}};
@@ -92,7 +92,7 @@
     EXPECT_EQ(system_->executions_of("k2"), 1U);
 }
 
-TEST_F(RequestsUnderFaults, SwallowedAnswersOfWorkThatMustNotRepeatAreAskedAfter)
+TEST_F(requests_under_faults, SwallowedAnswersOfWorkThatMustNotRepeatAreAskedAfter)
 {
     auto first = later(
         vm1_, {.service = "sheet", .key = "k3", .marker = "k3", .service_time = milliseconds{500}});
@@ -106,7 +106,7 @@
     EXPECT_EQ(system_->executions_of("k3"), 1U);
 }
 
-TEST_F(RequestsUnderFaults, SilentOpenConnectionsCostIdempotentWorkNoAnswer)
+TEST_F(requests_under_faults, SilentOpenConnectionsCostIdempotentWorkNoAnswer)
 {
     for (int index = 0; index < 20; ++index) {
         EXPECT_EQ(system_->request(vm1_, {.marker = fmt::format("warm{}", index)}).told,
@@ -116,6 +116,7 @@
     system_->set_link(vm1_, "*", "silence_open");
     int completed = 0;
     std::vector<std::future<short_answer>> asked;
+    asked.reserve(20);
     for (int index = 0; index < 20; ++index) {
         asked.push_back(later(vm1_, {.marker = fmt::format("after{}", index)}));
     }
@@ -126,7 +127,7 @@
     EXPECT_EQ(completed, 20);
 }
 
-TEST_F(RequestsUnderFaults, PlatformDownRefusesWorkThatMustNotRepeatAndServesTheRest)
+TEST_F(requests_under_faults, PlatformDownRefusesWorkThatMustNotRepeatAndServesTheRest)
 {
     system_->set_platform({{"down", true}});
 
@@ -146,7 +147,7 @@
     EXPECT_EQ(system_->executions_of("k4"), 1U);
 }
 
-TEST_F(RequestsUnderFaults, LostAnswersOfTheTableAreSettledByReading)
+TEST_F(requests_under_faults, LostAnswersOfTheTableAreSettledByReading)
 {
     system_->set_platform({{"lose_answers", 1.0}});
 
@@ -157,7 +158,7 @@
     system_->set_platform({{"lose_answers", 0.0}});
 }
 
-TEST_F(RequestsUnderFaults, AWorkerThatFailsEverythingIsTakenOut)
+TEST_F(requests_under_faults, AWorkerThatFailsEverythingIsTakenOut)
 {
     system_->set_worker(system_->workers().front(), {{"failing", true}});
 
@@ -176,7 +177,7 @@
     EXPECT_LE(on_failing, 10) << "an ejected worker gets canaries only";
 }
 
-TEST_F(RequestsUnderFaults, AnswersThatComeTwiceOrLateStayWithTheirRequest)
+TEST_F(requests_under_faults, AnswersThatComeTwiceOrLateStayWithTheirRequest)
 {
     set_workers({{"answer_twice", true}, {"answer_late_ms", 40}});
     std::vector<std::future<short_answer>> asked;
@@ -194,7 +195,7 @@
     }
 }
 
-TEST_F(RequestsUnderFaults, ALeavingWorkerGetsNoNewWork)
+TEST_F(requests_under_faults, ALeavingWorkerGetsNoNewWork)
 {
     const auto& leaving = system_->workers().front();
     system_->set_worker(leaving, {{"leaving", true}});
@@ -211,7 +212,7 @@
     EXPECT_FALSE(any);
 }
 
-TEST_F(RequestsUnderFaults, TerminationUnderLoadCutsNothing)
+TEST_F(requests_under_faults, TerminationUnderLoadCutsNothing)
 {
     std::vector<std::future<short_answer>> asked;
     for (int index = 0; index < 30; ++index) {
