--- a/tests/dispatch/dispatcher_model_test.cpp
+++ b/tests/dispatch/dispatcher_model_test.cpp
@@ -338,7 +338,7 @@
         later(arrives, [=, this, transaction = action.transaction] {
             auto result = apply(transaction);
             if (!lost) {
-                answer(std::move(result), transit());
+                answer(result, transit());
             }
         });
     }
