--- a/apps/poplarstiled/operator_gateway.cpp
+++ b/apps/poplarstiled/operator_gateway.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::size_t default_event_limit = 1'000;
-constexpr std::size_t max_rules_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_rules_bytes = std::size_t{4} * 1024 * 1024;
 constexpr base::logger log{"operator"};
 
 std::uint64_t number_query(const net::http_request& request, std::string_view name,
--- a/apps/poplarstiled/peer_duty.hpp
+++ b/apps/poplarstiled/peer_duty.hpp
@@ -27,7 +27,8 @@
     };
     using message = std::variant<membership::event, received>;
     /// A VM in this failure domain has newer rules.
-    using newer_rules_handler = std::function<void(std::string address, std::uint64_t version)>;
+    using newer_rules_handler =
+        std::function<void(const std::string& address, std::uint64_t version)>;
     /// The live VMs of this failure domain have changed.
     using members_handler = std::function<void(std::size_t live_vms)>;
     /// A VM was found dead or is leaving.
--- a/apps/poplarstiled/rules_duty.cpp
+++ b/apps/poplarstiled/rules_duty.cpp
@@ -269,7 +269,7 @@
 
 // Peers.
 
-void rules_duty::ask_peer(std::string address)
+void rules_duty::ask_peer(const std::string& address)
 {
     const auto after = node_.current_rules()->version;
     link_.call(address, peer::rules_request{node_.settings.vm.id, after}, peer_timeout,
--- a/apps/poplarstiled/rules_duty.hpp
+++ b/apps/poplarstiled/rules_duty.hpp
@@ -34,7 +34,7 @@
     void stop();
 
     /// A peer is known to have newer rules.
-    void ask_peer(std::string address);
+    void ask_peer(const std::string& address);
     /// Answers a peer that asks for rules after a version.
     void answer_peer(std::uint64_t after_version, const net::http_responder& responder) const;
     /// A change was accepted just now: reads the table at once.
--- a/apps/poplarstiled/rules_gateway.cpp
+++ b/apps/poplarstiled/rules_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "answers.hpp"
 
+#include "placement/settings_hardware.hpp"
 #include "rules/rules_text.hpp"
 
 #include <fmt/format.h>
@@ -119,7 +120,10 @@
             again(asked);
             return;
         }
-        const auto planned = rules::plan_apply(stored.value(), asked->proposal);
+        const auto planned = rules::plan_apply(
+            stored.value(), asked->proposal, [this](const rules::ruleset& proposed) {
+                return placement::check_guarantees(proposed, node_.settings);
+            });
         if (const auto* const change = std::get_if<rules::planned_change>(&planned)) {
             send(asked, *change);
         } else if (const auto* const done = std::get_if<rules::already_in_force>(&planned)) {
--- a/apps/poplarstiled/scheduler_duty.hpp
+++ b/apps/poplarstiled/scheduler_duty.hpp
@@ -64,6 +64,7 @@
 
     node& node_;
     lease::scheduler_lease lease_;
+    placement::topology hardware_;
     scheduling::scheduler scheduler_;
     base::time_point ticked_at_{};
     /// Events that wait until the lease is confirmed after a pause.
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -27,7 +27,7 @@
     bool fresh_connection = false;
     /// What the bytes are for, in the client's account; a string literal.
     std::string_view purpose = "work";
-    std::size_t max_response_bytes = 4 * 1024 * 1024;
+    std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
 };
 
 /// How an exchange ended on the wire.
--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -96,7 +96,9 @@
     return body;
 }
 
-base::result<std::vector<listed_vm>> vms_answer(const net::http_reply& reply)
+} // namespace
+
+base::result<std::vector<listed_vm>> read_vm_list(const net::http_reply& reply)
 {
     if (!reply.ok()) {
         return unreachable(reply, "vms");
@@ -117,8 +119,6 @@
     return listed;
 }
 
-} // namespace
-
 table_client::table_client(net::http_client& client, std::string_view address,
                            base::milliseconds read_timeout, base::milliseconds write_timeout)
     : client_{client}, base_url_{fmt::format("http://{}", address)}, read_timeout_{read_timeout},
@@ -225,7 +225,7 @@
     auto call = get("/vms");
     call.purpose = "vm_list";
     client_.send(std::move(call), [on_vms = std::move(on_vms)](const net::http_reply& reply) {
-        on_vms(vms_answer(reply));
+        on_vms(read_vm_list(reply));
     });
 }
 
