--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -74,8 +74,8 @@
     dispatch_->start();
     scheduler_->start();
     peers_->start(
-        [this](std::string address, std::uint64_t /*version*/) {
-            rules_->ask_peer(std::move(address));
+        [this](const std::string& address, std::uint64_t /*version*/) {
+            rules_->ask_peer(address);
         },
         [this](std::size_t live) { dispatch_->post(dispatch::sharing_vms_changed{live}); },
         [this](const std::string& vm) { scheduler_->vm_gone(vm); });
