--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -24,7 +24,7 @@
     /// Opens a connection for this call alone and closes it afterwards. A completed handshake is a
     /// proof of life that an idle connection cannot give, and the library never resends on it.
     bool fresh_connection = false;
-    std::size_t max_response_bytes = 4 * 1024 * 1024;
+    std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
 };
 
 /// How an exchange ended on the wire.
--- a/src/rules/rules_text.hpp
+++ b/src/rules/rules_text.hpp
@@ -16,7 +16,7 @@
 inline constexpr std::uint32_t grammar_version = 1;
 
 /// Longest text that is read, in bytes.
-inline constexpr std::size_t max_rules_bytes = 4 * 1024 * 1024;
+inline constexpr std::size_t max_rules_bytes = std::size_t{4} * 1024 * 1024;
 
 /// All faults of a rules text in the order of its lines; `place` of each is `file:line:column`.
 struct rules_faults {
--- a/src/settings/vm_settings.hpp
+++ b/src/settings/vm_settings.hpp
@@ -59,8 +59,8 @@
     std::size_t max_queued_requests = 2'000;
     std::size_t max_caller_connections = 4'096;
     std::size_t max_connections_per_caller = 1'024;
-    std::size_t max_body_bytes = 256 * 1024;
-    std::size_t max_header_bytes = 8 * 1024;
+    std::size_t max_body_bytes = std::size_t{256} * 1024;
+    std::size_t max_header_bytes = std::size_t{8} * 1024;
     std::size_t max_json_depth = 32;
     std::size_t max_connections_per_worker = 8;
     /// Retries a VM may add, as a share of fresh requests.
