Let running work outlive its scheduler; read again after a pause before holding the lease

(1) keeps_the_gang_that_runs_when_its_scheduler_is_killed: a takeover could last as long as the workers' leases (timeout 900 ms against a lease of 900 ms in the test's settings; 2.5 s plus reads against 3 s in the defaults), so a crash of the scheduler could stop and restart what ran. Change: settings that leave no room for a takeover within a lease are contradictory; the default scheduler timeout is 1.5 s; an answer from before a pause only leads to a new read. Conclusion: a crash of the scheduler no longer stops running gangs with settings that pass the check.

--- a/bench/checker/promises.cpp
+++ b/bench/checker/promises.cpp
@@ -94,7 +94,8 @@
         if (task.released == 0 || !not_idempotent.contains(task.job)) {
             continue;
         }
-        const auto [first, fresh] = started.emplace(std::pair{std::string_view{task.job}, task.member}, &task);
+        const auto [first, fresh] =
+            started.emplace(std::pair{std::string_view{task.job}, task.member}, &task);
         if (!fresh) {
             found.push_back(
                 {promise::at_most_once, task.job,
--- a/src/lease/scheduler_lease.cpp
+++ b/src/lease/scheduler_lease.cpp
@@ -75,6 +75,11 @@
 void scheduler_lease::handle(const rows_read& happened)
 {
     waiting_ = false;
+    const bool stale = std::exchange(stale_answer_, false);
+    if (stale && !held_ && !leaving_) {
+        read();
+        return;
+    }
     if (!happened.readable || held_ || leaving_) {
         return;
     }
@@ -128,6 +133,12 @@
         return;
     }
     doubtful_ = false;
+    if (stale && !held_) {
+        // A takeover answered from before a pause may have been taken over since; a read tells.
+        takeover_.clear();
+        read();
+        return;
+    }
     if (held_) {
         if (state == platform::commit_state::conflict) {
             lose("another VM holds the lease");
@@ -174,11 +185,11 @@
 
 void scheduler_lease::handle(const paused& /*event*/)
 {
+    stale_answer_ = waiting_;
     if (!held_) {
         return;
     }
     doubtful_ = true;
-    stale_answer_ = waiting_;
     if (!waiting_) {
         renew();
     }
--- a/src/lease/scheduler_lease.hpp
+++ b/src/lease/scheduler_lease.hpp
@@ -20,7 +20,7 @@
     std::string failure_domain{};
     base::milliseconds renewal{500};
     /// Silence of the heartbeat row after which another VM takes over.
-    base::milliseconds timeout{2'500};
+    base::milliseconds timeout{1'500};
 };
 
 // Events.
--- a/src/settings/internal/consistency.cpp
+++ b/src/settings/internal/consistency.cpp
@@ -32,8 +32,24 @@
     }
 }
 
+/// Work that runs must outlive its scheduler: the next one renews before the leases run out.
+void check_takeover(const time_settings& times, fault_list& faults)
+{
+    const bool lease_checked = times.worker_lease >= renewals_per_lease * times.worker_heartbeat;
+    const auto takeover =
+        times.scheduler_timeout + 2 * times.scheduler_renewal + times.worker_heartbeat;
+    if (lease_checked && times.worker_lease < takeover) {
+        contradict(faults, "times.scheduler_timeout_ms",
+                   fmt::format("a takeover can last {} ms (scheduler_timeout, two renewals and a "
+                               "worker heartbeat), longer than times.worker_lease_ms ({} ms)",
+                               takeover.count(), times.worker_lease.count()),
+                   "lower times.scheduler_timeout_ms or raise times.worker_lease_ms");
+    }
+}
+
 void check_times(const time_settings& times, fault_list& faults)
 {
+    check_takeover(times, faults);
     check_lease(times.worker_lease, "times.worker_lease_ms", times.worker_heartbeat,
                 "times.worker_heartbeat_ms", faults);
     check_lease(times.scheduler_timeout, "times.scheduler_timeout_ms", times.scheduler_renewal,
--- a/src/settings/settings_reference.cpp
+++ b/src/settings/settings_reference.cpp
@@ -103,7 +103,10 @@
             "in id and address,\nalso from the VM itself. `times.worker_lease_ms` is at least 3 "
             "times `times.worker_heartbeat_ms`,\n`times.scheduler_timeout_ms` 3 times "
             "`times.scheduler_renewal_ms` and `times.suspicion_timeout_ms` 3 times\n"
-            "`times.gossip_interval_ms`. `times.default_deadline_ms` is at most "
+            "`times.gossip_interval_ms`. A takeover ends within a lease: "
+            "`times.scheduler_timeout_ms`,\ntwo `times.scheduler_renewal_ms` and "
+            "`times.worker_heartbeat_ms` together are at most\n`times.worker_lease_ms`. "
+            "`times.default_deadline_ms` is at most "
             "`times.max_deadline_ms`,\n`limits.max_connections_per_caller` at most "
             "`limits.max_caller_connections`, and\n`limits.max_queued_requests` at least "
             "`limits.max_connections_per_worker`.\n";
--- a/src/settings/vm_settings.hpp
+++ b/src/settings/vm_settings.hpp
@@ -77,7 +77,7 @@
     /// Interval at which the holder renews the scheduler lease row.
     base::milliseconds scheduler_renewal{500};
     /// Silence of the lease row after which another VM takes over.
-    base::milliseconds scheduler_timeout{2'500};
+    base::milliseconds scheduler_timeout{1'500};
     base::milliseconds rules_poll{1'000};
     base::milliseconds gossip_interval{500};
     base::milliseconds suspicion_timeout{2'000};
--- a/tests/integration/observations.hpp
+++ b/tests/integration/observations.hpp
@@ -140,7 +140,7 @@
              {{"worker_heartbeat_ms", 500},
               {"worker_lease_ms", 3'000},
               {"scheduler_renewal_ms", 500},
-              {"scheduler_timeout_ms", 2'500},
+              {"scheduler_timeout_ms", 1'500},
               {"rules_poll_ms", 1'000},
               {"gossip_interval_ms", 500},
               {"suspicion_timeout_ms", 2'000},
--- a/tests/lease/scheduler_lease_test.cpp
+++ b/tests/lease/scheduler_lease_test.cpp
@@ -137,6 +137,19 @@
     EXPECT_TRUE(lease_.confirmed());
 }
 
+TEST_F(scheduler_lease_of_one_vm, reads_again_after_a_takeover_that_was_answered_across_a_pause)
+{
+    (void)tell(time_passed{}, milliseconds{1'000});
+    (void)tell(rows_read{.readable = true});
+    (void)tell(paused{}, milliseconds{10'000});
+
+    const auto out = tell(write_answered{{commit_state::committed, 8, {}}});
+
+    EXPECT_FALSE(lease_.held()) << "another VM may have taken over during the pause";
+    ASSERT_EQ(out.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<read_rows>(out.at(0)));
+}
+
 TEST_F(scheduler_lease_of_one_vm, vacates_the_row_when_it_leaves)
 {
     hold();
