Note the start of a job that ended before it was seen running

Ruled out: a stuck claim or reservation (the job's record shows state completed, no start). Change: the start is noted when the members have completed unseen.

--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -176,6 +176,7 @@
     void drive_overdue(job_record& job);
     void release_members(job_record& job);
     void stop_members(job_record& job);
+    void note_running(job_record& job);
     void finish_attempt(job_record& job);
     void end_attempt(job_record& job, const gang& attempt);
     void requeue(job_record& job, std::string detail);
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -158,14 +158,7 @@
         }
         return;
     case gang_phase::running:
-        if (job.state != job_state::running) {
-            job.state = job_state::running;
-            job.started_us = base::wall_clock_us();
-            job.running_since = now_;
-            job.checkpointed_at = now_;
-            job.detail = "all members run";
-            note("job.running", job, "");
-        }
+        note_running(job);
         return;
     case gang_phase::stopping:
         // Orders are repeated by time, not by every answer.
@@ -230,8 +223,25 @@
     }
 }
 
+void scheduler::note_running(job_record& job)
+{
+    if (job.state == job_state::running) {
+        return;
+    }
+    job.state = job_state::running;
+    job.started_us = base::wall_clock_us();
+    job.running_since = now_;
+    job.checkpointed_at = now_;
+    job.detail = "all members run";
+    note("job.running", job, "");
+}
+
 void scheduler::finish_attempt(job_record& job)
 {
+    if (job.attempt->completed()) {
+        // The members may have ended before all of them were seen running.
+        note_running(job);
+    }
     allocation_.release(job.sequence);
     place_again_ = true;
     const auto ended = std::move(*job.attempt);
--- /dev/null
+++ b/tests/scheduling/scheduler_short_job_test.cpp
@@ -0,0 +1,72 @@
+#include "scheduling/scheduler.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace poplarstile::scheduling
+{
+namespace
+{
+
+/// A scheduler of one worker that has reported once; every answer is given by hand.
+class scheduler_of_one_worker : public testing::Test
+{
+protected:
+    scheduler_of_one_worker()
+    {
+        for (const auto& action : tell(lease_gained{65'536, "lease/d", 1})) {
+            if (const auto* const renewal = std::get_if<renew_worker>(&action)) {
+                round_ = renewal->round;
+            }
+        }
+        (void)tell(jobs_listed{});
+        workers::lease_answer report{.result = workers::lease_answer::kind::renewed};
+        report.report.worker = "w1";
+        (void)tell(worker_reported{"w1", round_, std::move(report)});
+    }
+
+    actions tell(event happened)
+    {
+        now_ += base::milliseconds{1};
+        return scheduler_.decide(std::move(happened), now_);
+    }
+
+    actions answer(const std::string& task, const std::string& order, workers::task_state state)
+    {
+        return tell(task_answered{task, order, {workers::task_answer::kind::accepted, state}});
+    }
+
+    scheduler scheduler_{{.failure_domain = "d", .run_id = "run"},
+                         std::vector<worker_description>{{"w1", "127.0.0.1:1", "r1", 0, 8}}};
+    base::time_point now_{base::milliseconds{10'000}};
+    std::uint64_t round_ = 0;
+};
+
+TEST_F(scheduler_of_one_worker, says_that_a_job_ran_which_ended_before_it_was_seen_running)
+{
+    stored_job job;
+    job.spec.id = "j1";
+    job.spec.workspace = "kits";
+    job.spec.shape = {1, 1};
+    job.version = 1;
+    std::string task;
+    for (const auto& action : tell(job_submitted{job})) {
+        if (const auto* const hold = std::get_if<hold_task>(&action)) {
+            task = hold->call.task;
+        }
+    }
+    ASSERT_FALSE(task.empty()) << "a free worker takes the job at once";
+    (void)answer(task, "hold", workers::task_state::held);
+
+    const auto out = answer(task, "release", workers::task_state::completed);
+
+    const auto is_start = [](const action& one) {
+        const auto* const noted = std::get_if<note_event>(&one);
+        return noted != nullptr && noted->kind == "job.running";
+    };
+    EXPECT_TRUE(std::ranges::any_of(out, is_start)) << "its start is missing from the time line";
+}
+
+} // namespace
+} // namespace poplarstile::scheduling
