--- a/tests/integration/requests_end_to_end_test.cpp
+++ b/tests/integration/requests_end_to_end_test.cpp
@@ -1,5 +1,6 @@
 #include "integration/harness/cluster.hpp"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace poplarstile::integration
@@ -17,7 +18,7 @@
 
     for (const auto& vm : system.vms()) {
         for (const std::string service : {"chart", "preview", "sheet"}) {
-            const auto marker = vm + "-" + service;
+            const auto marker = fmt::format("{}-{}", vm, service);
             const auto got =
                 system.request(vm, {.service = service, .key = marker, .marker = marker});
             EXPECT_EQ(got.told, answer::completed) << marker << ": " << got.body.dump();
