--- a/tests/docs/reference_examples_test.cpp
+++ b/tests/docs/reference_examples_test.cpp
@@ -42,6 +42,7 @@
     {
         arguments.insert(arguments.begin(), POPLARSTILE_BINARY_DIR "/bin/" + name);
         std::vector<char*> pointers;
+        pointers.reserve(arguments.size() + 1);
         for (auto& argument : arguments) {
             pointers.push_back(argument.data());
         }
@@ -105,9 +106,10 @@
     }
     for (const auto& [name, value] : expected.items()) {
         if (!actual.is_object() || !actual.contains(name)) {
-            return where + "." + name + " is missing in " + actual.dump();
+            return fmt::format("{}.{} is missing in {}", where, name, actual.dump());
         }
-        if (auto found = difference(value, actual[name], where + "." + name); !found.empty()) {
+        const auto place = fmt::format("{}.{}", where, name);
+        if (auto found = difference(value, actual[name], place); !found.empty()) {
             return found;
         }
     }
