--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -55,9 +55,9 @@
     };
     BOOST_OUTCOME_TRY(client, net::http_client::start(client_options));
     node_.client = std::move(client);
-    node_.table = std::make_unique<platform::table_client>(*node_.client, settings.platform.address,
-                                                           settings.platform.read_timeout,
-                                                           settings.platform.write_timeout);
+    node_.table = std::make_unique<table::table_client>(*node_.client, settings.platform.address,
+                                                        settings.platform.read_timeout,
+                                                        settings.platform.write_timeout);
     node_.workers = std::make_unique<workers::worker_client>(*node_.client);
     link_ = std::make_unique<peer_link>(node_);
     dispatch_ = std::make_unique<dispatch_duty>(node_);
--- a/apps/poplarstiled/dispatch_duty.cpp
+++ b/apps/poplarstiled/dispatch_duty.cpp
@@ -123,7 +123,7 @@
 void dispatch_duty::carry_out_one(dispatch::write_ledger& action)
 {
     const auto number = action.number;
-    node_.table->transact(action.transaction, [this, number](platform::commit_result result) {
+    node_.table->transact(action.transaction, [this, number](table::commit_result result) {
         duty_.post(dispatch::ledger_written{number, std::move(result)});
     });
 }
--- a/apps/poplarstiled/job_gateway.cpp
+++ b/apps/poplarstiled/job_gateway.cpp
@@ -17,8 +17,8 @@
 using base::error_code;
 using dispatch::outcome;
 using nlohmann::json;
-using platform::commit_state;
 using scheduling::stored_job;
+using table::commit_state;
 
 constexpr int submit_tries = 3;
 constexpr base::milliseconds retry_hint{1'000};
@@ -119,10 +119,10 @@
     const json index{{"failure_domain", job.spec.failure_domain},
                      {"body_hash", job.spec.body_hash},
                      {"operation", job.operation}};
-    const platform::table_transaction transaction{
+    const table::table_transaction transaction{
         job.operation, {{index_key, 0}}, {{index_key, index}, {live_key, to_json(job)}}};
     node_.table->transact(
-        transaction, [this, job, responder, tries_left](const platform::commit_result& result) {
+        transaction, [this, job, responder, tries_left](const table::commit_result& result) {
             if (result.state == commit_state::committed) {
                 auto accepted = job;
                 accepted.version = result.version;
@@ -209,7 +209,7 @@
     switch (call.kind) {
     case peer::scheduler_call::submit:
     case peer::scheduler_call::cancel: {
-        const platform::table_row row{"job", payload.value("version", std::uint64_t{0}), payload};
+        const table::table_row row{"job", payload.value("version", std::uint64_t{0}), payload};
         auto job = scheduling::read_job(row);
         if (!job.has_value()) {
             return {400, error_body(job.error()).dump()};
@@ -369,7 +369,7 @@
     const auto key = scheduling::live_job_key(job.spec.failure_domain, job.spec.id);
     node_.table->transact(
         {row.operation, {{key, job.version}}, {{key, to_json(row)}}},
-        [this, row, responder](const platform::commit_result& result) {
+        [this, row, responder](const table::commit_result& result) {
             if (result.state != commit_state::committed) {
                 responder.send(json_response(
                     503, error_body({error_code::platform_conflict, row.spec.id,
--- a/apps/poplarstiled/node.hpp
+++ b/apps/poplarstiled/node.hpp
@@ -7,10 +7,10 @@
 #include "membership/membership.hpp"
 #include "metrics.hpp"
 #include "net/http_client.hpp"
-#include "platform/table_client.hpp"
 #include "rules/ruleset.hpp"
 #include "scheduling/scheduler.hpp"
 #include "settings/vm_settings.hpp"
+#include "table/table_client.hpp"
 #include "workers/worker_client.hpp"
 
 #include <atomic>
@@ -45,7 +45,7 @@
     std::unique_ptr<events::event_log> events{};
     std::unique_ptr<daemon_metrics> metrics{};
     std::unique_ptr<net::http_client> client{};
-    std::unique_ptr<platform::table_client> table{};
+    std::unique_ptr<table::table_client> table{};
     std::unique_ptr<workers::worker_client> workers{};
 
     published<std::shared_ptr<const rules::ruleset>> rules{};
--- a/apps/poplarstiled/rules_duty.cpp
+++ b/apps/poplarstiled/rules_duty.cpp
@@ -24,7 +24,7 @@
 constexpr std::string_view part = "rules";
 constexpr base::logger log{"rules"};
 
-std::optional<rules::rules_version> version_of(const std::optional<platform::table_row>& head)
+std::optional<rules::rules_version> version_of(const std::optional<table::table_row>& head)
 {
     if (!head) {
         return 0;
--- a/apps/poplarstiled/rules_gateway.cpp
+++ b/apps/poplarstiled/rules_gateway.cpp
@@ -141,17 +141,17 @@
 void rules_gateway::send(const shared_wish& asked, const rules::planned_change& change)
 {
     node_.table->transact(change.transaction, [this, asked, version = change.state.version](
-                                                  const platform::commit_result& result) {
+                                                  const table::commit_result& result) {
         switch (result.state) {
-        case platform::commit_state::committed:
+        case table::commit_state::committed:
             accept(asked, version);
             return;
-        case platform::commit_state::unknown:
+        case table::commit_state::unknown:
             asked->in_doubt = true;
             again(asked);
             return;
-        case platform::commit_state::conflict:
-        case platform::commit_state::not_applied:
+        case table::commit_state::conflict:
+        case table::commit_state::not_applied:
             // Planning again finds this operation in the log if it took effect after all.
             again(asked);
             return;
--- a/apps/poplarstiled/scheduler_duty.cpp
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -215,7 +215,7 @@
 
 void scheduler_duty::carry_out_one(lease::write_rows& action)
 {
-    node_.table->transact(action.transaction, [this](platform::commit_result result) {
+    node_.table->transact(action.transaction, [this](table::commit_result result) {
         duty_.post(lease::event{lease::write_answered{std::move(result)}});
     });
 }
@@ -304,7 +304,7 @@
 {
     node_.table->transact(action.transaction, [this, job = action.job,
                                                operation = action.transaction.operation](
-                                                  platform::commit_result result) {
+                                                  table::commit_result result) {
         duty_.post(scheduling::event{scheduling::job_written{job, operation, std::move(result)}});
     });
 }
--- a/bench/capacity/fake_domain.cpp
+++ b/bench/capacity/fake_domain.cpp
@@ -50,7 +50,7 @@
     }
     if (const auto* const write = std::get_if<scheduling::write_job>(&action)) {
         return scheduling::job_written{
-            write->job, write->transaction.operation, {platform::commit_state::committed, 2, {}}};
+            write->job, write->transaction.operation, {table::commit_state::committed, 2, {}}};
     }
     return std::nullopt;
 }
--- a/bench/placement_cost/main.cpp
+++ b/bench/placement_cost/main.cpp
@@ -166,7 +166,7 @@
     void carry_out(scheduling::write_job& action)
     {
         waiting_.push_back(scheduling::job_written{
-            action.job, action.transaction.operation, {platform::commit_state::committed, 2, {}}});
+            action.job, action.transaction.operation, {table::commit_state::committed, 2, {}}});
     }
     template <class Other>
     void carry_out(Other& /*action*/)
--- a/bench/scheduling/scheduler_run.cpp
+++ b/bench/scheduling/scheduler_run.cpp
@@ -213,7 +213,7 @@
     {
         answer(product::job_written{action.job,
                                     action.transaction.operation,
-                                    {platform::commit_state::committed, ++version_, {}}});
+                                    {table::commit_state::committed, ++version_, {}}});
     }
 
     void carry_out(const product::step_down& /*action*/) {}
@@ -243,7 +243,7 @@
     std::vector<fake_worker> fakes_{};
     std::priority_queue<planned> queue_{};
     std::uint64_t planned_ = 0;
-    platform::row_version version_ = 1;
+    table::row_version version_ = 1;
     milliseconds now_{0};
 };
 
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -94,7 +94,7 @@
         std::size_t uncertain_attempts = 0;
         // The ledger's side, for work that is not idempotent.
         std::string ledger_key{};
-        platform::row_version ledger_version = 0;
+        table::row_version ledger_version = 0;
         ledger::ledger_entry entry{};
         routing::worker_index reserved_worker = 0;
         /// True while the row is another request's and only its fate is wanted.
@@ -148,7 +148,7 @@
     void give_up_unsent(pending_request& pending);
     void send_reserved(pending_request& pending);
     void answer_repeat(pending_request& pending, const ledger::ledger_entry& settled);
-    void handle_entry(pending_request& pending, const platform::table_row& row);
+    void handle_entry(pending_request& pending, const table::table_row& row);
     void resolve(pending_request& pending, bool fence);
     void handle_resolution(pending_request& pending, const workers::execute_answer& answer);
     void wait_to_resolve(pending_request& pending);
@@ -156,7 +156,7 @@
 
     // Writes that record an end, retried behind the caller's back.
     void record_end(const pending_request& pending, ledger::ledger_entry entry);
-    void finish_record(request_number number, const platform::commit_result& result);
+    void finish_record(request_number number, const table::commit_result& result);
     void send_due_records();
 
     // The table's health.
@@ -177,7 +177,7 @@
 
     /// A row's last state that the table has not confirmed yet.
     struct unconfirmed_record {
-        platform::table_transaction transaction{};
+        table::table_transaction transaction{};
         std::uint32_t tries = 0;
         base::time_point next_try{};
         bool in_flight = true;
--- a/src/dispatch/dispatcher_ledger.cpp
+++ b/src/dispatch/dispatcher_ledger.cpp
@@ -65,7 +65,7 @@
 
 void dispatcher::handle(ledger_written& happened)
 {
-    using platform::commit_state;
+    using table::commit_state;
     const auto state = happened.result.state;
     note_table(state == commit_state::committed || state == commit_state::conflict);
     if (records_.contains(happened.number)) {
@@ -147,7 +147,7 @@
     handle_entry(*pending, *row);
 }
 
-void dispatcher::handle_entry(pending_request& pending, const platform::table_row& row)
+void dispatcher::handle_entry(pending_request& pending, const table::table_row& row)
 {
     auto read = ledger::read_entry(row);
     if (!read.has_value()) {
@@ -329,13 +329,13 @@
     out_.emplace_back(write_ledger{pending.request.number, std::move(transaction)});
 }
 
-void dispatcher::finish_record(request_number number, const platform::commit_result& result)
+void dispatcher::finish_record(request_number number, const table::commit_result& result)
 {
     const auto found = records_.find(number);
     // A conflict means that the row already says this or more: an earlier try took effect, or
     // another VM found out the same from the worker.
-    const bool settled = result.state == platform::commit_state::committed ||
-                         result.state == platform::commit_state::conflict;
+    const bool settled = result.state == table::commit_state::committed ||
+                         result.state == table::commit_state::conflict;
     if (settled) {
         records_.erase(found);
         return;
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -3,9 +3,9 @@
 #include "base/result.hpp"
 #include "base/time.hpp"
 #include "ledger/ledger_entry.hpp"
-#include "platform/table.hpp"
 #include "routing/worker_pool.hpp"
 #include "rules/ruleset.hpp"
+#include "table/table.hpp"
 #include "workers/worker_messages.hpp"
 
 #include <cstdint>
@@ -68,11 +68,11 @@
 };
 struct ledger_written {
     request_number number = 0;
-    platform::commit_result result{};
+    table::commit_result result{};
 };
 struct ledger_read {
     request_number number = 0;
-    base::result<std::optional<platform::table_row>> row;
+    base::result<std::optional<table::table_row>> row;
 };
 struct time_passed {
 };
@@ -113,7 +113,7 @@
 };
 struct write_ledger {
     request_number number = 0;
-    platform::table_transaction transaction{};
+    table::table_transaction transaction{};
 };
 struct read_ledger {
     request_number number = 0;
--- a/src/lease/scheduler_lease.cpp
+++ b/src/lease/scheduler_lease.cpp
@@ -82,8 +82,8 @@
     if (!happened.readable || held_ || leaving_) {
         return;
     }
-    const auto lease = happened.lease.value_or(platform::table_row{});
-    const auto heartbeat = happened.heartbeat.value_or(platform::table_row{});
+    const auto lease = happened.lease.value_or(table::table_row{});
+    const auto heartbeat = happened.heartbeat.value_or(table::table_row{});
     holder_ = text_of(lease.value, "vm");
     epoch_ = number_of(lease.value, "epoch");
     const bool changed = lease.version != lease_version_ || heartbeat.version != heartbeat_version_;
@@ -127,7 +127,7 @@
     waiting_ = false;
     const auto state = happened.result.state;
     const bool stale = std::exchange(stale_answer_, false);
-    if (held_ && stale && state != platform::commit_state::conflict) {
+    if (held_ && stale && state != table::commit_state::conflict) {
         renew();
         return;
     }
@@ -139,7 +139,7 @@
         return;
     }
     if (held_) {
-        if (state == platform::commit_state::conflict) {
+        if (state == table::commit_state::conflict) {
             lose("another VM holds the lease");
         }
         return;
@@ -148,17 +148,17 @@
         return;
     }
     switch (state) {
-    case platform::commit_state::committed:
+    case table::commit_state::committed:
         ++epoch_;
         holder_ = options_.vm;
         lease_version_ = happened.result.version;
         gain();
         return;
-    case platform::commit_state::conflict:
-    case platform::commit_state::not_applied:
+    case table::commit_state::conflict:
+    case table::commit_state::not_applied:
         takeover_.clear();
         return;
-    case platform::commit_state::unknown:
+    case table::commit_state::unknown:
         // The next read settles it.
         return;
     }
--- a/src/lease/scheduler_lease.hpp
+++ b/src/lease/scheduler_lease.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
-#include "platform/table.hpp"
+#include "table/table.hpp"
 #include "workers/worker_messages.hpp"
 
 #include <cstdint>
@@ -28,11 +28,11 @@
 struct rows_read {
     /// Nothing when the read failed.
     bool readable = false;
-    std::optional<platform::table_row> lease{};
-    std::optional<platform::table_row> heartbeat{};
+    std::optional<table::table_row> lease{};
+    std::optional<table::table_row> heartbeat{};
 };
 struct write_answered {
-    platform::commit_result result{};
+    table::commit_result result{};
 };
 /// A worker or the table showed a newer holder.
 struct deposed {
@@ -60,12 +60,12 @@
     std::string heartbeat_key{};
 };
 struct write_rows {
-    platform::table_transaction transaction{};
+    table::table_transaction transaction{};
 };
 struct gained {
     workers::fencing_token token = 0;
     std::string lease_key{};
-    platform::row_version lease_version = 0;
+    table::row_version lease_version = 0;
 };
 struct lost {
     std::string reason{};
@@ -138,8 +138,8 @@
     std::uint64_t last_held_epoch_ = 0;
     std::uint64_t epoch_ = 0;
     std::string holder_;
-    platform::row_version lease_version_ = 0;
-    platform::row_version heartbeat_version_ = 0;
+    table::row_version lease_version_ = 0;
+    table::row_version heartbeat_version_ = 0;
     base::time_point heartbeat_seen_{};
     base::time_point asked_at_{};
     bool waiting_ = false;
--- a/src/ledger/ledger_entry.cpp
+++ b/src/ledger/ledger_entry.cpp
@@ -61,7 +61,7 @@
             {"body", entry.body}};
 }
 
-base::result<ledger_entry> read_entry(const platform::table_row& row)
+base::result<ledger_entry> read_entry(const table::table_row& row)
 {
     const auto state =
         row.value.is_object() ? state_named(text_of(row.value, "state")) : std::nullopt;
@@ -80,8 +80,8 @@
                         text_of(row.value, "body")};
 }
 
-platform::table_transaction write_entry(std::string_view key, platform::row_version seen_version,
-                                        const ledger_entry& entry)
+table::table_transaction write_entry(std::string_view key, table::row_version seen_version,
+                                     const ledger_entry& entry)
 {
     return {
         entry.operation, {{std::string{key}, seen_version}}, {{std::string{key}, to_json(entry)}}};
--- a/src/ledger/ledger_entry.hpp
+++ b/src/ledger/ledger_entry.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/result.hpp"
-#include "platform/table.hpp"
+#include "table/table.hpp"
 
 #include <optional>
 #include <string>
@@ -49,10 +49,10 @@
 [[nodiscard]] nlohmann::json to_json(const ledger_entry& entry);
 
 /// Error: `platform_answer_invalid` when the row is not a ledger entry.
-[[nodiscard]] base::result<ledger_entry> read_entry(const platform::table_row& row);
+[[nodiscard]] base::result<ledger_entry> read_entry(const table::table_row& row);
 
 /// Replaces the row if it still has `seen_version` (0: if there is none).
-[[nodiscard]] platform::table_transaction
-write_entry(std::string_view key, platform::row_version seen_version, const ledger_entry& entry);
+[[nodiscard]] table::table_transaction
+write_entry(std::string_view key, table::row_version seen_version, const ledger_entry& entry);
 
 } // namespace poplarstile::ledger
--- a/src/rules/rule_store.cpp
+++ b/src/rules/rule_store.cpp
@@ -16,7 +16,7 @@
 using base::error_code;
 using base::result;
 using nlohmann::json;
-using platform::table_row;
+using table::table_row;
 
 error changed_meanwhile()
 {
@@ -165,10 +165,10 @@
     return change;
 }
 
-platform::table_transaction transaction_of(const change_record& change, const rules_state& after,
-                                           platform::row_version head_row)
+table::table_transaction transaction_of(const change_record& change, const rules_state& after,
+                                        table::row_version head_row)
 {
-    platform::table_transaction transaction;
+    table::table_transaction transaction;
     transaction.operation = change.operation;
     transaction.conditions = {{std::string{head_key}, head_row}, {log_key(change.version), 0}};
     transaction.writes.push_back(
@@ -202,7 +202,7 @@
 
 /// Removes the oldest log rows past `max_log_rows`. The lines themselves are the snapshot that
 /// stands for them.
-void compact_log(const stored_rules& stored, platform::table_transaction& transaction)
+void compact_log(const stored_rules& stored, table::table_transaction& transaction)
 {
     const auto kept = stored.changes.size() + 1;
     const auto surplus = kept > max_log_rows ? kept - max_log_rows : 0;
@@ -317,7 +317,7 @@
 }
 
 settlement settle(const stored_rules& stored, std::string_view operation,
-                  platform::row_version head_row)
+                  table::row_version head_row)
 {
     if (const auto* applied = find_operation(stored, operation)) {
         return settled_applied{applied->version};
--- a/src/rules/rule_store.hpp
+++ b/src/rules/rule_store.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "platform/table.hpp"
 #include "rules/rule_record.hpp"
 #include "rules/rules_check.hpp"
+#include "table/table.hpp"
 
 #include <span>
 #include <string>
@@ -34,7 +34,7 @@
 struct stored_rules {
     rules_state state{};
     /// Table version of `rules/head`; 0 when there are no rules yet.
-    platform::row_version head_row = 0;
+    table::row_version head_row = 0;
     /// The log after this version was read.
     rules_version log_after = 0;
     /// Changes from `log_after` + 1 to the state's version.
@@ -44,7 +44,7 @@
 /// Decodes rows. `rows` holds the head, all lines and the log after `log_after`. A scan of several
 /// pages is sound when it reads in key order and the log to its end: a change made in between then
 /// shows as a log entry after the head, and `platform_conflict` asks to read again.
-[[nodiscard]] base::result<stored_rules> read_rules(std::span<const platform::table_row> rows,
+[[nodiscard]] base::result<stored_rules> read_rules(std::span<const table::table_row> rows,
                                                     rules_version log_after = 0);
 
 /// Longest log that `plan_apply` leaves in the table; older changes go in the same transaction.
@@ -54,7 +54,7 @@
 inline constexpr std::size_t max_compacted_rows = 16;
 
 /// The version before the oldest change that the rows still hold, to be passed to `read_rules`.
-[[nodiscard]] rules_version log_start(std::span<const platform::table_row> rows);
+[[nodiscard]] rules_version log_start(std::span<const table::table_row> rows);
 
 /// The state at an earlier version, by undoing the changes after it. `rules_base_unknown` when the
 /// log does not reach back that far.
@@ -73,11 +73,11 @@
 
 /// To be sent; what it leads to is in force once the table says so.
 struct planned_change {
-    platform::table_transaction transaction{};
+    table::table_transaction transaction{};
     change_record change{};
     rules_state state{};
     /// Row version of the head that the transaction builds on.
-    platform::row_version head_row = 0;
+    table::row_version head_row = 0;
 };
 
 /// The wish is in force already, by this operation or because its words are.
@@ -128,6 +128,6 @@
 /// Tells from rows read after a transaction whether it took effect. `head_row` is that of its plan;
 /// the log must have been read from the plan's version or earlier.
 [[nodiscard]] settlement settle(const stored_rules& stored, std::string_view operation,
-                                platform::row_version head_row);
+                                table::row_version head_row);
 
 } // namespace poplarstile::rules
--- a/src/scheduling/job.cpp
+++ b/src/scheduling/job.cpp
@@ -105,7 +105,7 @@
             {"started_us", job.started_us},   {"ended_us", job.ended_us}};
 }
 
-base::result<stored_job> read_job(const platform::table_row& row)
+base::result<stored_job> read_job(const table::table_row& row)
 {
     const auto invalid = [&row] {
         return base::error{base::error_code::platform_answer_invalid, row.key, "not a job", ""};
--- a/src/scheduling/job.hpp
+++ b/src/scheduling/job.hpp
@@ -2,8 +2,8 @@
 
 #include "base/result.hpp"
 #include "base/time.hpp"
-#include "platform/table.hpp"
 #include "rules/ruleset.hpp"
+#include "table/table.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -66,7 +66,7 @@
     std::string operation{};
     std::int64_t started_us = 0;
     std::int64_t ended_us = 0;
-    platform::row_version version = 0;
+    table::row_version version = 0;
 };
 
 /// `job/<failure domain>/<id>`: live jobs of a failure domain.
@@ -79,7 +79,7 @@
 
 [[nodiscard]] nlohmann::json to_json(const stored_job& job);
 /// Error: `platform_answer_invalid` when the row is not a job.
-[[nodiscard]] base::result<stored_job> read_job(const platform::table_row& row);
+[[nodiscard]] base::result<stored_job> read_job(const table::table_row& row);
 
 /// `4x8` as a shape. Error: `job_malformed`.
 [[nodiscard]] base::result<rules::shape> parse_shape(std::string_view text);
--- a/src/scheduling/messages.hpp
+++ b/src/scheduling/messages.hpp
@@ -30,7 +30,7 @@
 struct lease_gained {
     workers::fencing_token token = 0;
     std::string lease_key{};
-    platform::row_version lease_version = 0;
+    table::row_version lease_version = 0;
 };
 struct lease_lost {
 };
@@ -62,7 +62,7 @@
     std::string job{};
     /// Operation of the transaction that this answers.
     std::string operation{};
-    platform::commit_result result{};
+    table::commit_result result{};
 };
 struct rules_changed {
     std::shared_ptr<const rules::ruleset> rules{};
@@ -103,7 +103,7 @@
 };
 struct write_job {
     std::string job{};
-    platform::table_transaction transaction{};
+    table::table_transaction transaction{};
 };
 /// The lease is held by a newer holder, as a worker or the table said.
 struct step_down {
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -216,7 +216,7 @@
     // Table writes.
     void write_final(job_record& job);
     void write_released(job_record& job);
-    void take_conflict(job_record& job, const platform::commit_result& result);
+    void take_conflict(job_record& job, const table::commit_result& result);
     void erase_job(const std::string& id);
     [[nodiscard]] std::string next_operation();
 
@@ -244,12 +244,12 @@
     /// Jobs whose cells are being reclaimed.
     std::vector<std::string> claimants_;
     /// Versions at which jobs ended here: older rows of them are stale.
-    std::map<std::string, platform::row_version, std::less<>> ended_;
+    std::map<std::string, table::row_version, std::less<>> ended_;
     std::shared_ptr<const rules::ruleset> rules_ = std::make_shared<rules::ruleset>();
     phase phase_ = phase::inactive;
     workers::fencing_token token_ = 0;
     std::string lease_key_;
-    platform::row_version lease_version_ = 0;
+    table::row_version lease_version_ = 0;
     base::time_point lease_gained_at_{};
     base::time_point scanned_at_{};
     bool jobs_known_ = false;
--- a/src/scheduling/scheduler_table.cpp
+++ b/src/scheduling/scheduler_table.cpp
@@ -54,7 +54,7 @@
     auto& job = found->second;
     job.writing.clear();
     switch (happened.result.state) {
-    case platform::commit_state::committed:
+    case table::commit_state::committed:
         job.stored.version = happened.result.version;
         if (job.final_write) {
             erase_job(happened.job);
@@ -62,12 +62,12 @@
         }
         job.stored.released = true;
         break;
-    case platform::commit_state::conflict:
+    case table::commit_state::conflict:
         job.write_again_at = now_ + write_retry;
         take_conflict(job, happened.result);
         return;
-    case platform::commit_state::not_applied:
-    case platform::commit_state::unknown:
+    case table::commit_state::not_applied:
+    case table::commit_state::unknown:
         job.write_again_at = now_ + write_retry;
         return;
     }
@@ -80,7 +80,7 @@
 
 /// A conflict on the job's own row means a cancellation, or that an earlier write took effect and
 /// its answer was lost; reading the row tells which.
-void scheduler::take_conflict(job_record& job, const platform::commit_result& result)
+void scheduler::take_conflict(job_record& job, const table::commit_result& result)
 {
     for (const auto& conflict : result.conflicts) {
         if (conflict.key == lease_key_) {
--- a/src/platform/table.hpp
+++ b/src/table/table.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 /// Values of the platform's transactional table; see docs/ASSUMPTIONS.md.
-namespace poplarstile::platform
+namespace poplarstile::table
 {
 
 /// Number of the transaction that last wrote a row; 0 stands for a row that does not exist.
@@ -56,4 +56,4 @@
     std::vector<table_condition> conflicts{};
 };
 
-} // namespace poplarstile::platform
+} // namespace poplarstile::table
--- a/src/platform/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/table_client.hpp"
+#include "table/table_client.hpp"
 
 #include "base/json_member.hpp"
 
@@ -6,7 +6,7 @@
 
 #include <utility>
 
-namespace poplarstile::platform
+namespace poplarstile::table
 {
 namespace
 {
@@ -250,4 +250,4 @@
     });
 }
 
-} // namespace poplarstile::platform
+} // namespace poplarstile::table
--- a/src/platform/table_client.hpp
+++ b/src/table/table_client.hpp
@@ -3,7 +3,7 @@
 #include "base/result.hpp"
 #include "base/time.hpp"
 #include "net/http_client.hpp"
-#include "platform/table.hpp"
+#include "table/table.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace poplarstile::platform
+namespace poplarstile::table
 {
 
 /// A VM as the platform lists it; the list lags.
@@ -85,4 +85,4 @@
     platform_counters counters_;
 };
 
-} // namespace poplarstile::platform
+} // namespace poplarstile::table
--- a/standins/platform_standin/platform_service.cpp
+++ b/standins/platform_standin/platform_service.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-using poplarstile::platform::commit_state;
+using poplarstile::table::commit_state;
 
 constexpr std::size_t default_scan_limit = 1'000;
 constexpr std::size_t max_scan_limit = 10'000;
--- a/standins/platform_standin/table_store.cpp
+++ b/standins/platform_standin/table_store.cpp
@@ -6,7 +6,7 @@
 namespace poplarstile::standins::platform_standin
 {
 
-using poplarstile::platform::commit_state;
+using poplarstile::table::commit_state;
 
 std::optional<table_row> table_store::read(std::string_view key) const
 {
--- a/standins/platform_standin/table_store.hpp
+++ b/standins/platform_standin/table_store.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/table.hpp"
+#include "table/table.hpp"
 
 #include <cstddef>
 #include <map>
@@ -13,10 +13,10 @@
 namespace poplarstile::standins::platform_standin
 {
 
-using poplarstile::platform::commit_result;
-using poplarstile::platform::row_version;
-using poplarstile::platform::table_row;
-using poplarstile::platform::table_transaction;
+using poplarstile::table::commit_result;
+using poplarstile::table::row_version;
+using poplarstile::table::table_row;
+using poplarstile::table::table_transaction;
 
 /// A page of rows in key order.
 struct table_page {
--- a/tests/dispatch/dispatcher_model_test.cpp
+++ b/tests/dispatch/dispatcher_model_test.cpp
@@ -109,7 +109,7 @@
         bool dead = false;
     };
     struct row {
-        platform::row_version version = 0;
+        table::row_version version = 0;
         nlohmann::json value{};
     };
 
@@ -318,9 +318,9 @@
 
     void carry_out(int vm, write_ledger& action)
     {
-        using platform::commit_state;
+        using table::commit_state;
         const auto number = action.number;
-        const auto answer = [=, this](const platform::commit_result& result, milliseconds delay) {
+        const auto answer = [=, this](const table::commit_result& result, milliseconds delay) {
             later(delay, [=, this] { deliver(vm, ledger_written{number, result}); });
         };
         if (table_down_ && happens(0.5)) {
@@ -343,36 +343,36 @@
         });
     }
 
-    platform::commit_result apply(const platform::table_transaction& transaction)
+    table::commit_result apply(const table::table_transaction& transaction)
     {
         for (const auto& condition : transaction.conditions) {
             const auto found = table_.find(condition.key);
             const auto version = found == table_.end() ? 0 : found->second.version;
             if (version != condition.version) {
-                return {.state = platform::commit_state::conflict};
+                return {.state = table::commit_state::conflict};
             }
         }
         const auto version = next_version_++;
         for (const auto& write : transaction.writes) {
             table_[write.key] = {version, write.value};
         }
-        return {.state = platform::commit_state::committed, .version = version};
+        return {.state = table::commit_state::committed, .version = version};
     }
 
     void carry_out(int vm, read_ledger& action)
     {
         const auto number = action.number;
         if (table_down_ || happens(fault_share_)) {
-            const base::result<std::optional<platform::table_row>> unread =
+            const base::result<std::optional<table::table_row>> unread =
                 base::error{base::error_code::platform_unreachable};
             later(between(10, 500), [=, this] { deliver(vm, ledger_read{number, unread}); });
             return;
         }
         later(transit(), [=, this, key = action.key] {
-            std::optional<platform::table_row> read;
+            std::optional<table::table_row> read;
             const auto found = table_.find(key);
             if (found != table_.end()) {
-                read = platform::table_row{key, found->second.version, found->second.value};
+                read = table::table_row{key, found->second.version, found->second.value};
             }
             later(transit(), [=, this] { deliver(vm, ledger_read{number, read}); });
         });
@@ -395,7 +395,7 @@
     std::vector<std::unique_ptr<dispatcher>> vms_;
     std::vector<worker> workers_{workers_in_all};
     std::map<std::string, row> table_;
-    platform::row_version next_version_ = 1;
+    table::row_version next_version_ = 1;
     bool table_down_ = false;
     std::map<std::pair<int, request_number>, std::string> numbers_;
 };
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -127,7 +127,7 @@
     now_ += milliseconds{101};
 
     const auto actions = vm_.decide(
-        ledger_written{1, {.state = platform::commit_state::committed, .version = 7}}, now_);
+        ledger_written{1, {.state = table::commit_state::committed, .version = 7}}, now_);
 
     EXPECT_TRUE(only<send_execute>(actions).empty());
     const auto answers = only<give_answer>(actions);
@@ -139,17 +139,17 @@
 {
     (void)ask(1, "sheet", milliseconds{5'000});
     const auto sent = only<send_execute>(vm_.decide(
-        ledger_written{1, {.state = platform::commit_state::committed, .version = 7}}, now_));
+        ledger_written{1, {.state = table::commit_state::committed, .version = 7}}, now_));
     ASSERT_EQ(sent.size(), 1U);
     const auto ended = report(1, sent.front().call.attempt, execute_state::completed);
     ASSERT_EQ(only<write_ledger>(ended).size(), 1U);
     ASSERT_EQ(only<give_answer>(ended).size(), 1U) << "the caller does not wait for the record";
 
-    (void)vm_.decide(ledger_written{1, {.state = platform::commit_state::unknown}}, now_);
+    (void)vm_.decide(ledger_written{1, {.state = table::commit_state::unknown}}, now_);
     const auto again = only<write_ledger>(pass(milliseconds{1'000}));
     ASSERT_EQ(again.size(), 1U);
     EXPECT_EQ(again.front().transaction.conditions.front().version, 7U);
-    (void)vm_.decide(ledger_written{1, {.state = platform::commit_state::conflict}}, now_);
+    (void)vm_.decide(ledger_written{1, {.state = table::commit_state::conflict}}, now_);
 
     EXPECT_EQ(vm_.counters().unconfirmed_records, 0U);
     EXPECT_TRUE(only<write_ledger>(pass(milliseconds{10'000})).empty());
@@ -159,8 +159,7 @@
 {
     for (request_number number = 1; number <= 3; ++number) {
         (void)ask(number, "sheet", milliseconds{5'000});
-        (void)vm_.decide(ledger_written{number, {.state = platform::commit_state::not_applied}},
-                         now_);
+        (void)vm_.decide(ledger_written{number, {.state = table::commit_state::not_applied}}, now_);
     }
 
     EXPECT_EQ(only<write_ledger>(ask(4, "sheet", milliseconds{5'000})).size(), 1U);
@@ -171,7 +170,7 @@
     EXPECT_EQ(only<send_execute>(ask(6, "chart", milliseconds{5'000})).size(), 1U)
         << "idempotent work needs no table";
 
-    (void)vm_.decide(ledger_written{4, {.state = platform::commit_state::committed, .version = 9}},
+    (void)vm_.decide(ledger_written{4, {.state = table::commit_state::committed, .version = 9}},
                      now_);
     EXPECT_EQ(only<write_ledger>(ask(7, "sheet", milliseconds{5'000})).size(), 1U);
 }
--- a/tests/lease/lease_model_test.cpp
+++ b/tests/lease/lease_model_test.cpp
@@ -14,7 +14,7 @@
 {
 
 using base::milliseconds;
-using platform::commit_state;
+using table::commit_state;
 
 constexpr milliseconds renewal{500};
 constexpr milliseconds timeout{2'500};
@@ -145,13 +145,13 @@
         return {true, find(asked.lease_key), find(asked.heartbeat_key)};
     }
 
-    std::optional<platform::table_row> find(const std::string& key) const
+    std::optional<table::table_row> find(const std::string& key) const
     {
         const auto found = rows_.find(key);
         return found == rows_.end() ? std::nullopt : std::optional{found->second};
     }
 
-    write_answered answer(const platform::table_transaction& asked)
+    write_answered answer(const table::table_transaction& asked)
     {
         if (down_) {
             return {{commit_state::unknown, 0, {}}};
@@ -174,8 +174,8 @@
 
     base::time_point now_{milliseconds{100'000}};
     std::vector<model_vm> vms_;
-    std::map<std::string, platform::table_row> rows_;
-    platform::row_version version_ = 0;
+    std::map<std::string, table::table_row> rows_;
+    table::row_version version_ = 0;
     bool down_ = false;
     bool lose_answers_ = false;
     milliseconds delay_{0};
--- a/tests/lease/scheduler_lease_test.cpp
+++ b/tests/lease/scheduler_lease_test.cpp
@@ -8,7 +8,7 @@
 {
 
 using base::milliseconds;
-using platform::commit_state;
+using table::commit_state;
 
 class scheduler_lease_of_one_vm : public testing::Test
 {
@@ -30,12 +30,12 @@
 
     /// The row of a holder and its heartbeat.
     static rows_read rows(const std::string& vm, std::uint64_t epoch, const std::string& operation,
-                          platform::row_version beat)
+                          table::row_version beat)
     {
         return {true,
-                platform::table_row{
+                table::table_row{
                     "lease/d", 5, {{"vm", vm}, {"epoch", epoch}, {"operation", operation}}},
-                platform::table_row{"heartbeat/d", beat, {{"vm", vm}}}};
+                table::table_row{"heartbeat/d", beat, {{"vm", vm}}}};
     }
 
     void hold()
@@ -87,7 +87,7 @@
     (void)tell(rows("vm2", 3, "x", 9));
     (void)tell(vm_gone{"vm2"});
     (void)tell(rows("vm2", 3, "x", 9));
-    for (platform::row_version beat = 10; beat < 20; ++beat) {
+    for (table::row_version beat = 10; beat < 20; ++beat) {
         (void)tick<read_rows>();
         EXPECT_TRUE(tell(rows("vm2", 3, "x", beat)).empty());
     }
--- a/tests/rules/model_table.hpp
+++ b/tests/rules/model_table.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/table.hpp"
+#include "table/table.hpp"
 
 #include <map>
 #include <string>
@@ -13,9 +13,9 @@
 class model_table
 {
 public:
-    [[nodiscard]] std::vector<platform::table_row> scan(const std::string& prefix) const
+    [[nodiscard]] std::vector<table::table_row> scan(const std::string& prefix) const
     {
-        std::vector<platform::table_row> found;
+        std::vector<table::table_row> found;
         for (const auto& [key, row] : rows_) {
             if (key.starts_with(prefix)) {
                 found.push_back(row);
@@ -25,7 +25,7 @@
     }
 
     /// True when the transaction committed.
-    bool transact(const platform::table_transaction& transaction)
+    bool transact(const table::table_transaction& transaction)
     {
         for (const auto& condition : transaction.conditions) {
             const auto found = rows_.find(condition.key);
@@ -47,8 +47,8 @@
     }
 
 private:
-    std::map<std::string, platform::table_row> rows_;
-    platform::row_version version_ = 0;
+    std::map<std::string, table::table_row> rows_;
+    table::row_version version_ = 0;
 };
 
 } // namespace poplarstile::rules
--- a/tests/rules/rule_convergence_test.cpp
+++ b/tests/rules/rule_convergence_test.cpp
@@ -139,7 +139,7 @@
     /// again.
     told apply(const rules_proposal& proposal, const std::vector<fate>& fates)
     {
-        std::optional<platform::row_version> doubtful;
+        std::optional<table::row_version> doubtful;
         for (const auto next : fates) {
             const auto plan = plan_apply(read(), proposal);
             if (std::holds_alternative<already_in_force>(plan)) {
@@ -158,7 +158,7 @@
     }
 
     [[nodiscard]] told settled(const rules_proposal& proposal,
-                               std::optional<platform::row_version> doubtful) const
+                               std::optional<table::row_version> doubtful) const
     {
         if (!doubtful) {
             return told::refused;
@@ -172,7 +172,7 @@
     }
 
     /// True when a commit was answered.
-    bool send(const platform::table_transaction& transaction, fate next)
+    bool send(const table::table_transaction& transaction, fate next)
     {
         switch (next) {
         case fate::answered:
@@ -190,7 +190,7 @@
     }
 
     model_table table_;
-    std::vector<platform::table_transaction> late_;
+    std::vector<table::table_transaction> late_;
     std::array<rules_state, 2> seen_;
     std::map<std::string, told> answers_;
     std::map<std::string, rules_version> bases_;
--- a/tests/rules/rule_store_test.cpp
+++ b/tests/rules/rule_store_test.cpp
@@ -225,7 +225,7 @@
 
 TEST_F(rule_store, refuses_rows_that_it_can_not_read)
 {
-    const std::vector<platform::table_row> rows = {
+    const std::vector<table::table_row> rows = {
         {"rules/head", 3, {{"version", "one"}, {"ending", ""}}}};
 
     const auto stored = read_rules(rows);
--- a/tests/scheduling/fake_cluster.hpp
+++ b/tests/scheduling/fake_cluster.hpp
@@ -224,7 +224,7 @@
 
     void carry_out(std::size_t node, scan_jobs& /*action*/)
     {
-        using rows = std::optional<std::vector<platform::table_row>>;
+        using rows = std::optional<std::vector<table::table_row>>;
         call<rows>(
             node, !table_down, std::nullopt, [this] { return table.scan("job/centro/"); },
             [](const rows& found) -> event {
@@ -290,10 +290,10 @@
 
     void carry_out(std::size_t node, write_job& action)
     {
-        call<platform::commit_result>(
-            node, !table_down, {platform::commit_state::unknown, 0, {}},
+        call<table::commit_result>(
+            node, !table_down, {table::commit_state::unknown, 0, {}},
             [this, action] { return table.transact(action.transaction); },
-            [action](const platform::commit_result& result) -> event {
+            [action](const table::commit_result& result) -> event {
                 return job_written{action.job, action.transaction.operation, result};
             });
     }
--- a/tests/scheduling/fake_table.hpp
+++ b/tests/scheduling/fake_table.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/table.hpp"
+#include "table/table.hpp"
 
 #include <map>
 #include <string>
@@ -13,16 +13,16 @@
 class fake_table
 {
 public:
-    platform::commit_result transact(const platform::table_transaction& transaction)
+    table::commit_result transact(const table::table_transaction& transaction)
     {
-        platform::commit_result result{platform::commit_state::committed, 0, {}};
+        table::commit_result result{table::commit_state::committed, 0, {}};
         for (const auto& condition : transaction.conditions) {
             if (version_of(condition.key) != condition.version) {
                 result.conflicts.push_back({condition.key, version_of(condition.key)});
             }
         }
         if (!result.conflicts.empty()) {
-            result.state = platform::commit_state::conflict;
+            result.state = table::commit_state::conflict;
             return result;
         }
         result.version = ++last_version_;
@@ -36,21 +36,21 @@
         return result;
     }
 
-    platform::row_version put(const std::string& key, nlohmann::json value)
+    table::row_version put(const std::string& key, nlohmann::json value)
     {
         rows[key] = {key, ++last_version_, std::move(value)};
         return last_version_;
     }
 
-    [[nodiscard]] platform::row_version version_of(const std::string& key) const
+    [[nodiscard]] table::row_version version_of(const std::string& key) const
     {
         const auto found = rows.find(key);
         return found == rows.end() ? 0 : found->second.version;
     }
 
-    [[nodiscard]] std::vector<platform::table_row> scan(const std::string& prefix) const
+    [[nodiscard]] std::vector<table::table_row> scan(const std::string& prefix) const
     {
-        std::vector<platform::table_row> found;
+        std::vector<table::table_row> found;
         for (const auto& [key, row] : rows) {
             if (key.starts_with(prefix)) {
                 found.push_back(row);
@@ -59,10 +59,10 @@
         return found;
     }
 
-    std::map<std::string, platform::table_row> rows{};
+    std::map<std::string, table::table_row> rows{};
 
 private:
-    platform::row_version last_version_ = 0;
+    table::row_version last_version_ = 0;
 };
 
 } // namespace poplarstile::scheduling::testing
--- a/tests/standins/platform_standin/table_store_test.cpp
+++ b/tests/standins/platform_standin/table_store_test.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-using poplarstile::platform::commit_state;
+using poplarstile::table::commit_state;
 
 TEST(table_store, failed_condition_applies_nothing_and_reports_the_version_found)
 {
--- a/tests/platform/platform_answers_test.cpp
+++ b/tests/table/platform_answers_test.cpp
@@ -1,8 +1,8 @@
-#include "platform/table_client.hpp"
+#include "table/table_client.hpp"
 
 #include <gtest/gtest.h>
 
-namespace poplarstile::platform
+namespace poplarstile::table
 {
 namespace
 {
@@ -56,4 +56,4 @@
 }
 
 } // namespace
-} // namespace poplarstile::platform
+} // namespace poplarstile::table
