--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -249,6 +249,10 @@
         worker.next_look_at = now + storing_look_interval;
         return;
     default:
+        if (sent < worker.answered_at) {
+            // A later look was answered meanwhile.
+            return;
+        }
         if (worker.silent_looks == 0) {
             log.warning("worker_silent", {{"worker", id},
                                           {"outcome", fleet::name_of(reply.outcome)},
@@ -403,14 +407,14 @@
 
 base::time_point leader::lease_over_at(const worker_state& worker) const
 {
-    // What an earlier leader, or this one, may have granted a worker that has not answered yet.
+    // What an earlier leader may have granted, or this one to an earlier life.
     const auto granted_before =
         std::max(began_, worker.life_changed_at) +
         std::chrono::ceil<base::microseconds>(options_.authority / fleet::slowest_clock_rate);
-    if (!worker.fenced || !worker.clock.known()) {
+    if (!worker.clock.known()) {
         return granted_before;
     }
-    return worker.clock.surely_passed(worker.greatest_lease);
+    return std::max(granted_before, worker.clock.surely_passed(worker.greatest_lease));
 }
 
 void leader::check_silent(worker_state& worker)
--- /dev/null
+++ b/tests/control/leader_takeover_test.cpp
@@ -0,0 +1,150 @@
+#include "support/site_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+/// A leader dies or is cut off while work runs: nothing runs twice, nothing is lost.
+namespace poplarstile::tests
+{
+namespace
+{
+
+using std::chrono::seconds;
+using base::milliseconds;
+
+constexpr batch::resources worker_room{32'000, 65'536, 8};
+constexpr batch::resources small_task{2'000, 4'000, 1};
+
+class leader_takeover : public testing::Test
+{
+protected:
+    leader_takeover()
+    {
+        for (const auto* const name : {"w1", "w2", "w3"}) {
+            site.workers.add(name, "r1-1", worker_room);
+        }
+        site.workers.need = [](const std::string& /*task*/) { return small_task; };
+        site.start("vm1");
+        site.start("vm2");
+        site.start("vm3");
+    }
+
+    void expect_sound() const
+    {
+        EXPECT_TRUE(site.workers.doubled().empty());
+        EXPECT_TRUE(site.workers.overfull().empty());
+        for (const auto& [task, times] : site.workers.done()) {
+            EXPECT_EQ(times, 1) << task;
+        }
+    }
+
+    site_fixture site;
+};
+
+TEST_F(leader_takeover, RunsAJobToItsEnd)
+{
+    ASSERT_NE(site.await_leader(), nullptr);
+
+    site.submit(make_job("0000000000000001", 5, small_task));
+
+    EXPECT_EQ(site.await_end("0000000000000001"), batch::job_status::completed);
+    EXPECT_EQ(site.workers.done().size(), 5U);
+    expect_sound();
+}
+
+TEST_F(leader_takeover, AdoptsWhatRunsWhenTheLeaderLosesPower)
+{
+    auto* const first = site.await_leader();
+    ASSERT_NE(first, nullptr);
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{4}; };
+    site.submit(make_job("0000000000000001", 6, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 6; }, seconds{2}));
+
+    site.stop(first->name);
+
+    EXPECT_EQ(site.await_end("0000000000000001"), batch::job_status::completed);
+    EXPECT_EQ(site.workers.starts().size(), 6U) << "work that runs is adopted, not started again";
+    expect_sound();
+}
+
+TEST_F(leader_takeover, WaitsForTheLeaseOfAWorkerThatOnlyTheOldLeaderReached)
+{
+    // The old leader goes on extending the lease of a worker that its successor can't see.
+    auto* const first = site.await_leader();
+    ASSERT_NE(first, nullptr);
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{20}; };
+    site.submit(make_job("0000000000000001", 3, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 3; }, seconds{2}));
+    for (const auto* const vm : {"vm1", "vm2", "vm3"}) {
+        for (const auto* const worker : {"w1", "w2", "w3"}) {
+            if (vm != first->name) {
+                site.cut(vm, worker);
+                site.cut(vm, first->name);
+            }
+        }
+    }
+    site.store.decide = [name = first->name](const std::string& vm, bool /*write*/) {
+        return vm == name ? fake_store::fate::swallow : fake_store::fate::serve;
+    };
+
+    site.time.run_for(seconds{7});
+    ASSERT_NE(site.leading_vm(), nullptr);
+    site.heal();
+    site.time.run_for(seconds{30});
+
+    EXPECT_EQ(site.ended_as("0000000000000001"), batch::job_status::completed);
+    expect_sound();
+}
+
+TEST_F(leader_takeover, ALookThatTimesOutAfterANewerAnswerDoesNotEndRunsOfAnEarlierLeader)
+{
+    // Seen in a played day: a cut heals, an urgent look is answered and its ends wait for the store,
+    // and an older look times out meanwhile. The earlier leader's leases still run.
+    auto* const first = site.await_leader();
+    ASSERT_NE(first, nullptr);
+    const auto first_name = first->name;
+    site.workers.duration = [](const std::string& task) {
+        return task.starts_with("0000000000000003") ? milliseconds{3'000} : milliseconds{9'000};
+    };
+    site.submit(make_job("0000000000000001", 3, small_task));
+    site.submit(make_job("0000000000000002", 3, small_task));
+    site.submit(make_job("0000000000000003", 3, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 9; }, seconds{2}));
+    site.stop(first_name);
+    for (const auto* const vm : {"vm1", "vm2", "vm3"}) {
+        for (const auto* const worker : {"w1", "w2", "w3"}) {
+            site.cut(vm, worker);
+        }
+    }
+    ASSERT_NE(site.await_leader(), nullptr);
+    site.cancel("0000000000000002");
+    site.time.run_for(milliseconds{1'800});
+    site.store.latency = milliseconds{250};
+    site.heal();
+
+    EXPECT_EQ(site.await_end("0000000000000001", seconds{40}), batch::job_status::completed);
+    expect_sound();
+}
+
+TEST_F(leader_takeover, ALeaderWithoutTheStoreStopsNothingForWorkThatItCannotStart)
+{
+    ASSERT_NE(site.await_leader(), nullptr);
+    constexpr batch::resources whole_worker{30'000, 60'000, 8};
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{20}; };
+    site.submit(make_job("0000000000000001", 3, whole_worker));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 3; }, seconds{2}));
+    site.submit(make_job("0000000000000002", 1, whole_worker, 0));
+    // The urgent job is read just before the store goes away for all.
+    site.store.decide = [](const std::string& /*vm*/, bool write) {
+        return write ? fake_store::fate::swallow : fake_store::fate::serve;
+    };
+    site.time.run_for(milliseconds{2'500});
+    site.submit(make_job("0000000000000003", 1, whole_worker, 0));
+    const auto stops = site.leading_vm()->node->leading()->counters().stops;
+
+    site.time.run_for(seconds{3});
+
+    EXPECT_EQ(site.leading_vm()->node->leading()->counters().stops, stops);
+}
+
+} // namespace
+} // namespace poplarstile::tests
--- /dev/null
+++ b/tests/support/fake_workers.hpp
@@ -0,0 +1,476 @@
+#pragma once
+
+#include "fleet/worker_directory.hpp"
+#include "fleet/worker_orders.hpp"
+#include "support/virtual_time.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace poplarstile::tests
+{
+
+/// One start that a worker carried out, for the judgement of a test.
+struct carried_start {
+    std::string worker{};
+    std::string task{};
+    std::uint32_t run = 0;
+    std::string checkpoint{};
+    base::time_point at{};
+};
+
+/// Workers in memory: they keep leases on clocks of their own, fence by token, run tasks for a given
+/// time, list ends until they are acknowledged, and can be cut off, crash or answer late.
+class fake_workers
+{
+public:
+    /// What happens to one order.
+    enum class fate : std::uint8_t {
+        serve,
+        /// Neither carried out nor answered.
+        swallow,
+        /// Carried out and not answered.
+        lose_answer,
+        /// Carried out some time later and not answered.
+        late,
+        /// The worker says that it is unhealthy and did nothing.
+        unavailable,
+    };
+
+    struct running {
+        std::uint32_t run = 0;
+        base::time_point started{};
+        base::time_point ends{};
+        std::string checkpoint{};
+        std::string gang{};
+    };
+
+    struct machine {
+        fleet::worker_facts facts{};
+        base::time_point born_at{};
+        double clock_rate = 1.0;
+        std::uint64_t token = 0;
+        std::int64_t lease_until = 0;
+        std::map<std::string, running> tasks{};
+        std::map<std::string, std::uint32_t> forbidden{};
+        std::vector<fleet::ended_task> ended{};
+        std::uint64_t last_end = 0;
+        bool up = true;
+        bool listed = true;
+        bool answers = true;
+    };
+
+    std::function<fate(const std::string& worker, const std::string& order)> decide =
+        [](const std::string& /*worker*/, const std::string& /*order*/) { return fate::serve; };
+    /// How long a task runs, by its text.
+    std::function<base::milliseconds(const std::string& task)> duration =
+        [](const std::string& /*task*/) { return base::milliseconds{1'000}; };
+    /// How a task ends when nothing stops it.
+    std::function<batch::run_end(const std::string& worker, const std::string& task)> outcome =
+        [](const std::string& /*worker*/, const std::string& /*task*/) {
+            return batch::run_end::done;
+        };
+
+    base::milliseconds latency{1};
+    base::milliseconds late_by{4'000};
+    base::milliseconds call_timeout{600};
+    base::milliseconds longest_lease{6'000};
+    base::milliseconds stop_time{100};
+
+    explicit fake_workers(virtual_time& time) : time_{time}
+    {
+        sweep();
+    }
+
+    machine& add(const std::string& id, const std::string& rack, batch::resources capacity)
+    {
+        auto& made = machines_[id];
+        made.facts.life = {id, 1'000 + machines_.size()};
+        made.facts.service = "service";
+        made.facts.address = "address-of-" + id;
+        made.facts.failure_domain = "domain";
+        made.facts.capacity = capacity;
+        made.facts.labels = {"a", rack};
+        made.facts.rack = rack;
+        made.born_at = time_.now();
+        change(id);
+        return made;
+    }
+
+    [[nodiscard]] machine& at(const std::string& id)
+    {
+        return machines_.at(id);
+    }
+
+    /// Everything on it is gone; it comes back as another life under the same id.
+    void restart(const std::string& id)
+    {
+        auto& worker = machines_.at(id);
+        worker.facts.life.born += 1'000;
+        worker.born_at = time_.now();
+        worker.token = 0;
+        worker.lease_until = 0;
+        worker.tasks.clear();
+        worker.forbidden.clear();
+        worker.ended.clear();
+        worker.last_end = 0;
+        change(id);
+    }
+
+    void set_listed(const std::string& id, bool listed)
+    {
+        machines_.at(id).listed = listed;
+        change(id);
+    }
+    void drain(const std::string& id)
+    {
+        machines_.at(id).facts.draining = true;
+        change(id);
+    }
+
+    [[nodiscard]] fleet::worker_orders orders()
+    {
+        fleet::worker_orders made;
+        made.start = [this](fleet::start_order order, std::function<void(fleet::order_reply)> reply) {
+            const auto id = order.to.life.worker;
+            handle<fleet::order_reply>(id, "start", reply, [this, order] { return start(order); });
+        };
+        made.stop = [this](fleet::stop_order order, std::function<void(fleet::order_reply)> reply) {
+            const auto id = order.to.life.worker;
+            handle<fleet::order_reply>(id, "stop", reply, [this, order] { return stop(order); });
+        };
+        made.look = [this](fleet::look_order order, std::function<void(fleet::look_reply)> reply) {
+            look(std::move(order), std::move(reply));
+        };
+        return made;
+    }
+
+    [[nodiscard]] fleet::worker_directory directory()
+    {
+        fleet::worker_directory made;
+        made.read_all = [this](std::function<void(fleet::directory_reply)> handler) {
+            time_.after(latency, [this, handler = std::move(handler)] {
+                fleet::directory_reply reply;
+                reply.outcome = store::call_outcome::done;
+                reply.version = version_;
+                for (const auto& [id, worker] : machines_) {
+                    if (worker.listed) {
+                        reply.changes.push_back({id, worker.facts, {}, 0});
+                    }
+                }
+                handler(reply);
+            });
+        };
+        made.follow = [this](store::row_version after, base::milliseconds wait,
+                             std::function<void(fleet::directory_reply)> handler) {
+            follow(after, time_.now() + wait, std::move(handler));
+        };
+        return made;
+    }
+
+    [[nodiscard]] const std::vector<carried_start>& starts() const
+    {
+        return starts_;
+    }
+    /// Tasks that have ended `done`, by how often.
+    [[nodiscard]] const std::map<std::string, int>& done() const
+    {
+        return done_;
+    }
+    /// Tasks that ran twice at the same time on workers that are up.
+    [[nodiscard]] const std::vector<std::string>& doubled() const
+    {
+        return doubled_;
+    }
+    /// Workers that were told to hold more than they have.
+    [[nodiscard]] const std::vector<std::string>& overfull() const
+    {
+        return overfull_;
+    }
+    [[nodiscard]] std::size_t looks() const
+    {
+        return looks_;
+    }
+    /// Needs of the tasks, so that the workers' room can be judged.
+    std::function<batch::resources(const std::string& task)> need =
+        [](const std::string& /*task*/) { return batch::resources{}; };
+
+private:
+    [[nodiscard]] std::int64_t clock_of(const machine& worker) const
+    {
+        const auto elapsed = base::milliseconds_between(worker.born_at, time_.now());
+        return static_cast<std::int64_t>(static_cast<double>(elapsed) * worker.clock_rate);
+    }
+
+    void change(const std::string& id)
+    {
+        ++version_;
+        changed_[id] = version_;
+    }
+
+    void follow(store::row_version after, base::time_point until,
+                std::function<void(fleet::directory_reply)> handler)
+    {
+        constexpr base::milliseconds step{5};
+        time_.after(step, [this, after, until, handler = std::move(handler)]() mutable {
+            fleet::directory_reply reply;
+            reply.outcome = store::call_outcome::done;
+            reply.version = version_;
+            for (const auto& [id, version] : changed_) {
+                if (version > after) {
+                    const auto& worker = machines_.at(id);
+                    if (worker.listed) {
+                        reply.changes.push_back({id, worker.facts, {}, 0});
+                    } else {
+                        reply.changes.push_back({id, std::nullopt, {}, 0});
+                    }
+                }
+            }
+            if (reply.changes.empty() && time_.now() < until) {
+                follow(after, until, std::move(handler));
+            } else {
+                handler(reply);
+            }
+        });
+    }
+
+    template <class Reply>
+    void handle(const std::string& id, const std::string& order,
+                std::function<void(Reply)> reply, std::function<Reply()> carry_out)
+    {
+        const auto& worker = machines_.at(id);
+        auto what = decide(id, order);
+        if (!worker.up || !worker.answers) {
+            what = fate::swallow;
+        }
+        const auto unanswered = [this, reply] {
+            time_.after(call_timeout, [reply] { reply({}); });
+        };
+        switch (what) {
+        case fate::serve:
+            time_.after(latency, [this, reply, carry_out] {
+                const auto made = carry_out();
+                time_.after(latency, [reply, made] { reply(made); });
+            });
+            return;
+        case fate::unavailable:
+            time_.after(latency, [reply] {
+                Reply made;
+                made.outcome = fleet::order_outcome::unavailable;
+                reply(made);
+            });
+            return;
+        case fate::swallow:
+            unanswered();
+            return;
+        case fate::lose_answer:
+            time_.after(latency, [carry_out] { (void)carry_out(); });
+            unanswered();
+            return;
+        case fate::late:
+            time_.after(late_by, [carry_out] { (void)carry_out(); });
+            unanswered();
+            return;
+        }
+    }
+
+    bool fenced(machine& worker, std::uint64_t token)
+    {
+        if (token < worker.token) {
+            return true;
+        }
+        worker.token = token;
+        return false;
+    }
+
+    void extend(machine& worker, std::int64_t until)
+    {
+        const auto longest = clock_of(worker) + longest_lease.count();
+        worker.lease_until = std::max(worker.lease_until, std::min(until, longest));
+    }
+
+    fleet::order_reply start(const fleet::start_order& order)
+    {
+        auto& worker = machines_.at(order.to.life.worker);
+        fleet::order_reply reply;
+        reply.worker_ms = clock_of(worker);
+        if (!worker.up) {
+            return {};
+        }
+        const auto task = batch::to_text(order.task);
+        if (fenced(worker, order.token)) {
+            reply.outcome = fleet::order_outcome::fenced;
+            return reply;
+        }
+        if (order.lease_until <= clock_of(worker)) {
+            reply.outcome = fleet::order_outcome::late;
+            return reply;
+        }
+        extend(worker, order.lease_until);
+        const auto there = worker.tasks.find(task);
+        if (there != worker.tasks.end() && there->second.run == order.run) {
+            reply.outcome = fleet::order_outcome::accepted;
+            return reply;
+        }
+        const auto forbidden = worker.forbidden.find(task);
+        if (forbidden != worker.forbidden.end() && order.run <= forbidden->second) {
+            reply.outcome = fleet::order_outcome::outdated;
+            return reply;
+        }
+        judge_start(order.to.life.worker, task);
+        worker.tasks[task] = {order.run, time_.now(), time_.now() + duration(task), {}, {}};
+        starts_.push_back({order.to.life.worker, task, order.run, order.checkpoint, time_.now()});
+        reply.outcome = fleet::order_outcome::accepted;
+        return reply;
+    }
+
+    void judge_start(const std::string& id, const std::string& task)
+    {
+        for (const auto& [other, worker] : machines_) {
+            if (worker.up && worker.tasks.contains(task)) {
+                doubled_.push_back(task);
+            }
+        }
+        auto& worker = machines_.at(id);
+        auto used = need(task);
+        for (const auto& [running_task, run] : worker.tasks) {
+            used += need(running_task);
+        }
+        if (!used.fits(worker.facts.capacity)) {
+            overfull_.push_back(id);
+        }
+    }
+
+    fleet::order_reply stop(const fleet::stop_order& order)
+    {
+        auto& worker = machines_.at(order.to.life.worker);
+        fleet::order_reply reply;
+        reply.worker_ms = clock_of(worker);
+        if (fenced(worker, order.token)) {
+            reply.outcome = fleet::order_outcome::fenced;
+            return reply;
+        }
+        const auto task = batch::to_text(order.task);
+        auto& least = worker.forbidden[task];
+        least = std::max(least, order.run);
+        reply.outcome = fleet::order_outcome::accepted;
+        time_.after(stop_time, [this, id = order.to.life.worker, task, run = order.run] {
+            auto& stopped = machines_.at(id);
+            const auto found = stopped.tasks.find(task);
+            if (found != stopped.tasks.end() && found->second.run <= run) {
+                end(id, task, batch::run_end::stopped);
+            }
+        });
+        return reply;
+    }
+
+    void end(const std::string& id, const std::string& task, batch::run_end how)
+    {
+        auto& worker = machines_.at(id);
+        const auto found = worker.tasks.find(task);
+        const auto run = found->second.run;
+        worker.tasks.erase(found);
+        auto& least = worker.forbidden[task];
+        least = std::max(least, run);
+        worker.ended.push_back({++worker.last_end, *batch::parse_task_id(task), run, how, {}});
+        if (how == batch::run_end::done) {
+            ++done_[task];
+        }
+    }
+
+    void look(fleet::look_order order, std::function<void(fleet::look_reply)> reply)
+    {
+        ++looks_;
+        const auto& worker = machines_.at(order.to.life.worker);
+        const auto what = decide(order.to.life.worker, "look");
+        if (what != fate::serve || !worker.up || !worker.answers) {
+            const auto wait = order.wait;
+            time_.after(wait + call_timeout, [reply = std::move(reply)] { reply({}); });
+            return;
+        }
+        const auto until = time_.now() + order.wait;
+        // The lease is extended at once, the answer waits for an end.
+        time_.after(latency, [this, order = std::move(order), reply = std::move(reply), until] {
+            (void)listing(order);
+            answer_look(order, reply, until);
+        });
+    }
+
+    void answer_look(const fleet::look_order& order,
+                     const std::function<void(fleet::look_reply)>& reply, base::time_point until)
+    {
+        constexpr base::milliseconds step{2};
+        const auto& worker = machines_.at(order.to.life.worker);
+        const bool lost = !worker.up || !worker.answers;
+        if (lost) {
+            time_.after(call_timeout, [reply] { reply({}); });
+        } else if (!worker.ended.empty() || time_.now() >= until) {
+            const auto made = listing(order);
+            time_.after(latency, [reply, made] { reply(made); });
+        } else {
+            time_.after(step, [this, order, reply, until] { answer_look(order, reply, until); });
+        }
+    }
+
+    fleet::look_reply listing(const fleet::look_order& order)
+    {
+        auto& worker = machines_.at(order.to.life.worker);
+        fleet::look_reply reply;
+        reply.worker_ms = clock_of(worker);
+        reply.born = worker.facts.life.born;
+        if (fenced(worker, order.token)) {
+            reply.outcome = fleet::order_outcome::fenced;
+            return reply;
+        }
+        if (order.lease_until) {
+            extend(worker, *order.lease_until);
+        }
+        std::erase_if(worker.ended, [&order](const fleet::ended_task& end) {
+            return end.number <= order.acknowledged;
+        });
+        reply.outcome = fleet::order_outcome::accepted;
+        for (const auto& [task, run] : worker.tasks) {
+            reply.running.push_back({*batch::parse_task_id(task), run.run, run.checkpoint, 50});
+        }
+        reply.ended = worker.ended;
+        return reply;
+    }
+
+    /// Ends what is over and what no lease holds any more.
+    void sweep()
+    {
+        constexpr base::milliseconds step{1};
+        for (auto& [id, worker] : machines_) {
+            std::vector<std::pair<std::string, batch::run_end>> over;
+            const bool lapsed = !worker.tasks.empty() && clock_of(worker) >= worker.lease_until;
+            for (const auto& [task, run] : worker.tasks) {
+                if (lapsed) {
+                    over.emplace_back(task, batch::run_end::lapsed);
+                } else if (time_.now() >= run.ends) {
+                    over.emplace_back(task, outcome(id, task));
+                }
+            }
+            for (const auto& [task, how] : over) {
+                end(id, task, how);
+            }
+        }
+        time_.after(step, [this] { sweep(); });
+    }
+
+    virtual_time& time_;
+    std::map<std::string, machine> machines_{};
+    std::map<std::string, store::row_version> changed_{};
+    store::row_version version_ = 0;
+    std::vector<carried_start> starts_{};
+    std::map<std::string, int> done_{};
+    std::vector<std::string> doubled_{};
+    std::vector<std::string> overfull_{};
+    std::size_t looks_ = 0;
+};
+
+} // namespace poplarstile::tests
