--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -45,6 +45,7 @@
 constexpr std::size_t most_final_views = 20'000;
 constexpr base::milliseconds views_fresh_for{1'000};
 constexpr base::milliseconds least_authority{9'000};
+constexpr base::milliseconds unready_after{300};
 constexpr const char* peer_path = "/cluster";
 
 struct endpoint {
@@ -220,6 +221,7 @@
                                made->body});
                   });
     };
+    ports.probe = platform::make_probe();
     ports.helpers = [this] {
         return node ? node->helpers() : std::vector<std::string>{};
     };
@@ -281,6 +283,7 @@
                                         base::milliseconds{500};
     door = std::make_unique<door::door>(
         door::door_ports{&rows, &time, configuration.get(), views.get(),
+                         [this](const store::row& stored) { node->tell_leader(stored); },
                          platform::decode_submission},
         door_options);
 
@@ -365,7 +368,9 @@
 
 bool site_daemon::parts::ready() const
 {
-    return !leaving && door->may_decide();
+    // Callers do better at a VM that reaches the store.
+    const auto away = link->away();
+    return !leaving && door->may_decide() && (!away || *away < unready_after);
 }
 
 void site_daemon::parts::handle_readiness(const net::http_request& request,
@@ -404,8 +409,8 @@
         metrics->record_answer(kind, answer,
                                base::milliseconds_between(received, time.now()));
         auto response = platform::encode_answer(answer);
-        // Callers move to a VM that stays.
-        response.close = leaving;
+        // Callers move to a VM that stays, or to one that reaches the store.
+        response.close = leaving || !ready();
         responder.send(std::move(response));
     });
 }
--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -34,6 +34,8 @@
   9: list<vm_entry> vms
   10: bool vacant
   11: i32 configuration_ms_ago
+  12: string successor
+  13: i64 lease_version
 }
 
 struct beat_answer {
@@ -79,6 +81,12 @@
   3: string body
 }
 
+struct stored_row {
+  1: string key
+  2: string value
+  3: i64 version
+}
+
 union message {
   1: leader_beat beat
   2: beat_answer beat_reply
@@ -88,6 +96,7 @@
   6: configuration_reply configuration_given
   7: store_call store_ask
   8: store_answer store_given
+  9: stored_row row_stored
 }
 
 struct envelope {
--- a/src/cluster/cluster_codec.cpp
+++ b/src/cluster/cluster_codec.cpp
@@ -103,6 +103,8 @@
         beat.__set_confirmed_ms_ago(static_cast<std::int32_t>(value.confirmed_ms_ago));
         beat.__set_vms(to_wire(value.vms));
         beat.__set_vacant(value.vacant);
+        beat.__set_successor(value.successor);
+        beat.__set_lease_version(to_wire(value.lease_version));
         beat.__set_configuration_ms_ago(static_cast<std::int32_t>(value.configuration_ms_ago));
         wire_->__set_beat(beat);
     }
@@ -171,6 +173,15 @@
         wire_->__set_store_given(answer);
     }
 
+    void operator()(const stored_row& value) const
+    {
+        gen::stored_row row;
+        row.__set_key(value.key);
+        row.__set_value(value.value);
+        row.__set_version(to_wire(value.version));
+        wire_->__set_row_stored(row);
+    }
+
 private:
     gen::message* wire_;
 };
@@ -199,6 +210,8 @@
     beat.vms = from_wire(wire.vms);
     beat.vacant = wire.vacant;
     beat.configuration_ms_ago = static_cast<std::uint32_t>(wire.configuration_ms_ago);
+    beat.successor = wire.successor;
+    beat.lease_version = from_wire(wire.lease_version);
     return message{std::move(beat)};
 }
 
@@ -208,7 +221,8 @@
     const auto& isset = wire.__isset;
     return int{isset.beat} + int{isset.beat_reply} + int{isset.hello_message} +
            int{isset.hello_reply} + int{isset.configuration_ask} +
-           int{isset.configuration_given} + int{isset.store_ask} + int{isset.store_given};
+           int{isset.configuration_given} + int{isset.store_ask} + int{isset.store_given} +
+           int{isset.row_stored};
 }
 
 base::result<message> from_wire(gen::message& wire)
@@ -249,6 +263,11 @@
                                   std::move(call.body),
                                   static_cast<std::uint32_t>(call.timeout_ms)}};
     }
+    if (isset.row_stored) {
+        auto& row = wire.row_stored;
+        return message{
+            stored_row{std::move(row.key), std::move(row.value), from_wire(row.version)}};
+    }
     auto& given = wire.store_given;
     return message{store_answer{static_cast<std::uint8_t>(given.delivery),
                                 static_cast<std::uint16_t>(given.status), std::move(given.body)}};
--- a/src/cluster/cluster_message.hpp
+++ b/src/cluster/cluster_message.hpp
@@ -42,6 +42,9 @@
     std::vector<vm_entry> vms{};
     /// The leader has handed the lease back; any other VM may take it.
     bool vacant = false;
+    /// VM that takes the vacant lease first, and the version of the lease row that it finds.
+    std::string successor{};
+    std::uint64_t lease_version = 0;
 
     bool operator==(const leader_beat&) const = default;
 };
@@ -110,7 +113,16 @@
     bool operator==(const store_answer&) const = default;
 };
 
+/// A row of the jobs table that the sender has stored, told to the leader ahead of the store's feed.
+struct stored_row {
+    std::string key{};
+    std::string value{};
+    std::uint64_t version = 0;
+
+    bool operator==(const stored_row&) const = default;
+};
+
 using message = std::variant<leader_beat, beat_answer, hello, hello_answer, configuration_request,
-                             configuration_reply, store_call, store_answer>;
+                             configuration_reply, store_call, store_answer, stored_row>;
 
 } // namespace poplarstile::cluster
--- a/src/cluster/gen/cluster_types.cpp
+++ b/src/cluster/gen/cluster_types.cpp
@@ -497,6 +497,14 @@
 void leader_beat::__set_configuration_ms_ago(const int32_t val) {
   this->configuration_ms_ago = val;
 }
+
+void leader_beat::__set_successor(const std::string& val) {
+  this->successor = val;
+}
+
+void leader_beat::__set_lease_version(const int64_t val) {
+  this->lease_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const leader_beat& obj)
 {
   obj.printTo(out);
@@ -649,6 +657,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->successor);
+          this->__isset.successor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease_version);
+          this->__isset.lease_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -734,6 +758,14 @@
   xfer += oprot->writeI32(this->configuration_ms_ago);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("successor", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->successor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease_version", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->lease_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -752,6 +784,8 @@
   swap(a.vms, b.vms);
   swap(a.vacant, b.vacant);
   swap(a.configuration_ms_ago, b.configuration_ms_ago);
+  swap(a.successor, b.successor);
+  swap(a.lease_version, b.lease_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -767,6 +801,8 @@
   vms = other24.vms;
   vacant = other24.vacant;
   configuration_ms_ago = other24.configuration_ms_ago;
+  successor = other24.successor;
+  lease_version = other24.lease_version;
   __isset = other24.__isset;
 }
 leader_beat& leader_beat::operator=(const leader_beat& other25) {
@@ -781,6 +817,8 @@
   vms = other25.vms;
   vacant = other25.vacant;
   configuration_ms_ago = other25.configuration_ms_ago;
+  successor = other25.successor;
+  lease_version = other25.lease_version;
   __isset = other25.__isset;
   return *this;
 }
@@ -798,6 +836,8 @@
   out << ", " << "vms=" << to_string(vms);
   out << ", " << "vacant=" << to_string(vacant);
   out << ", " << "configuration_ms_ago=" << to_string(configuration_ms_ago);
+  out << ", " << "successor=" << to_string(successor);
+  out << ", " << "lease_version=" << to_string(lease_version);
   out << ")";
 }
 
@@ -1766,6 +1806,138 @@
 }
 
 
+stored_row::~stored_row() noexcept {
+}
+
+
+void stored_row::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void stored_row::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void stored_row::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const stored_row& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t stored_row::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t stored_row::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("stored_row");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(stored_row &a, stored_row &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+stored_row::stored_row(const stored_row& other46) {
+  key = other46.key;
+  value = other46.value;
+  version = other46.version;
+  __isset = other46.__isset;
+}
+stored_row& stored_row::operator=(const stored_row& other47) {
+  key = other47.key;
+  value = other47.value;
+  version = other47.version;
+  __isset = other47.__isset;
+  return *this;
+}
+void stored_row::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "stored_row(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
 message::~message() noexcept {
 }
 
@@ -1809,6 +1981,11 @@
   this->store_given = val;
 __isset.store_given = true;
 }
+
+void message::__set_row_stored(const stored_row& val) {
+  this->row_stored = val;
+__isset.row_stored = true;
+}
 std::ostream& operator<<(std::ostream& out, const message& obj)
 {
   obj.printTo(out);
@@ -1901,6 +2078,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->row_stored.read(iprot);
+          this->__isset.row_stored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1958,6 +2143,11 @@
     xfer += this->store_given.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.row_stored) {
+    xfer += oprot->writeFieldBegin("row_stored", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->row_stored.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1973,30 +2163,33 @@
   swap(a.configuration_given, b.configuration_given);
   swap(a.store_ask, b.store_ask);
   swap(a.store_given, b.store_given);
+  swap(a.row_stored, b.row_stored);
   swap(a.__isset, b.__isset);
 }
 
-message::message(const message& other46) {
-  beat = other46.beat;
-  beat_reply = other46.beat_reply;
-  hello_message = other46.hello_message;
-  hello_reply = other46.hello_reply;
-  configuration_ask = other46.configuration_ask;
-  configuration_given = other46.configuration_given;
-  store_ask = other46.store_ask;
-  store_given = other46.store_given;
-  __isset = other46.__isset;
+message::message(const message& other48) {
+  beat = other48.beat;
+  beat_reply = other48.beat_reply;
+  hello_message = other48.hello_message;
+  hello_reply = other48.hello_reply;
+  configuration_ask = other48.configuration_ask;
+  configuration_given = other48.configuration_given;
+  store_ask = other48.store_ask;
+  store_given = other48.store_given;
+  row_stored = other48.row_stored;
+  __isset = other48.__isset;
 }
-message& message::operator=(const message& other47) {
-  beat = other47.beat;
-  beat_reply = other47.beat_reply;
-  hello_message = other47.hello_message;
-  hello_reply = other47.hello_reply;
-  configuration_ask = other47.configuration_ask;
-  configuration_given = other47.configuration_given;
-  store_ask = other47.store_ask;
-  store_given = other47.store_given;
-  __isset = other47.__isset;
+message& message::operator=(const message& other49) {
+  beat = other49.beat;
+  beat_reply = other49.beat_reply;
+  hello_message = other49.hello_message;
+  hello_reply = other49.hello_reply;
+  configuration_ask = other49.configuration_ask;
+  configuration_given = other49.configuration_given;
+  store_ask = other49.store_ask;
+  store_given = other49.store_given;
+  row_stored = other49.row_stored;
+  __isset = other49.__isset;
   return *this;
 }
 void message::printTo(std::ostream& out) const {
@@ -2010,6 +2203,7 @@
   out << ", " << "configuration_given="; (__isset.configuration_given ? (out << to_string(configuration_given)) : (out << "<null>"));
   out << ", " << "store_ask="; (__isset.store_ask ? (out << to_string(store_ask)) : (out << "<null>"));
   out << ", " << "store_given="; (__isset.store_given ? (out << to_string(store_given)) : (out << "<null>"));
+  out << ", " << "row_stored="; (__isset.row_stored ? (out << to_string(row_stored)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2106,15 +2300,15 @@
   swap(a.__isset, b.__isset);
 }
 
-envelope::envelope(const envelope& other48) {
-  version = other48.version;
-  body = other48.body;
-  __isset = other48.__isset;
+envelope::envelope(const envelope& other50) {
+  version = other50.version;
+  body = other50.body;
+  __isset = other50.__isset;
 }
-envelope& envelope::operator=(const envelope& other49) {
-  version = other49.version;
-  body = other49.body;
-  __isset = other49.__isset;
+envelope& envelope::operator=(const envelope& other51) {
+  version = other51.version;
+  body = other51.body;
+  __isset = other51.__isset;
   return *this;
 }
 void envelope::printTo(std::ostream& out) const {
--- a/src/cluster/gen/cluster_types.h
+++ b/src/cluster/gen/cluster_types.h
@@ -43,6 +43,8 @@
 
 class store_answer;
 
+class stored_row;
+
 class message;
 
 class envelope;
@@ -233,7 +235,7 @@
 std::ostream& operator<<(std::ostream& out, const queue_load& obj);
 
 typedef struct _leader_beat__isset {
-  _leader_beat__isset() : leader(false), epoch(false), sequence(false), snapshot(false), changes(false), loads(false), configuration(false), confirmed_ms_ago(false), vms(false), vacant(false), configuration_ms_ago(false) {}
+  _leader_beat__isset() : leader(false), epoch(false), sequence(false), snapshot(false), changes(false), loads(false), configuration(false), confirmed_ms_ago(false), vms(false), vacant(false), configuration_ms_ago(false), successor(false), lease_version(false) {}
   bool leader :1;
   bool epoch :1;
   bool sequence :1;
@@ -245,6 +247,8 @@
   bool vms :1;
   bool vacant :1;
   bool configuration_ms_ago :1;
+  bool successor :1;
+  bool lease_version :1;
 } _leader_beat__isset;
 
 class leader_beat : public virtual ::apache::thrift::TBase {
@@ -259,7 +263,9 @@
                 configuration(0),
                 confirmed_ms_ago(0),
                 vacant(0),
-                configuration_ms_ago(0) {
+                configuration_ms_ago(0),
+                successor(),
+                lease_version(0) {
   }
 
   virtual ~leader_beat() noexcept;
@@ -274,6 +280,8 @@
   std::vector<vm_entry>  vms;
   bool vacant;
   int32_t configuration_ms_ago;
+  std::string successor;
+  int64_t lease_version;
 
   _leader_beat__isset __isset;
 
@@ -299,6 +307,10 @@
 
   void __set_configuration_ms_ago(const int32_t val);
 
+  void __set_successor(const std::string& val);
+
+  void __set_lease_version(const int64_t val);
+
   bool operator == (const leader_beat & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -323,6 +335,10 @@
       return false;
     if (!(configuration_ms_ago == rhs.configuration_ms_ago))
       return false;
+    if (!(successor == rhs.successor))
+      return false;
+    if (!(lease_version == rhs.lease_version))
+      return false;
     return true;
   }
   bool operator != (const leader_beat &rhs) const {
@@ -742,8 +758,65 @@
 
 std::ostream& operator<<(std::ostream& out, const store_answer& obj);
 
+typedef struct _stored_row__isset {
+  _stored_row__isset() : key(false), value(false), version(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+} _stored_row__isset;
+
+class stored_row : public virtual ::apache::thrift::TBase {
+ public:
+
+  stored_row(const stored_row&);
+  stored_row& operator=(const stored_row&);
+  stored_row() noexcept
+             : key(),
+               value(),
+               version(0) {
+  }
+
+  virtual ~stored_row() noexcept;
+  std::string key;
+  std::string value;
+  int64_t version;
+
+  _stored_row__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const stored_row & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const stored_row &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const stored_row & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(stored_row &a, stored_row &b);
+
+std::ostream& operator<<(std::ostream& out, const stored_row& obj);
+
 typedef struct _message__isset {
-  _message__isset() : beat(false), beat_reply(false), hello_message(false), hello_reply(false), configuration_ask(false), configuration_given(false), store_ask(false), store_given(false) {}
+  _message__isset() : beat(false), beat_reply(false), hello_message(false), hello_reply(false), configuration_ask(false), configuration_given(false), store_ask(false), store_given(false), row_stored(false) {}
   bool beat :1;
   bool beat_reply :1;
   bool hello_message :1;
@@ -752,6 +825,7 @@
   bool configuration_given :1;
   bool store_ask :1;
   bool store_given :1;
+  bool row_stored :1;
 } _message__isset;
 
 class message : public virtual ::apache::thrift::TBase {
@@ -771,6 +845,7 @@
   configuration_reply configuration_given;
   store_call store_ask;
   store_answer store_given;
+  stored_row row_stored;
 
   _message__isset __isset;
 
@@ -790,6 +865,8 @@
 
   void __set_store_given(const store_answer& val);
 
+  void __set_row_stored(const stored_row& val);
+
   bool operator == (const message & rhs) const
   {
     if (__isset.beat != rhs.__isset.beat)
@@ -824,6 +901,10 @@
       return false;
     else if (__isset.store_given && !(store_given == rhs.store_given))
       return false;
+    if (__isset.row_stored != rhs.__isset.row_stored)
+      return false;
+    else if (__isset.row_stored && !(row_stored == rhs.row_stored))
+      return false;
     return true;
   }
   bool operator != (const message &rhs) const {
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -232,6 +232,10 @@
     made.vms = vms();
     made.vms.push_back(options_.self);
     made.vacant = vacant_;
+    if (vacant_) {
+        made.successor = successor_;
+        made.lease_version = leader_->journal().version();
+    }
     return made;
 }
 
@@ -384,6 +388,13 @@
         reply.document = stored.version > asked->have ? stored.document : std::string{};
         reply.confirmed_ms_ago = configuration_ms_ago();
         answer(cluster::message{std::move(reply)});
+    } else if (const auto* const told = std::get_if<cluster::stored_row>(&message)) {
+        if (leader_) {
+            leader_->hear_row(
+                {{"jobs", options_.leading.part, told->key}, told->value, told->version});
+        }
+        answer(cluster::message{cluster::beat_answer{options_.self, leadership_->epoch(), false,
+                                                     ports_.configuration->version()}});
     } else if (const auto* const call = std::get_if<cluster::store_call>(&message)) {
         ports_.relay(*call, [answer = std::move(answer)](cluster::store_answer made) {
             answer(cluster::message{std::move(made)});
@@ -400,6 +411,29 @@
         std::clamp<std::int64_t>(ports_.configuration->age().count(), 0, longest_ms));
 }
 
+std::string cluster_node::choose_successor() const
+{
+    const auto best = std::ranges::max_element(
+        vms_, {}, [](const auto& entry) { return entry.second.answered_at; });
+    return best == vms_.end() ? std::string{} : best->second.entry.vm;
+}
+
+void cluster_node::tell_leader(const store::row& stored)
+{
+    if (leader_) {
+        leader_->hear_row(stored);
+        return;
+    }
+    const auto& address = leadership_->leader().address;
+    if (!address.empty()) {
+        // The feed shows it in any case; an answer is not needed.
+        ports_.peers->ask(address,
+                          cluster::stored_row{stored.id.key, stored.value, stored.version},
+                          hello_timeout,
+                          [](const std::optional<cluster::message>& /*answer*/) {});
+    }
+}
+
 void cluster_node::leave(std::function<void()> on_done)
 {
     left_ = true;
@@ -413,8 +447,11 @@
             return;
         }
         vacant_ = true;
-        log.info("handed_back", {{"epoch", leader_->epoch()}});
-        beat_all(false);
+        successor_ = choose_successor();
+        log.info("handed_back", {{"epoch", leader_->epoch()}, {"successor", successor_}});
+        for (auto& [address, known] : vms_) {
+            beat(address, known);
+        }
         on_done();
     });
 }
--- a/src/control/cluster_node.hpp
+++ b/src/control/cluster_node.hpp
@@ -55,6 +55,9 @@
     void receive(const cluster::message& message,
                  std::function<void(std::optional<cluster::message>)> answer);
 
+    /// A row that a door here has stored: the leader need not wait for the store's feed.
+    void tell_leader(const store::row& stored);
+
     /// Hands the lease back if it is held and takes part no longer; `on_done` is told once.
     void leave(std::function<void()> on_done);
 
@@ -104,6 +107,8 @@
     [[nodiscard]] std::vector<cluster::vm_entry> vms() const;
     [[nodiscard]] cluster::hello_answer answer_hello() const;
 
+    /// The VM that answered last.
+    [[nodiscard]] std::string choose_successor() const;
     [[nodiscard]] std::uint32_t configuration_ms_ago() const;
     cluster::message answer_beat(const cluster::leader_beat& beat);
 
@@ -114,6 +119,7 @@
     std::unique_ptr<leadership> leadership_;
     std::unique_ptr<leader> leader_;
     bool vacant_ = false;
+    std::string successor_{};
     bool left_ = false;
     bool beat_scheduled_ = false;
     bool asking_configuration_ = false;
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -13,8 +13,8 @@
 
 constexpr base::event_logger log{"orders"};
 /// A start without an answer is sent again this often, at most this many times.
-constexpr base::milliseconds start_retry{150};
-constexpr std::uint32_t most_start_sends = 3;
+constexpr base::milliseconds start_retry{50};
+constexpr std::uint32_t most_start_sends = 4;
 constexpr base::milliseconds stop_retry{300};
 
 } // namespace
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -14,6 +14,8 @@
 constexpr base::event_logger log{"leadership"};
 constexpr base::milliseconds tick_interval{100};
 constexpr base::milliseconds retry{200};
+/// Time in which the VM that a leaving leader has named takes the lease.
+constexpr base::milliseconds successor_head_start{300};
 /// Steps between candidates, so that one of them is first.
 constexpr base::milliseconds candidate_step{40};
 
@@ -57,14 +59,32 @@
     leader_ = beat.leader;
     heard_at_ = ports_.time->now();
     confirmed_lately_ = base::milliseconds{beat.confirmed_ms_ago} < options_.unconfirmed_limit;
-    if (beat.vacant && !vacant_) {
-        log.info("lease_vacant", {{"epoch", beat.epoch}});
-        not_before_ = {};
-    }
+    const bool newly_vacant = beat.vacant && !vacant_;
     vacant_ = beat.vacant;
+    if (newly_vacant) {
+        log.info("lease_vacant", {{"epoch", beat.epoch}, {"successor", beat.successor}});
+        succeed(beat);
+    }
     return true;
 }
 
+void leadership::succeed(const cluster::leader_beat& beat)
+{
+    if (beat.successor != options_.self.vm) {
+        // The successor gets the first try.
+        not_before_ = ports_.time->now() + successor_head_start;
+        return;
+    }
+    if (busy_ || left_) {
+        not_before_ = {};
+        return;
+    }
+    busy_ = true;
+    store::lease_record record;
+    record.epoch = beat.epoch;
+    take_lease(beat.lease_version, record);
+}
+
 void leadership::step_down(const store::lease_record& found)
 {
     leading_ = false;
--- a/src/control/leadership.hpp
+++ b/src/control/leadership.hpp
@@ -98,6 +98,7 @@
         bool holder_reborn = false;
     };
 
+    void succeed(const cluster::leader_beat& beat);
     void tick();
     void tick_later();
     [[nodiscard]] bool wants_to_lead() const;
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -18,8 +18,14 @@
 constexpr base::milliseconds retry_pause{80};
 constexpr std::uint32_t scan_rows = 500;
 constexpr std::string_view cancel_suffix = ".cancel";
-/// Callers come back after a short outage at different times.
 constexpr base::milliseconds outage_retry{1'000};
+constexpr base::milliseconds longest_outage_retry{5'000};
+
+/// An outage that has lasted for some time is likely to last about as long again.
+base::milliseconds retry_after_outage(base::milliseconds lasted)
+{
+    return std::clamp(lasted, outage_retry, longest_outage_retry);
+}
 
 bool is_job_id(std::string_view text)
 {
@@ -155,6 +161,11 @@
     accepted.spec = std::move(decoded).value();
     accepted.accepted_ms = ports_.time->unix_ms();
     call->row = batch::encode(accepted);
+    if (const auto away = ports_.rows->away()) {
+        // Nothing was sent, so this call certainly had no effect.
+        finish(call, call_refused{call_refused::cause::store_away, retry_after_outage(*away)});
+        return;
+    }
     store_submission(call);
 }
 
@@ -176,6 +187,7 @@
 {
     switch (reply.outcome) {
     case store::call_outcome::done:
+        ports_.on_stored({jobs_row(call->job), call->row, reply.version});
         ports_.views->note(
             {call->job, call->queue->policy.queue, call->workspace, batch::job_status::pending});
         finish(call, job_accepted{});
@@ -342,6 +354,10 @@
         if (!*alive) {
             return;
         }
+        if (reply.outcome == store::call_outcome::done) {
+            ports_.on_stored(
+                {jobs_row(call->job + std::string{cancel_suffix}), "{}", reply.version});
+        }
         const bool stored = reply.outcome == store::call_outcome::done ||
                             reply.outcome == store::call_outcome::conflict;
         if (stored) {
--- a/src/door/door.hpp
+++ b/src/door/door.hpp
@@ -77,6 +77,8 @@
     const base::timers* time = nullptr;
     catalog::configuration_keeper* configuration = nullptr;
     job_views* views = nullptr;
+    /// Told of every row of the jobs table that a caller has brought about.
+    std::function<void(const store::row&)> on_stored{};
     /// Reads a submission's body. Error: `request_malformed`.
     std::function<base::result<batch::job_spec>(std::string_view body)> decode{};
 };
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -71,6 +71,11 @@
     /// Writes the lease row as vacant after everything that was added; `on_done` is told once.
     void hand_back(std::function<void()> on_done);
 
+    /// Version of the lease row as this journal last wrote it.
+    [[nodiscard]] row_version version() const
+    {
+        return version_;
+    }
     /// When the newest commit that is known to be applied was sent.
     [[nodiscard]] base::time_point confirmed_at() const
     {
--- a/src/store/row_store.hpp
+++ b/src/store/row_store.hpp
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -124,6 +125,8 @@
     std::function<void(transaction, std::function<void(commit_reply)>)> commit{};
     std::function<void(read_range, std::function<void(read_reply)>)> read{};
     std::function<void(feed_request, std::function<void(feed_reply)>)> follow{};
+    /// How long no call has been served on any way; nothing while calls are served.
+    std::function<std::optional<base::milliseconds>()> away{};
 };
 
 } // namespace poplarstile::store
--- a/src/store/store_link.cpp
+++ b/src/store/store_link.cpp
@@ -23,6 +23,10 @@
 constexpr base::milliseconds probe_interval{400};
 /// After a helper was refused too, the others are left alone for this time.
 constexpr base::milliseconds help_pause{300};
+/// Calls that failed on every way, one after the other, before the store counts as away.
+constexpr std::uint32_t failures_until_away = 2;
+/// Before the read that tries whether the store serves.
+constexpr base::milliseconds probe_pause{60};
 constexpr std::uint16_t status_too_many = 429;
 constexpr std::uint16_t status_unavailable = 503;
 
@@ -106,7 +110,78 @@
                   });
 }
 
+std::optional<base::milliseconds> store_link::away() const
+{
+    if (!failing_since_ || failures_ < failures_until_away) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<base::milliseconds>(ports_.time->now() - *failing_since_);
+}
+
+void store_link::note_end(const link_reply& reply)
+{
+    const bool good = reply.outcome == net::delivery::answered && !turned_away(reply);
+    const bool was_away = away().has_value();
+    if (good) {
+        if (was_away) {
+            log.info("store_back", {{"away_ms", away()->count()}});
+        }
+        failing_since_.reset();
+        failures_ = 0;
+        return;
+    }
+    ++failures_;
+    if (!failing_since_) {
+        failing_since_ = ports_.time->now();
+    }
+    if (!was_away && away()) {
+        log.warning("store_away", {{"failures", failures_}, {"status", reply.status}});
+    }
+    // One lost answer says little; a read tells it from a store that is gone.
+    probe_soon();
+}
+
+void store_link::probe_soon()
+{
+    if (probing_) {
+        return;
+    }
+    probing_ = true;
+    ports_.time->after(probe_pause, [this, alive = alive_] {
+        if (*alive) {
+            probe();
+        }
+    });
+}
+
+void store_link::probe()
+{
+    send_either_way(ports_.probe, [this, alive = alive_](const link_reply& reply) {
+        if (*alive) {
+            probing_ = false;
+            note_end(reply);
+        }
+    });
+}
+
 void store_link::send(link_call call, link_handler handler)
+{
+    if (away()) {
+        // Not sent at all: whoever asked knows at once that nothing has happened.
+        ports_.time->after(base::milliseconds{0},
+                           [handler = std::move(handler)] { handler({}); });
+        return;
+    }
+    auto told = [this, handler = std::move(handler), alive = alive_](link_reply reply) {
+        if (*alive) {
+            note_end(reply);
+        }
+        handler(std::move(reply));
+    };
+    send_either_way(call, std::move(told));
+}
+
+void store_link::send_either_way(const link_call& call, link_handler handler)
 {
     const auto now = ports_.time->now();
     const bool direct = served_ || now >= next_probe_ || choose_helper().empty();
--- a/src/store/store_link.hpp
+++ b/src/store/store_link.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
         through{};
     /// Addresses of VMs that may help, best first.
     std::function<std::vector<std::string>()> helpers{};
+    /// A read without effect that shows whether the store serves.
+    link_call probe{};
 };
 
 struct link_counters {
@@ -75,6 +78,8 @@
     {
         return served_;
     }
+    /// How long no call has been served on any way; nothing while calls are served.
+    [[nodiscard]] std::optional<base::milliseconds> away() const;
     [[nodiscard]] const link_counters& counters() const
     {
         return counters_;
@@ -90,6 +95,11 @@
 
     void note(const link_call& call, const link_reply& reply, base::time_point sent);
     void note_served(bool served, const link_reply& reply);
+    /// Notes whether a call was served in the end, on whichever way.
+    void note_end(const link_reply& reply);
+    void probe_soon();
+    void probe();
+    void send_either_way(const link_call& call, link_handler handler);
     void help(const link_call& call, link_reply refused, link_handler handler);
     [[nodiscard]] std::string choose_helper();
 
@@ -97,6 +107,10 @@
     bool served_ = true;
     base::time_point next_probe_{};
     base::time_point no_help_before_{};
+    /// First of the failures since the last served call.
+    std::optional<base::time_point> failing_since_{};
+    std::uint32_t failures_ = 0;
+    bool probing_ = false;
     std::string good_helper_{};
     std::size_t next_helper_ = 0;
     latency reads_{};
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -46,6 +46,10 @@
     [[nodiscard]] store::row_store port(const std::string& vm)
     {
         store::row_store made;
+        made.away = [this, vm]() -> std::optional<base::milliseconds> {
+            return decide(vm, false) == fate::serve ? std::nullopt
+                                                    : std::optional{base::milliseconds{1'000}};
+        };
         made.commit = [this, vm](store::transaction sent,
                                  std::function<void(store::commit_reply)> handler) {
             commit(vm, std::move(sent), std::move(handler));
--- a/tests/support/site_fixture.hpp
+++ b/tests/support/site_fixture.hpp
@@ -93,6 +93,9 @@
         door_options.oldest_configuration = base::milliseconds{60'000};
         made->door = std::make_unique<door::door>(
             door::door_ports{&made->rows, &timers, made->configuration.get(), made->views.get(),
+                             [node = &made->node](const store::row& stored) {
+                                 (*node)->tell_leader(stored);
+                             },
                              [this](std::string_view /*body*/) { return submitted.spec; }},
             door_options);
         control::cluster_node_options options;
