--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -208,7 +208,7 @@
     ports.through = [this](const std::string& helper, const store::link_call& call,
                            base::milliseconds timeout, const store::link_handler& handler) {
         const cluster::store_call carried{call.method, call.target, call.body,
-                                          static_cast<std::uint32_t>(call.wait.count())};
+                                          static_cast<std::uint32_t>(call.wait.count()), call.scope};
         peers.ask(helper, carried, timeout,
                   [handler](const std::optional<cluster::message>& answer) {
                       const auto* const made =
@@ -221,7 +221,7 @@
                                made->body});
                   });
     };
-    ports.probe = platform::make_probe();
+    ports.probe = [](std::string_view part) { return platform::make_probe(part); };
     ports.helpers = [this] {
         return node ? node->helpers() : std::vector<std::string>{};
     };
@@ -278,7 +278,8 @@
     const auto& bounds = settings.bounds;
 
     door::door_options door_options;
-    door_options.part = settings.store.part;
+    const store::part_map parts_of_store{settings.store.part, settings.store.parts};
+    door_options.parts = parts_of_store;
     door_options.oldest_configuration = bounds.configuration_time + bounds.configuration_stretch -
                                         base::milliseconds{500};
     door = std::make_unique<door::door>(
@@ -290,14 +291,14 @@
     control::cluster_node_options options;
     options.self = self;
     options.seeds = settings.seeds;
-    options.leading.part = settings.store.part;
+    options.leading.parts = parts_of_store;
     options.leading.longest_lease = bounds.longest_lease;
     options.leading.stop_time = bounds.stop_time;
     options.leading.gang_wait = bounds.gang_wait;
     options.leading.status_retention =
         base::milliseconds{static_cast<std::int64_t>(bounds.status_retention_s * 1'000.0)};
     options.leading.authority = std::max(bounds.longest_lease, least_authority);
-    options.standing.part = settings.store.part;
+    options.standing.parts = parts_of_store;
     options.standing.self = self;
     control::cluster_node_ports ports;
     ports.rows = &rows;
@@ -309,11 +310,11 @@
     ports.views = views.get();
     ports.relay = [this](const cluster::store_call& call,
                          const std::function<void(cluster::store_answer)>& answer) {
-        const auto wait = base::milliseconds{call.timeout_ms};
+        const auto wait = base::milliseconds{call.wait_ms};
         const auto kind = wait > base::milliseconds{0} ? store::call_kind::follow
                           : call.method == "GET"       ? store::call_kind::read
                                                        : store::call_kind::write;
-        link->send_direct({kind, call.method, call.target, call.body, wait},
+        link->send_direct({kind, call.scope, call.method, call.target, call.body, wait},
                           [answer](store::link_reply reply) {
                               answer({static_cast<std::uint8_t>(reply.outcome), reply.status,
                                       std::move(reply.body)});
@@ -368,9 +369,7 @@
 
 bool site_daemon::parts::ready() const
 {
-    // Callers do better at a VM that reaches the store.
-    const auto away = link->away();
-    return !leaving && door->may_decide() && (!away || *away < unready_after);
+    return !leaving && door->may_decide() && door->store_away() < unready_after;
 }
 
 void site_daemon::parts::handle_readiness(const net::http_request& request,
--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -40,7 +40,7 @@
 
     void leader(const control::leader& leading)
     {
-        const auto& counted = leading.counters();
+        const auto counted = leading.counters();
         count("poplarstile_starts_total", counted.starts);
         count("poplarstile_stops_total", counted.stops);
         count("poplarstile_looks_total", counted.looks);
@@ -48,12 +48,11 @@
         count("poplarstile_lost_runs_total", counted.lost_runs);
         count("poplarstile_plans_total", counted.plans);
         count("poplarstile_unusable_registrations_total", counted.unreadable_workers);
-        count("poplarstile_commits_total", leading.journal().counters().commits);
-        count("poplarstile_commit_retries_total", leading.journal().counters().retries);
+        count("poplarstile_commits_total", counted.commits);
+        count("poplarstile_commit_retries_total", counted.commit_retries);
         own.set_gauge("poplarstile_open_jobs", static_cast<double>(leading.open_jobs()));
         own.set_gauge("poplarstile_known_workers", static_cast<double>(leading.known_workers()));
-        own.set_gauge("poplarstile_commit_backlog",
-                      static_cast<double>(leading.journal().backlog()));
+        own.set_gauge("poplarstile_commit_backlog", static_cast<double>(counted.commit_backlog));
     }
 
     daemon_metrics own;
--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -36,6 +36,7 @@
   11: i32 configuration_ms_ago
   12: string successor
   13: i64 lease_version
+  14: i32 lease_part
 }
 
 struct beat_answer {
@@ -72,7 +73,8 @@
   1: string method
   2: string target
   3: string body
-  4: i32 timeout_ms
+  4: i32 wait_ms
+  5: string scope
 }
 
 struct store_answer {
@@ -85,6 +87,7 @@
   1: string key
   2: string value
   3: i64 version
+  4: string part
 }
 
 union message {
--- a/src/cluster/cluster_codec.cpp
+++ b/src/cluster/cluster_codec.cpp
@@ -105,6 +105,7 @@
         beat.__set_vacant(value.vacant);
         beat.__set_successor(value.successor);
         beat.__set_lease_version(to_wire(value.lease_version));
+        beat.__set_lease_part(static_cast<std::int32_t>(value.lease_part));
         beat.__set_configuration_ms_ago(static_cast<std::int32_t>(value.configuration_ms_ago));
         wire_->__set_beat(beat);
     }
@@ -160,7 +161,8 @@
         call.__set_method(value.method);
         call.__set_target(value.target);
         call.__set_body(value.body);
-        call.__set_timeout_ms(static_cast<std::int32_t>(value.timeout_ms));
+        call.__set_wait_ms(static_cast<std::int32_t>(value.wait_ms));
+        call.__set_scope(value.scope);
         wire_->__set_store_ask(call);
     }
 
@@ -176,6 +178,7 @@
     void operator()(const stored_row& value) const
     {
         gen::stored_row row;
+        row.__set_part(value.part);
         row.__set_key(value.key);
         row.__set_value(value.value);
         row.__set_version(to_wire(value.version));
@@ -212,6 +215,7 @@
     beat.configuration_ms_ago = static_cast<std::uint32_t>(wire.configuration_ms_ago);
     beat.successor = wire.successor;
     beat.lease_version = from_wire(wire.lease_version);
+    beat.lease_part = static_cast<std::uint32_t>(wire.lease_part);
     return message{std::move(beat)};
 }
 
@@ -261,12 +265,14 @@
         auto& call = wire.store_ask;
         return message{store_call{std::move(call.method), std::move(call.target),
                                   std::move(call.body),
-                                  static_cast<std::uint32_t>(call.timeout_ms)}};
+                                  static_cast<std::uint32_t>(call.wait_ms),
+                                  std::move(call.scope)}};
     }
     if (isset.row_stored) {
         auto& row = wire.row_stored;
         return message{
-            stored_row{std::move(row.key), std::move(row.value), from_wire(row.version)}};
+            stored_row{std::move(row.part), std::move(row.key), std::move(row.value),
+                       from_wire(row.version)}};
     }
     auto& given = wire.store_given;
     return message{store_answer{static_cast<std::uint8_t>(given.delivery),
--- a/src/cluster/cluster_message.hpp
+++ b/src/cluster/cluster_message.hpp
@@ -45,6 +45,7 @@
     /// VM that takes the vacant lease first, and the version of the lease row that it finds.
     std::string successor{};
     std::uint64_t lease_version = 0;
+    std::uint32_t lease_part = 0;
 
     bool operator==(const leader_beat&) const = default;
 };
@@ -99,7 +100,10 @@
     std::string method{};
     std::string target{};
     std::string body{};
-    std::uint32_t timeout_ms = 0;
+    /// How long the store may hold the call back.
+    std::uint32_t wait_ms = 0;
+    /// As in `store::link_call`.
+    std::string scope{};
 
     bool operator==(const store_call&) const = default;
 };
@@ -115,6 +119,7 @@
 
 /// A row of the jobs table that the sender has stored, told to the leader ahead of the store's feed.
 struct stored_row {
+    std::string part{};
     std::string key{};
     std::string value{};
     std::uint64_t version = 0;
--- a/src/cluster/gen/cluster_types.cpp
+++ b/src/cluster/gen/cluster_types.cpp
@@ -505,6 +505,10 @@
 void leader_beat::__set_lease_version(const int64_t val) {
   this->lease_version = val;
 }
+
+void leader_beat::__set_lease_part(const int32_t val) {
+  this->lease_part = val;
+}
 std::ostream& operator<<(std::ostream& out, const leader_beat& obj)
 {
   obj.printTo(out);
@@ -673,6 +677,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lease_part);
+          this->__isset.lease_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -766,6 +778,10 @@
   xfer += oprot->writeI64(this->lease_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lease_part", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->lease_part);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -786,6 +802,7 @@
   swap(a.configuration_ms_ago, b.configuration_ms_ago);
   swap(a.successor, b.successor);
   swap(a.lease_version, b.lease_version);
+  swap(a.lease_part, b.lease_part);
   swap(a.__isset, b.__isset);
 }
 
@@ -803,6 +820,7 @@
   configuration_ms_ago = other24.configuration_ms_ago;
   successor = other24.successor;
   lease_version = other24.lease_version;
+  lease_part = other24.lease_part;
   __isset = other24.__isset;
 }
 leader_beat& leader_beat::operator=(const leader_beat& other25) {
@@ -819,6 +837,7 @@
   configuration_ms_ago = other25.configuration_ms_ago;
   successor = other25.successor;
   lease_version = other25.lease_version;
+  lease_part = other25.lease_part;
   __isset = other25.__isset;
   return *this;
 }
@@ -838,6 +857,7 @@
   out << ", " << "configuration_ms_ago=" << to_string(configuration_ms_ago);
   out << ", " << "successor=" << to_string(successor);
   out << ", " << "lease_version=" << to_string(lease_version);
+  out << ", " << "lease_part=" << to_string(lease_part);
   out << ")";
 }
 
@@ -1538,8 +1558,12 @@
   this->body = val;
 }
 
-void store_call::__set_timeout_ms(const int32_t val) {
-  this->timeout_ms = val;
+void store_call::__set_wait_ms(const int32_t val) {
+  this->wait_ms = val;
+}
+
+void store_call::__set_scope(const std::string& val) {
+  this->scope = val;
 }
 std::ostream& operator<<(std::ostream& out, const store_call& obj)
 {
@@ -1595,8 +1619,16 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->timeout_ms);
-          this->__isset.timeout_ms = true;
+          xfer += iprot->readI32(this->wait_ms);
+          this->__isset.wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->scope);
+          this->__isset.scope = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1630,8 +1662,12 @@
   xfer += oprot->writeString(this->body);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("timeout_ms", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->timeout_ms);
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("scope", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->scope);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1644,7 +1680,8 @@
   swap(a.method, b.method);
   swap(a.target, b.target);
   swap(a.body, b.body);
-  swap(a.timeout_ms, b.timeout_ms);
+  swap(a.wait_ms, b.wait_ms);
+  swap(a.scope, b.scope);
   swap(a.__isset, b.__isset);
 }
 
@@ -1652,14 +1689,16 @@
   method = other42.method;
   target = other42.target;
   body = other42.body;
-  timeout_ms = other42.timeout_ms;
+  wait_ms = other42.wait_ms;
+  scope = other42.scope;
   __isset = other42.__isset;
 }
 store_call& store_call::operator=(const store_call& other43) {
   method = other43.method;
   target = other43.target;
   body = other43.body;
-  timeout_ms = other43.timeout_ms;
+  wait_ms = other43.wait_ms;
+  scope = other43.scope;
   __isset = other43.__isset;
   return *this;
 }
@@ -1669,7 +1708,8 @@
   out << "method=" << to_string(method);
   out << ", " << "target=" << to_string(target);
   out << ", " << "body=" << to_string(body);
-  out << ", " << "timeout_ms=" << to_string(timeout_ms);
+  out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "scope=" << to_string(scope);
   out << ")";
 }
 
@@ -1821,6 +1861,10 @@
 void stored_row::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void stored_row::__set_part(const std::string& val) {
+  this->part = val;
+}
 std::ostream& operator<<(std::ostream& out, const stored_row& obj)
 {
   obj.printTo(out);
@@ -1873,6 +1917,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1902,6 +1954,10 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1912,6 +1968,7 @@
   swap(a.key, b.key);
   swap(a.value, b.value);
   swap(a.version, b.version);
+  swap(a.part, b.part);
   swap(a.__isset, b.__isset);
 }
 
@@ -1919,12 +1976,14 @@
   key = other46.key;
   value = other46.value;
   version = other46.version;
+  part = other46.part;
   __isset = other46.__isset;
 }
 stored_row& stored_row::operator=(const stored_row& other47) {
   key = other47.key;
   value = other47.value;
   version = other47.version;
+  part = other47.part;
   __isset = other47.__isset;
   return *this;
 }
@@ -1934,6 +1993,7 @@
   out << "key=" << to_string(key);
   out << ", " << "value=" << to_string(value);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "part=" << to_string(part);
   out << ")";
 }
 
--- a/src/cluster/gen/cluster_types.h
+++ b/src/cluster/gen/cluster_types.h
@@ -235,7 +235,7 @@
 std::ostream& operator<<(std::ostream& out, const queue_load& obj);
 
 typedef struct _leader_beat__isset {
-  _leader_beat__isset() : leader(false), epoch(false), sequence(false), snapshot(false), changes(false), loads(false), configuration(false), confirmed_ms_ago(false), vms(false), vacant(false), configuration_ms_ago(false), successor(false), lease_version(false) {}
+  _leader_beat__isset() : leader(false), epoch(false), sequence(false), snapshot(false), changes(false), loads(false), configuration(false), confirmed_ms_ago(false), vms(false), vacant(false), configuration_ms_ago(false), successor(false), lease_version(false), lease_part(false) {}
   bool leader :1;
   bool epoch :1;
   bool sequence :1;
@@ -249,6 +249,7 @@
   bool configuration_ms_ago :1;
   bool successor :1;
   bool lease_version :1;
+  bool lease_part :1;
 } _leader_beat__isset;
 
 class leader_beat : public virtual ::apache::thrift::TBase {
@@ -265,7 +266,8 @@
                 vacant(0),
                 configuration_ms_ago(0),
                 successor(),
-                lease_version(0) {
+                lease_version(0),
+                lease_part(0) {
   }
 
   virtual ~leader_beat() noexcept;
@@ -282,6 +284,7 @@
   int32_t configuration_ms_ago;
   std::string successor;
   int64_t lease_version;
+  int32_t lease_part;
 
   _leader_beat__isset __isset;
 
@@ -311,6 +314,8 @@
 
   void __set_lease_version(const int64_t val);
 
+  void __set_lease_part(const int32_t val);
+
   bool operator == (const leader_beat & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -339,6 +344,8 @@
       return false;
     if (!(lease_version == rhs.lease_version))
       return false;
+    if (!(lease_part == rhs.lease_part))
+      return false;
     return true;
   }
   bool operator != (const leader_beat &rhs) const {
@@ -638,11 +645,12 @@
 std::ostream& operator<<(std::ostream& out, const configuration_reply& obj);
 
 typedef struct _store_call__isset {
-  _store_call__isset() : method(false), target(false), body(false), timeout_ms(false) {}
+  _store_call__isset() : method(false), target(false), body(false), wait_ms(false), scope(false) {}
   bool method :1;
   bool target :1;
   bool body :1;
-  bool timeout_ms :1;
+  bool wait_ms :1;
+  bool scope :1;
 } _store_call__isset;
 
 class store_call : public virtual ::apache::thrift::TBase {
@@ -654,14 +662,16 @@
              : method(),
                target(),
                body(),
-               timeout_ms(0) {
+               wait_ms(0),
+               scope() {
   }
 
   virtual ~store_call() noexcept;
   std::string method;
   std::string target;
   std::string body;
-  int32_t timeout_ms;
+  int32_t wait_ms;
+  std::string scope;
 
   _store_call__isset __isset;
 
@@ -671,7 +681,9 @@
 
   void __set_body(const std::string& val);
 
-  void __set_timeout_ms(const int32_t val);
+  void __set_wait_ms(const int32_t val);
+
+  void __set_scope(const std::string& val);
 
   bool operator == (const store_call & rhs) const
   {
@@ -681,7 +693,9 @@
       return false;
     if (!(body == rhs.body))
       return false;
-    if (!(timeout_ms == rhs.timeout_ms))
+    if (!(wait_ms == rhs.wait_ms))
+      return false;
+    if (!(scope == rhs.scope))
       return false;
     return true;
   }
@@ -759,10 +773,11 @@
 std::ostream& operator<<(std::ostream& out, const store_answer& obj);
 
 typedef struct _stored_row__isset {
-  _stored_row__isset() : key(false), value(false), version(false) {}
+  _stored_row__isset() : key(false), value(false), version(false), part(false) {}
   bool key :1;
   bool value :1;
   bool version :1;
+  bool part :1;
 } _stored_row__isset;
 
 class stored_row : public virtual ::apache::thrift::TBase {
@@ -773,13 +788,15 @@
   stored_row() noexcept
              : key(),
                value(),
-               version(0) {
+               version(0),
+               part() {
   }
 
   virtual ~stored_row() noexcept;
   std::string key;
   std::string value;
   int64_t version;
+  std::string part;
 
   _stored_row__isset __isset;
 
@@ -789,6 +806,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_part(const std::string& val);
+
   bool operator == (const stored_row & rhs) const
   {
     if (!(key == rhs.key))
@@ -797,6 +816,8 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (!(part == rhs.part))
+      return false;
     return true;
   }
   bool operator != (const stored_row &rhs) const {
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -41,9 +41,8 @@
     standing.peers = ports_.peers;
     standing.time = ports_.time;
     standing.vms = [this] { return vms(); };
-    standing.on_elected = [this](const store::lease_record& lease, store::row_version version) {
-        elected(lease, version);
-    };
+    standing.on_elected = [this](const store::lease_record& lease, std::size_t part,
+                                 store::row_version version) { elected(lease, part, version); };
     standing.on_vm = [this](const cluster::vm_entry& vm) { know(vm); };
     leadership_ = std::make_unique<leadership>(std::move(standing), options_.standing);
 }
@@ -138,7 +137,8 @@
     return addresses;
 }
 
-void cluster_node::elected(const store::lease_record& lease, store::row_version version)
+void cluster_node::elected(const store::lease_record& lease, std::size_t part,
+                           store::row_version version)
 {
     leader_ports ports;
     ports.rows = ports_.rows;
@@ -148,7 +148,7 @@
     ports.catalog = [this] { return ports_.configuration->current(); };
     ports.on_status = [this](const cluster::job_view& view) { spread(view); };
     ports.on_lost = [this](const store::lease_record& found) { lost(found); };
-    leader_ = std::make_unique<leader>(std::move(ports), options_.leading, lease, version);
+    leader_ = std::make_unique<leader>(std::move(ports), options_.leading, lease, part, version);
     for (auto& [address, known] : vms_) {
         known.wants_snapshot = true;
         known.unsent.clear();
@@ -234,7 +234,8 @@
     made.vacant = vacant_;
     if (vacant_) {
         made.successor = successor_;
-        made.lease_version = leader_->journal().version();
+        made.lease_version = leader_->lease_version();
+        made.lease_part = static_cast<std::uint32_t>(leader_->first_part());
     }
     return made;
 }
@@ -390,8 +391,7 @@
         answer(cluster::message{std::move(reply)});
     } else if (const auto* const told = std::get_if<cluster::stored_row>(&message)) {
         if (leader_) {
-            leader_->hear_row(
-                {{"jobs", options_.leading.part, told->key}, told->value, told->version});
+            leader_->hear_row({{"jobs", told->part, told->key}, told->value, told->version});
         }
         answer(cluster::message{cluster::beat_answer{options_.self, leadership_->epoch(), false,
                                                      ports_.configuration->version()}});
@@ -428,7 +428,8 @@
     if (!address.empty()) {
         // The feed shows it in any case; an answer is not needed.
         ports_.peers->ask(address,
-                          cluster::stored_row{stored.id.key, stored.value, stored.version},
+                          cluster::stored_row{stored.id.part, stored.id.key, stored.value,
+                                              stored.version},
                           hello_timeout,
                           [](const std::optional<cluster::message>& /*answer*/) {});
     }
--- a/src/control/cluster_node.hpp
+++ b/src/control/cluster_node.hpp
@@ -91,7 +91,7 @@
 
     void know(const cluster::vm_entry& vm);
     void greet_seeds();
-    void elected(const store::lease_record& lease, store::row_version version);
+    void elected(const store::lease_record& lease, std::size_t part, store::row_version version);
     void lost(const store::lease_record& found);
     void spread(const cluster::job_view& view);
     void beat_soon();
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -1,8 +1,8 @@
 #include "control/leader.hpp"
 
 #include "base/event_line.hpp"
-#include "control/plan_input.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarstile::control
@@ -16,24 +16,11 @@
 } // namespace
 
 leader::leader(leader_ports ports, leader_options options, store::lease_record lease,
-               store::row_version version)
-    : ports_{std::move(ports)}, options_{std::move(options)}, epoch_{lease.epoch},
-      holder_{lease.holder}, began_{ports_.time->now()}
+               std::size_t first, store::row_version version)
+    : ports_{std::move(ports)}, options_{std::move(options)}, epoch_{lease.epoch}, lease_{lease},
+      first_part_{first}, parts_(options_.parts.size()), began_{ports_.time->now()}
 {
-    store::journal_options journal_options;
-    journal_options.part = options_.part;
-    store::journal::events told;
-    told.on_lost = [this](const store::lease_record& found) {
-        log.warning("lease_lost", {{"epoch", epoch_},
-                                   {"found_holder", found.holder},
-                                   {"found_epoch", found.epoch}});
-        active_ = false;
-        if (ports_.on_lost) {
-            ports_.on_lost(found);
-        }
-    };
-    journal_ = std::make_unique<store::journal>(*ports_.rows, *ports_.time, journal_options,
-                                                std::move(lease), version, std::move(told));
+    open_part(first, std::move(lease), version);
 }
 
 leader::~leader()
@@ -43,8 +30,14 @@
 
 void leader::start()
 {
-    log.info("taking_over", {{"epoch", epoch_}});
-    read_jobs({});
+    log.info("taking_over", {{"epoch", epoch_}, {"parts", parts_.size()}});
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        if (part == first_part_) {
+            read_jobs(part, {});
+        } else {
+            take_part(part);
+        }
+    }
     read_workers();
     tick_later();
 }
@@ -53,7 +46,42 @@
 {
     log.info("handing_back", {{"epoch", epoch_}, {"open_jobs", jobs_.size()}});
     handing_back_ = true;
-    journal_->hand_back(std::move(on_done));
+    // Only the first part's row is waited for: it is the one that a successor takes first.
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        if (parts_.at(part).journal && part != first_part_) {
+            parts_.at(part).journal->hand_back({});
+        }
+    }
+    parts_.at(first_part_).journal->hand_back(std::move(on_done));
+}
+
+base::time_point leader::confirmed_at() const
+{
+    auto newest = base::time_point::min();
+    for (const auto& part : parts_) {
+        if (part.journal) {
+            newest = std::max(newest, part.journal->confirmed_at());
+        }
+    }
+    return newest;
+}
+
+store::row_version leader::lease_version() const
+{
+    return parts_.at(first_part_).journal->version();
+}
+
+leader_counters leader::counters() const
+{
+    auto counted = counters_;
+    for (const auto& part : parts_) {
+        if (part.journal) {
+            counted.commits += part.journal->counters().commits;
+            counted.commit_retries += part.journal->counters().retries;
+            counted.commit_backlog += part.journal->backlog();
+        }
+    }
+    return counted;
 }
 
 std::vector<cluster::job_view> leader::views() const
@@ -76,7 +104,7 @@
     }
     std::vector<cluster::queue_load> loads;
     for (const auto& [queue, count] : waiting) {
-        loads.push_back({queue, count});
+        loads.push_back({queue, count, 0});
     }
     return loads;
 }
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -11,6 +11,7 @@
 #include "fleet/worker_orders.hpp"
 #include "planning/planner.hpp"
 #include "store/journal.hpp"
+#include "store/part_map.hpp"
 
 #include <array>
 #include <cstdint>
@@ -31,7 +32,7 @@
 
 /// Bounds that the leader works within; those of the platform come from the settings.
 struct leader_options {
-    std::string part{};
+    store::part_map parts{};
     /// Longest lease that a worker grants.
     base::milliseconds longest_lease{6'000};
     /// Time that a stop may take at a worker.
@@ -69,16 +70,23 @@
     std::array<std::uint64_t, 7> ends{};
     std::uint64_t unreadable_workers = 0;
     std::uint64_t plans = 0;
+    std::uint64_t commits = 0;
+    std::uint64_t commit_retries = 0;
+    std::uint64_t commit_backlog = 0;
 };
 
 /// The scheduler on the VM that holds the lease. One object for each time that a VM leads.
 /// Runs on the reactor thread; everything that it starts ends with it.
+///
+/// Jobs lie in several parts of the store, each with a lease row and a journal of its own. A part
+/// that can't be reached at the takeover is taken when it is back; until then workers that show
+/// runs which nobody here knows get no work.
 class leader
 {
 public:
-    /// `lease` and `version` are the lease row as this VM wrote it when it took over.
+    /// `lease` and `version` are the lease row of part `first` as this VM wrote it.
     leader(leader_ports ports, leader_options options, store::lease_record lease,
-           store::row_version version);
+           std::size_t first, store::row_version version);
     ~leader();
     leader(const leader&) = delete;
     leader& operator=(const leader&) = delete;
@@ -86,10 +94,10 @@
     /// Reads what is stored and begins.
     void start();
 
-    /// Starts no more work and hands the lease back; `on_done` is told when that is stored.
+    /// Starts no more work and hands the lease rows back; `on_done` is told when that is stored.
     void hand_back(std::function<void()> on_done);
 
-    /// A submission or cancel that another VM has stored; the feed shows it as well.
+    /// A submission or cancel that a door has stored; the feed shows it as well.
     void hear_row(const store::row& seen);
 
     /// True once the stored state was read.
@@ -101,22 +109,20 @@
     {
         return epoch_;
     }
-    [[nodiscard]] base::time_point confirmed_at() const
+    /// When the newest commit that is known to be applied was sent, over all parts.
+    [[nodiscard]] base::time_point confirmed_at() const;
+    /// The part whose lease row was taken first.
+    [[nodiscard]] std::size_t first_part() const
     {
-        return journal_->confirmed_at();
+        return first_part_;
     }
+    /// Version of the lease row of the first part.
+    [[nodiscard]] store::row_version lease_version() const;
 
     /// Every job that is not over, for a VM that has no view yet.
     [[nodiscard]] std::vector<cluster::job_view> views() const;
     [[nodiscard]] std::vector<cluster::queue_load> loads() const;
-    [[nodiscard]] const leader_counters& counters() const
-    {
-        return counters_;
-    }
-    [[nodiscard]] const store::journal& journal() const
-    {
-        return *journal_;
-    }
+    [[nodiscard]] leader_counters counters() const;
     /// Jobs that are not over.
     [[nodiscard]] std::size_t open_jobs() const
     {
@@ -130,37 +136,70 @@
 private:
     /// A job, and what became of its newest changes.
     struct job_entry {
-        explicit job_entry(batch::submission accepted) : state{std::move(accepted)} {}
+        job_entry(batch::submission accepted, std::size_t lies_in)
+            : state{std::move(accepted)}, part{lies_in}
+        {
+        }
 
         batch::job state;
+        /// Index of the part that its rows lie in.
+        std::size_t part = 0;
         /// Status that is stored, which is the one shown.
         batch::job_status shown = batch::job_status::pending;
-        bool cancel_row = false;
+        /// Parts that hold a wish to cancel it.
+        std::set<std::size_t> cancel_parts{};
         bool closing = false;
         /// Orders that wait for the job's next record to be durable.
         std::vector<run_key> unsent{};
         base::time_point known_since{};
     };
 
-    // Reading the stored state and following what others write (leader_store.cpp).
-    void read_jobs(const std::string& from);
-    void reread_jobs(const std::string& from);
-    void read_runs(const std::string& from);
-    void take_run_row(const store::row& stored);
+    enum class part_phase : std::uint8_t { taking, reading, active };
+
+    /// One part of the store under this leader.
+    struct part_state {
+        part_phase phase = part_phase::taking;
+        std::unique_ptr<store::journal> journal{};
+        store::row_version read_version = 0;
+        /// Tries that the store did not serve.
+        std::uint32_t failures = 0;
+    };
+
+    // Taking the parts over (leader_parts.cpp).
+    void take_part(std::size_t part);
+    void take_part_row(std::size_t part, const store::read_reply& reply);
+    void commit_part_lease(std::size_t part, store::row_version version);
+    void open_part(std::size_t part, store::lease_record lease, store::row_version version);
+    void read_jobs(std::size_t part, const std::string& from);
+    void read_runs(std::size_t part, const std::string& from);
+    void take_run_row(std::size_t part, const store::row& stored);
+    void part_failed(std::size_t part, std::function<void()> again);
+    void part_read(std::size_t part);
     void begin_work();
+    void adopt_part(std::size_t part);
+    [[nodiscard]] bool all_parts_active() const;
+    /// True while commits to the part are answered.
+    [[nodiscard]] bool part_answers(std::size_t part) const;
+    void lost(const store::lease_record& found);
+
+    // Following what others write, and writing (leader_store.cpp).
     void follow_jobs();
-    void take_row(const store::row& seen);
-    void add_job(batch::submission accepted);
-    void cancel_job(const std::string& id);
+    void reread_jobs(std::size_t part, const std::string& from);
+    void take_row(std::size_t part, const store::row& seen);
+    void add_job(batch::submission accepted, std::size_t part);
+    void drop_duplicate(std::size_t part, const std::string& id);
+    void cancel_job(const std::string& id, std::size_t part);
     void mark_dirty(const std::string& id);
     void flush_soon();
     void flush();
+    /// Calls `done` once all that was added to the journals so far is durable.
+    void when_durable(std::function<void()> done);
     void write_job(const std::string& id, job_entry& entry);
     void close_job(const std::string& id, job_entry& entry);
     void show(const std::string& id, job_entry& entry, batch::job_status status);
     void forget_old_jobs();
-    [[nodiscard]] store::row_id jobs_row(const std::string& key) const;
-    [[nodiscard]] store::row_id runs_row(const std::string& key) const;
+    [[nodiscard]] store::row_id jobs_row(std::size_t part, const std::string& key) const;
+    [[nodiscard]] store::row_id runs_row(std::size_t part, const std::string& key) const;
 
     // Workers, looks and ends (leader_workers.cpp).
     void read_workers();
@@ -175,6 +214,7 @@
     void take_running(worker_state& worker, const fleet::look_reply& reply);
     void take_ends(worker_state& worker, const fleet::look_reply& reply);
     void take_end(worker_state& worker, const fleet::ended_task& end);
+    void ends_stored(const std::string& id, std::uint64_t born, std::uint64_t number);
     void check_missing(worker_state& worker, base::time_point sent, const fleet::look_reply& reply);
     void check_silent(worker_state& worker);
     [[nodiscard]] static bool needs_look(const worker_state& worker);
@@ -183,6 +223,7 @@
     /// A lease as long as this leader may grant now; nothing when it may grant none.
     [[nodiscard]] std::optional<std::int64_t> lease_for(worker_state& worker,
                                                         base::time_point now) const;
+    void prove_leadership();
 
     // Starts, stops and ends of runs (leader_orders.cpp).
     [[nodiscard]] std::size_t adopt_placed(job_entry& entry);
@@ -220,12 +261,13 @@
     leader_ports ports_;
     leader_options options_;
     std::uint64_t epoch_;
-    std::string holder_;
-    std::unique_ptr<store::journal> journal_;
+    store::lease_record lease_;
+    std::size_t first_part_;
+    std::vector<part_state> parts_{};
     base::time_point began_;
     bool active_ = false;
+    bool lost_ = false;
     bool handing_back_ = false;
-    bool runs_read_ = false;
     bool workers_read_ = false;
     bool plan_scheduled_ = false;
     bool flush_scheduled_ = false;
@@ -233,15 +275,22 @@
 
     std::unordered_map<std::string, job_entry> jobs_{};
     std::set<std::string> dirty_{};
-    /// Ended jobs whose rows are still kept, oldest first, with the store's time of their end.
-    std::deque<std::pair<std::string, std::int64_t>> ended_{};
+
+    /// An ended job whose row is still kept.
+    struct ended_job {
+        std::string id{};
+        std::size_t part = 0;
+        /// The store's time of its end.
+        std::int64_t store_ms = 0;
+    };
+    /// Oldest first.
+    std::deque<ended_job> ended_{};
     std::set<std::string> ended_ids_{};
-    /// Cancel rows read before their jobs.
-    std::set<std::string> early_cancels_{};
+    /// Wishes to cancel that were read before their jobs, and the parts that hold them.
+    std::map<std::string, std::set<std::size_t>> early_cancels_{};
     /// Called once all that is changed now is durable.
     std::vector<std::function<void()>> after_flush_{};
     store::row_version jobs_version_ = 0;
-    store::row_version reread_version_ = 0;
     store::row_version directory_version_ = 0;
     std::map<std::string, std::unique_ptr<worker_state>> workers_{};
     leader_counters counters_{};
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -154,7 +154,7 @@
         // tend_runs sends it again.
         return;
     case fleet::order_outcome::fenced:
-        journal_->add({});
+        prove_leadership();
         return;
     case fleet::order_outcome::outdated:
         // It ended there, or was stopped; the list of ends says which.
--- /dev/null
+++ b/src/control/leader_parts.cpp
@@ -0,0 +1,277 @@
+#include "control/leader.hpp"
+
+#include "base/event_line.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// Taking the parts of the store over, and reading what lies in them.
+namespace poplarstile::control
+{
+namespace
+{
+
+constexpr base::event_logger log{"leader"};
+constexpr base::milliseconds part_retry{150};
+constexpr std::uint32_t page_rows = 500;
+/// Tries after which the work of the other parts no longer waits for this one.
+constexpr std::uint32_t failures_to_go_on = 2;
+/// Without an answered commit for this long nothing of a part could be started, so nothing is
+/// planned or stopped for it.
+/// Load pattern: the store is away, or this leader is cut off and another has taken its place.
+constexpr base::milliseconds unconfirmed_limit{1'700};
+
+/// The first key after `key`.
+std::string after_key(const std::string& key)
+{
+    return key + '\0';
+}
+
+} // namespace
+
+void leader::lost(const store::lease_record& found)
+{
+    if (lost_) {
+        return;
+    }
+    lost_ = true;
+    active_ = false;
+    log.warning("lease_lost", {{"epoch", epoch_},
+                               {"found_holder", found.holder},
+                               {"found_epoch", found.epoch}});
+    if (ports_.on_lost) {
+        ports_.on_lost(found);
+    }
+}
+
+void leader::part_failed(std::size_t part, std::function<void()> again)
+{
+    auto& failed = parts_.at(part);
+    if (++failed.failures == failures_to_go_on) {
+        log.warning("part_not_served", {{"part", options_.parts.name(part)}, {"epoch", epoch_}});
+        begin_work();
+    }
+    ports_.time->after(part_retry, [this, again = std::move(again), alive = alive_] {
+        if (*alive && !lost_ && !handing_back_) {
+            again();
+        }
+    });
+}
+
+void leader::take_part(std::size_t part)
+{
+    const auto lease = store::lease_row(options_.parts.name(part));
+    ports_.rows->read({lease.table, lease.part, lease.key, after_key(lease.key), 1},
+                      [this, part, alive = alive_](const store::read_reply& reply) {
+                          if (*alive && !lost_) {
+                              take_part_row(part, reply);
+                          }
+                      });
+}
+
+void leader::take_part_row(std::size_t part, const store::read_reply& reply)
+{
+    if (reply.outcome != store::call_outcome::done) {
+        part_failed(part, [this, part] { take_part(part); });
+        return;
+    }
+    if (reply.rows.empty()) {
+        commit_part_lease(part, 0);
+        return;
+    }
+    const auto& row = reply.rows.front();
+    const auto decoded = store::decode_lease(row.value);
+    if (!decoded.has_value()) {
+        log.error("lease_unreadable", {{"part", options_.parts.name(part)},
+                                       {"detail", decoded.error().detail}});
+        commit_part_lease(part, row.version);
+        return;
+    }
+    const auto& record = decoded.value();
+    if (record.epoch > epoch_) {
+        lost(record);
+    } else if (record.epoch == epoch_ && record.holder_born == lease_.holder_born) {
+        // A try of ours took effect though its answer was lost.
+        open_part(part, record, row.version);
+        read_jobs(part, {});
+    } else {
+        commit_part_lease(part, row.version);
+    }
+}
+
+void leader::commit_part_lease(std::size_t part, store::row_version version)
+{
+    const auto lease = store::lease_row(options_.parts.name(part));
+    auto record = lease_;
+    record.commit = 0;
+    store::transaction take;
+    take.expected.push_back({lease, version});
+    take.puts.push_back({lease, store::encode(record)});
+    ports_.rows->commit(std::move(take),
+                        [this, part, record, alive = alive_](const store::commit_reply& reply) {
+                            if (!*alive || lost_) {
+                                return;
+                            }
+                            if (reply.outcome == store::call_outcome::done) {
+                                open_part(part, record, reply.version);
+                                read_jobs(part, {});
+                            } else if (reply.outcome == store::call_outcome::conflict) {
+                                take_part(part);
+                            } else {
+                                part_failed(part, [this, part] { take_part(part); });
+                            }
+                        });
+}
+
+void leader::open_part(std::size_t part, store::lease_record lease, store::row_version version)
+{
+    store::journal_options options;
+    options.part = options_.parts.name(part);
+    store::journal::events told;
+    told.on_lost = [this](const store::lease_record& found) { lost(found); };
+    auto& opened = parts_.at(part);
+    opened.phase = part_phase::reading;
+    opened.journal = std::make_unique<store::journal>(*ports_.rows, *ports_.time, options,
+                                                      std::move(lease), version, std::move(told));
+}
+
+void leader::read_jobs(std::size_t part, const std::string& from)
+{
+    ports_.rows->read({"jobs", options_.parts.name(part), from, {}, page_rows},
+                      [this, part, from, alive = alive_](const store::read_reply& reply) {
+                          if (!*alive || lost_) {
+                              return;
+                          }
+                          if (reply.outcome != store::call_outcome::done) {
+                              part_failed(part, [this, part, from] { read_jobs(part, from); });
+                              return;
+                          }
+                          if (from.empty()) {
+                              // Following begins here; what is seen twice changes nothing.
+                              parts_.at(part).read_version = reply.version;
+                          }
+                          for (const auto& seen : reply.rows) {
+                              take_row(part, seen);
+                          }
+                          if (reply.truncated && !reply.rows.empty()) {
+                              read_jobs(part, after_key(reply.rows.back().id.key));
+                          } else {
+                              read_runs(part, {});
+                          }
+                      });
+}
+
+void leader::read_runs(std::size_t part, const std::string& from)
+{
+    ports_.rows->read({"runs", options_.parts.name(part), from, {}, page_rows},
+                      [this, part, from, alive = alive_](const store::read_reply& reply) {
+                          if (!*alive || lost_) {
+                              return;
+                          }
+                          if (reply.outcome != store::call_outcome::done) {
+                              part_failed(part, [this, part, from] { read_runs(part, from); });
+                              return;
+                          }
+                          for (const auto& stored : reply.rows) {
+                              take_run_row(part, stored);
+                          }
+                          if (reply.truncated && !reply.rows.empty()) {
+                              read_runs(part, after_key(reply.rows.back().id.key));
+                          } else {
+                              part_read(part);
+                          }
+                      });
+}
+
+void leader::take_run_row(std::size_t part, const store::row& stored)
+{
+    const auto found = jobs_.find(stored.id.key);
+    auto record = batch::decode_runs(stored.value);
+    if (found == jobs_.end() || found->second.part != part) {
+        log.warning("run_record_without_job", {{"job", stored.id.key}});
+        return;
+    }
+    if (!record.has_value()) {
+        log.error("run_record_unreadable",
+                  {{"job", stored.id.key}, {"detail", record.error().detail}});
+        return;
+    }
+    auto& entry = found->second;
+    if (!entry.state.restore(std::move(record.value().occurrences), record.value().failed)) {
+        log.error("run_record_of_another_shape", {{"job", stored.id.key}});
+        return;
+    }
+    entry.shown = entry.state.status();
+}
+
+void leader::part_read(std::size_t part)
+{
+    parts_.at(part).phase = part_phase::active;
+    if (active_) {
+        log.info("part_taken_later", {{"part", options_.parts.name(part)}, {"epoch", epoch_}});
+        jobs_version_ = std::min(jobs_version_, parts_.at(part).read_version);
+        adopt_part(part);
+        return;
+    }
+    begin_work();
+}
+
+bool leader::all_parts_active() const
+{
+    return std::ranges::all_of(
+        parts_, [](const part_state& part) { return part.phase == part_phase::active; });
+}
+
+bool leader::part_answers(std::size_t part) const
+{
+    const auto& journal = parts_.at(part).journal;
+    return journal && ports_.time->now() - journal->confirmed_at() <= unconfirmed_limit;
+}
+
+void leader::begin_work()
+{
+    const bool parts_settled = std::ranges::all_of(parts_, [](const part_state& part) {
+        return part.phase == part_phase::active || part.failures >= failures_to_go_on;
+    });
+    if (active_ || lost_ || !workers_read_ || !parts_settled) {
+        return;
+    }
+    active_ = true;
+    jobs_version_ = 0;
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        const auto& state = parts_.at(part);
+        if (state.phase != part_phase::active) {
+            continue;
+        }
+        const auto version = state.read_version;
+        jobs_version_ = jobs_version_ == 0 ? version : std::min(jobs_version_, version);
+        adopt_part(part);
+    }
+    log.info("took_over", {{"epoch", epoch_},
+                           {"jobs", jobs_.size()},
+                           {"workers", workers_.size()},
+                           {"all_parts", all_parts_active()},
+                           {"took_ms", base::milliseconds_between(began_, ports_.time->now())}});
+    follow_jobs();
+    follow_workers();
+    tick();
+}
+
+void leader::adopt_part(std::size_t part)
+{
+    std::size_t adopted = 0;
+    for (auto& [id, entry] : jobs_) {
+        if (entry.part != part) {
+            continue;
+        }
+        adopted += adopt_placed(entry);
+        if (!entry.state.open()) {
+            stop_job(entry, entry.state.cancelled() ? stop_reason::cancelled : stop_reason::failed);
+            mark_dirty(id);
+        }
+        show(id, entry, entry.state.status());
+    }
+    log.info("part_adopted", {{"part", options_.parts.name(part)}, {"placed_tasks", adopted}});
+}
+
+} // namespace poplarstile::control
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -16,9 +16,6 @@
 constexpr base::event_logger log{"plan"};
 /// Plans are made at most this often; what changes meanwhile goes into the next.
 constexpr base::milliseconds plan_interval{8};
-/// Without an answered commit for this long nothing could be started, so nothing is stopped for it.
-/// Load pattern: the store is away, or this leader is cut off and another has taken its place.
-constexpr base::milliseconds unconfirmed_limit{1'700};
 constexpr double milliseconds_per_second = 1'000.0;
 /// Distinct jobs that failed on a worker, without a success since, after which it gets no work.
 constexpr std::size_t failed_jobs_to_close = 2;
@@ -52,9 +49,6 @@
         return;
     }
     last_plan_at_ = ports_.time->now();
-    if (last_plan_at_ - journal_->confirmed_at() > unconfirmed_limit) {
-        return;
-    }
     plan_input input;
     std::map<std::string, std::size_t> worker_index;
     collect_workers(input, worker_index);
@@ -87,6 +81,7 @@
         room.suspicion = static_cast<double>(recent);
         room.open = worker->listed && !worker->facts.draining && worker->fenced &&
                     worker->silent_looks == 0 && worker->clock.known() &&
+                    worker->hidden_runs == 0 &&
                     recent < static_cast<std::ptrdiff_t>(failed_jobs_to_close);
         worker_index.emplace(id, input.workers.size());
         input.workers.push_back(room);
@@ -99,7 +94,9 @@
 {
     std::vector<job_entry*> open;
     for (auto& [id, entry] : jobs_) {
-        if (entry.state.open()) {
+        const bool usable =
+            parts_.at(entry.part).phase == part_phase::active && part_answers(entry.part);
+        if (entry.state.open() && usable) {
             open.push_back(&entry);
         }
     }
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -29,131 +29,27 @@
 
 } // namespace
 
-store::row_id leader::jobs_row(const std::string& key) const
+store::row_id leader::jobs_row(std::size_t part, const std::string& key) const
 {
-    return {"jobs", options_.part, key};
+    return {"jobs", options_.parts.name(part), key};
 }
 
-store::row_id leader::runs_row(const std::string& key) const
+store::row_id leader::runs_row(std::size_t part, const std::string& key) const
 {
-    return {"runs", options_.part, key};
-}
-
-void leader::read_jobs(const std::string& from)
-{
-    ports_.rows->read(
-        {"jobs", options_.part, from, {}, page_rows},
-        [this, from, alive = alive_](const store::read_reply& reply) {
-            if (!*alive) {
-                return;
-            }
-            if (reply.outcome != store::call_outcome::done) {
-                ports_.time->after(read_retry, [this, from, alive] {
-                    if (*alive) {
-                        read_jobs(from);
-                    }
-                });
-                return;
-            }
-            if (from.empty()) {
-                // Following begins at the first page; what is seen twice changes nothing.
-                jobs_version_ = reply.version;
-            }
-            for (const auto& seen : reply.rows) {
-                take_row(seen);
-            }
-            if (reply.truncated && !reply.rows.empty()) {
-                read_jobs(after_key(reply.rows.back().id.key));
-            } else {
-                read_runs({});
-            }
-        });
-}
-
-void leader::read_runs(const std::string& from)
-{
-    ports_.rows->read({"runs", options_.part, from, {}, page_rows},
-                      [this, from, alive = alive_](const store::read_reply& reply) {
-                          if (!*alive) {
-                              return;
-                          }
-                          if (reply.outcome != store::call_outcome::done) {
-                              ports_.time->after(read_retry, [this, from, alive] {
-                                  if (*alive) {
-                                      read_runs(from);
-                                  }
-                              });
-                              return;
-                          }
-                          for (const auto& stored : reply.rows) {
-                              take_run_row(stored);
-                          }
-                          if (reply.truncated && !reply.rows.empty()) {
-                              read_runs(after_key(reply.rows.back().id.key));
-                          } else {
-                              runs_read_ = true;
-                              begin_work();
-                          }
-                      });
-}
-
-void leader::take_run_row(const store::row& stored)
-{
-    const auto found = jobs_.find(stored.id.key);
-    auto record = batch::decode_runs(stored.value);
-    if (found == jobs_.end()) {
-        log.warning("run_record_without_job", {{"job", stored.id.key}});
-        return;
-    }
-    if (!record.has_value()) {
-        log.error("run_record_unreadable",
-                  {{"job", stored.id.key}, {"detail", record.error().detail}});
-        return;
-    }
-    auto& entry = found->second;
-    if (!entry.state.restore(std::move(record.value().occurrences), record.value().failed)) {
-        log.error("run_record_of_another_shape", {{"job", stored.id.key}});
-        return;
-    }
-    entry.shown = entry.state.status();
-}
-
-void leader::begin_work()
-{
-    if (active_ || !runs_read_ || !workers_read_) {
-        return;
-    }
-    active_ = true;
-    std::size_t adopted = 0;
-    for (auto& [id, entry] : jobs_) {
-        adopted += adopt_placed(entry);
-        if (!entry.state.open()) {
-            stop_job(entry, entry.state.cancelled() ? stop_reason::cancelled : stop_reason::failed);
-            mark_dirty(id);
-        }
-        show(id, entry, entry.state.status());
-    }
-    log.info("took_over", {{"epoch", epoch_},
-                           {"jobs", jobs_.size()},
-                           {"placed_tasks", adopted},
-                           {"workers", workers_.size()},
-                           {"took_ms", base::milliseconds_between(began_, ports_.time->now())}});
-    follow_jobs();
-    follow_workers();
-    tick();
+    return {"runs", options_.parts.name(part), key};
 }
 
 void leader::follow_jobs()
 {
     ports_.rows->follow(
         {"jobs", jobs_version_, feed_wait}, [this, alive = alive_](const store::feed_reply& reply) {
-            if (!*alive) {
+            if (!*alive || lost_) {
                 return;
             }
             if (reply.outcome == store::call_outcome::done) {
                 for (const auto& changed : reply.rows) {
-                    if (!changed.removed && changed.current.id.part == options_.part) {
-                        take_row(changed.current);
+                    if (!changed.removed) {
+                        hear_row(changed.current);
                     }
                 }
                 jobs_version_ = std::max(jobs_version_, reply.version);
@@ -162,7 +58,10 @@
             }
             if (reply.outcome == store::call_outcome::expired) {
                 log.warning("job_history_gone", {{"after", jobs_version_}});
-                reread_jobs({});
+                jobs_version_ = 0;
+                for (std::size_t part = 0; part < parts_.size(); ++part) {
+                    reread_jobs(part, {});
+                }
                 return;
             }
             ports_.time->after(feed_retry, [this, alive] {
@@ -173,51 +72,58 @@
         });
 }
 
-void leader::reread_jobs(const std::string& from)
+void leader::reread_jobs(std::size_t part, const std::string& from)
 {
-    ports_.rows->read({"jobs", options_.part, from, {}, page_rows},
-                      [this, from, alive = alive_](const store::read_reply& reply) {
-                          if (!*alive) {
+    if (parts_.at(part).phase != part_phase::active) {
+        return;
+    }
+    ports_.rows->read({"jobs", options_.parts.name(part), from, {}, page_rows},
+                      [this, part, from, alive = alive_](const store::read_reply& reply) {
+                          if (!*alive || lost_) {
                               return;
                           }
                           if (reply.outcome != store::call_outcome::done) {
-                              ports_.time->after(read_retry, [this, from, alive] {
+                              ports_.time->after(read_retry, [this, part, from, alive] {
                                   if (*alive) {
-                                      reread_jobs(from);
+                                      reread_jobs(part, from);
                                   }
                               });
                               return;
                           }
-                          if (from.empty()) {
-                              reread_version_ = reply.version;
-                          }
                           for (const auto& seen : reply.rows) {
-                              take_row(seen);
+                              take_row(part, seen);
                           }
                           if (reply.truncated && !reply.rows.empty()) {
-                              reread_jobs(after_key(reply.rows.back().id.key));
+                              reread_jobs(part, after_key(reply.rows.back().id.key));
                               return;
                           }
-                          jobs_version_ = std::max(jobs_version_, reread_version_);
-                          follow_jobs();
+                          if (jobs_version_ == 0) {
+                              // The first part that is read again says where following goes on;
+                              // the others are read as they answer.
+                              jobs_version_ = reply.version;
+                              follow_jobs();
+                          }
                       });
 }
 
 void leader::hear_row(const store::row& seen)
 {
-    if (active_) {
-        take_row(seen);
+    const auto part = options_.parts.index_of(seen.id.part);
+    // Rows of a part that is not read yet are seen when it is.
+    if (active_ && part < parts_.size() && parts_.at(part).phase == part_phase::active) {
+        take_row(part, seen);
     }
 }
 
-void leader::take_row(const store::row& seen)
+void leader::take_row(std::size_t part, const store::row& seen)
 {
     const std::string_view key{seen.id.key};
     if (key.ends_with(cancel_suffix)) {
-        cancel_job(std::string{key.substr(0, key.size() - cancel_suffix.size())});
+        cancel_job(std::string{key.substr(0, key.size() - cancel_suffix.size())}, part);
         return;
     }
-    if (jobs_.contains(seen.id.key) || ended_ids_.contains(seen.id.key)) {
+    const auto known = jobs_.find(seen.id.key);
+    if (known != jobs_.end() && known->second.part == part) {
         return;
     }
     auto decoded = batch::decode_job_row(seen.value);
@@ -227,51 +133,80 @@
         return;
     }
     if (auto* const finished = std::get_if<batch::finished_job>(&decoded.value())) {
-        ended_.emplace_back(seen.id.key, finished->ended_store_ms);
-        ended_ids_.insert(seen.id.key);
+        if (ended_ids_.insert(seen.id.key).second) {
+            ended_.push_back({seen.id.key, part, finished->ended_store_ms});
+        }
+        return;
+    }
+    if (known != jobs_.end() || ended_ids_.contains(seen.id.key)) {
+        drop_duplicate(part, seen.id.key);
+        return;
+    }
+    add_job(std::get<batch::submission>(std::move(decoded).value()), part);
+}
+
+void leader::drop_duplicate(std::size_t part, const std::string& id)
+{
+    // The same submission reached two parts because an answer was lost. It remains one job.
+    const auto ended = std::ranges::find(ended_, id, &ended_job::id);
+    if (ended != ended_.end() && ended->part == part) {
+        // The row as it was before the job ended, seen late.
         return;
     }
-    add_job(std::get<batch::submission>(std::move(decoded).value()));
+    log.warning("duplicate_dropped", {{"job", id}, {"part", options_.parts.name(part)}});
+    if (parts_.at(part).journal) {
+        parts_.at(part).journal->add({{{jobs_row(part, id), std::nullopt}}, {}});
+    }
 }
 
-void leader::add_job(batch::submission accepted)
+void leader::add_job(batch::submission accepted, std::size_t part)
 {
     const auto id = accepted.job;
     const auto queue = accepted.policy.queue;
     const auto age_ms = ports_.time->unix_ms() - accepted.accepted_ms;
-    const auto [position, added] = jobs_.emplace(id, job_entry{std::move(accepted)});
+    const auto position = jobs_.emplace(id, job_entry{std::move(accepted), part}).first;
     position->second.known_since = ports_.time->now();
     log.info("job_known", {{"job", id},
                            {"queue", queue},
                            {"workspace", position->second.state.accepted().workspace},
+                           {"part", options_.parts.name(part)},
                            {"age_ms", age_ms},
                            {"epoch", epoch_}});
-    if (early_cancels_.erase(id) > 0) {
-        cancel_job(id);
+    const auto cancels = early_cancels_.extract(id);
+    if (!cancels.empty()) {
+        for (const auto cancel_part : cancels.mapped()) {
+            cancel_job(id, cancel_part);
+        }
     }
-    if (active_) {
+    if (active_ && parts_.at(part).phase == part_phase::active) {
         show(id, position->second, batch::job_status::pending);
         plan_soon();
     }
 }
 
-void leader::cancel_job(const std::string& id)
+void leader::cancel_job(const std::string& id, std::size_t part)
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
-        if (!ended_ids_.contains(id)) {
-            early_cancels_.insert(id);
+        if (ended_ids_.contains(id)) {
+            // Nothing is left to cancel; the wish goes too.
+            if (parts_.at(part).journal) {
+                const auto row = jobs_row(part, id + std::string{cancel_suffix});
+                parts_.at(part).journal->add({{{row, std::nullopt}}, {}});
+            }
+        } else {
+            early_cancels_[id].insert(part);
         }
         return;
     }
     auto& entry = found->second;
-    entry.cancel_row = true;
+    entry.cancel_parts.insert(part);
     if (entry.state.cancelled()) {
         return;
     }
     entry.state.cancel();
     log.info("job_cancelled", {{"job", id}, {"placed_tasks", entry.state.placed_tasks()}});
-    if (active_) {
+    if (active_ && parts_.at(entry.part).phase == part_phase::active) {
         stop_job(entry, stop_reason::cancelled);
         mark_dirty(id);
     }
@@ -312,7 +247,33 @@
         }
     }
     for (auto& after : std::exchange(after_flush_, {})) {
-        journal_->add({{}, std::move(after)});
+        when_durable(std::move(after));
+    }
+}
+
+void leader::when_durable(std::function<void()> done)
+{
+    if (handing_back_ || lost_) {
+        // Nothing that is added now becomes durable here.
+        return;
+    }
+    std::vector<store::journal*> busy;
+    for (auto& part : parts_) {
+        if (part.journal && part.journal->backlog() > 0) {
+            busy.push_back(part.journal.get());
+        }
+    }
+    if (busy.empty()) {
+        done();
+        return;
+    }
+    auto left = std::make_shared<std::size_t>(busy.size());
+    for (auto* const journal : busy) {
+        journal->add({{}, [left, done] {
+                          if (--*left == 0) {
+                              done();
+                          }
+                      }});
     }
 }
 
@@ -321,7 +282,7 @@
     const auto status = entry.state.status();
     auto orders = std::exchange(entry.unsent, {});
     store::journal_entry written;
-    written.writes.push_back({runs_row(id), batch::encode_runs(entry.state)});
+    written.writes.push_back({runs_row(entry.part, id), batch::encode_runs(entry.state)});
     written.on_durable = [this, id, status, orders = std::move(orders)] {
         const auto found = jobs_.find(id);
         if (found != jobs_.end()) {
@@ -331,7 +292,7 @@
             send_start(key);
         }
     };
-    journal_->add(std::move(written));
+    parts_.at(entry.part).journal->add(std::move(written));
 }
 
 void leader::close_job(const std::string& id, job_entry& entry)
@@ -339,17 +300,24 @@
     entry.closing = true;
     const auto status = entry.state.status();
     const auto& accepted = entry.state.accepted();
-    const auto store_ms = journal_->store_ms();
+    const auto part = entry.part;
+    auto& journal = *parts_.at(part).journal;
+    const auto store_ms = journal.store_ms();
     store::journal_entry written;
     written.writes.push_back(
-        {jobs_row(id),
+        {jobs_row(part, id),
          batch::encode(batch::finished_job{status, accepted.policy.queue, accepted.workspace,
                                            store_ms})});
-    written.writes.push_back({runs_row(id), std::nullopt});
-    if (entry.cancel_row) {
-        written.writes.push_back({jobs_row(id + std::string{cancel_suffix}), std::nullopt});
+    written.writes.push_back({runs_row(part, id), std::nullopt});
+    for (const auto cancel_part : entry.cancel_parts) {
+        const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
+        if (cancel_part == part) {
+            written.writes.push_back({row, std::nullopt});
+        } else if (parts_.at(cancel_part).journal) {
+            parts_.at(cancel_part).journal->add({{{row, std::nullopt}}, {}});
+        }
     }
-    written.on_durable = [this, id, status, store_ms] {
+    written.on_durable = [this, id, part, status, store_ms] {
         const auto found = jobs_.find(id);
         if (found == jobs_.end()) {
             return;
@@ -361,10 +329,10 @@
                                {"age_ms", ports_.time->unix_ms() - ended.accepted_ms}});
         show(id, found->second, status);
         jobs_.erase(found);
-        ended_.emplace_back(id, store_ms);
+        ended_.push_back({id, part, store_ms});
         ended_ids_.insert(id);
     };
-    journal_->add(std::move(written));
+    journal.add(std::move(written));
 }
 
 void leader::show(const std::string& id, job_entry& entry, batch::job_status status)
@@ -379,16 +347,20 @@
 void leader::forget_old_jobs()
 {
     const auto keep = options_.status_retention + retention_slack;
-    store::journal_entry written;
-    while (!ended_.empty() && written.writes.size() < rows_forgotten_at_once &&
-           journal_->store_ms() - ended_.front().second > keep.count()) {
-        written.writes.push_back({jobs_row(ended_.front().first), std::nullopt});
-        ended_ids_.erase(ended_.front().first);
+    std::size_t forgotten = 0;
+    while (!ended_.empty() && forgotten < rows_forgotten_at_once) {
+        const auto& oldest = ended_.front();
+        const auto& journal = parts_.at(oldest.part).journal;
+        if (!journal || journal->store_ms() - oldest.store_ms <= keep.count()) {
+            break;
+        }
+        journal->add({{{jobs_row(oldest.part, oldest.id), std::nullopt}}, {}});
+        ended_ids_.erase(oldest.id);
         ended_.pop_front();
+        ++forgotten;
     }
-    if (!written.writes.empty()) {
-        log.info("old_jobs_forgotten", {{"count", written.writes.size()}});
-        journal_->add(std::move(written));
+    if (forgotten > 0) {
+        log.info("old_jobs_forgotten", {{"count", forgotten}});
     }
 }
 
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -18,7 +18,7 @@
 /// Between looks at a worker that does not answer.
 constexpr base::milliseconds silent_look_interval{250};
 /// Between looks while ends wait for the store.
-constexpr base::milliseconds storing_look_interval{1'000};
+constexpr base::milliseconds storing_look_interval{400};
 /// A run whose order was answered is shown by looks that were sent this much later.
 constexpr base::milliseconds look_slack{5};
 
@@ -163,6 +163,8 @@
     worker.clock = {};
     worker.acknowledged = 0;
     worker.seen = 0;
+    worker.unstored_ends.clear();
+    worker.hidden_runs = 0;
     worker.fenced = false;
     worker.silent_looks = 0;
     worker.greatest_lease = 0;
@@ -175,7 +177,7 @@
     if (worker.facts.address.empty()) {
         return false;
     }
-    return !worker.runs.empty() || worker.seen > worker.acknowledged ||
+    return !worker.runs.empty() || worker.hidden_runs > 0 || worker.seen > worker.acknowledged ||
            (!worker.fenced && worker.listed);
 }
 
@@ -185,8 +187,7 @@
         return std::nullopt;
     }
     const auto authority =
-        std::chrono::duration_cast<base::milliseconds>(journal_->confirmed_at() +
-                                                       options_.authority - now);
+        std::chrono::duration_cast<base::milliseconds>(confirmed_at() + options_.authority - now);
     const auto length = std::min(options_.longest_lease, authority);
     if (length <= base::milliseconds{0}) {
         return std::nullopt;
@@ -198,6 +199,9 @@
 
 void leader::look(worker_state& worker)
 {
+    if (handing_back_ || lost_) {
+        return;
+    }
     const auto now = ports_.time->now();
     fleet::look_order order;
     order.to = {worker.facts.life, worker.facts.address};
@@ -207,7 +211,7 @@
     if (worker.silent_looks == 0) {
         order.lease_until = lease_for(worker, now);
     }
-    const bool settled = worker.fenced && worker.silent_looks == 0 && !worker.storing_ends &&
+    const bool settled = worker.fenced && worker.silent_looks == 0 && worker.unstored_ends.empty() &&
                          worker.seen == worker.acknowledged && !worker.urgent_look;
     order.wait = settled ? options_.look_wait : base::milliseconds{0};
     worker.urgent_look = false;
@@ -241,7 +245,7 @@
     case fleet::order_outcome::fenced:
         // Another VM leads. The next commit says who; nothing is decided from the worker's word.
         log.warning("fenced_by_worker", {{"worker", id}, {"epoch", epoch_}});
-        journal_->add({});
+        prove_leadership();
         worker.next_look_at = now + storing_look_interval;
         return;
     case fleet::order_outcome::other_life:
@@ -284,7 +288,7 @@
     if (first) {
         plan_soon();
     }
-    if (needs_look(worker) && !worker.storing_ends && worker.looks_under_way == 0) {
+    if (needs_look(worker) && worker.unstored_ends.empty() && worker.looks_under_way == 0) {
         look(worker);
     }
 }
@@ -292,11 +296,17 @@
 void leader::take_running(worker_state& worker, const fleet::look_reply& reply)
 {
     const auto now = ports_.time->now();
+    worker.hidden_runs = 0;
     for (const auto& running : reply.running) {
         const auto task = batch::to_text(running.task);
         const auto found = worker.runs.find(task);
         if (found == worker.runs.end() || found->second.run != running.run) {
-            stop_unknown(worker, running);
+            if (all_parts_active()) {
+                stop_unknown(worker, running);
+            } else {
+                // It may belong to a part that can't be read yet.
+                ++worker.hidden_runs;
+            }
             continue;
         }
         auto& run = found->second;
@@ -338,25 +348,35 @@
     if (!any) {
         return;
     }
-    worker.storing_ends = true;
     const auto id = worker.facts.life.worker;
     const auto born = worker.facts.life.born;
-    after_flush_.emplace_back([this, id, born, number = worker.seen] {
-        const auto found = workers_.find(id);
-        if (found == workers_.end() || found->second->facts.life.born != born) {
-            return;
-        }
-        auto& stored = *found->second;
-        stored.acknowledged = std::max(stored.acknowledged, number);
-        stored.storing_ends = stored.seen > stored.acknowledged;
-        if (!stored.storing_ends && stored.looks_under_way == 0 && stored.silent_looks == 0) {
-            look(stored);
-        }
-    });
+    worker.unstored_ends.insert(worker.seen);
+    after_flush_.emplace_back(
+        [this, id, born, number = worker.seen] { ends_stored(id, born, number); });
     flush_soon();
     plan_soon();
 }
 
+void leader::ends_stored(const std::string& id, std::uint64_t born, std::uint64_t number)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end() || found->second->facts.life.born != born) {
+        return;
+    }
+    auto& worker = *found->second;
+    worker.unstored_ends.erase(number);
+    // Ends of a part that is away come before later ones that are stored already.
+    const auto stored = worker.unstored_ends.empty() ? worker.seen
+                        : *worker.unstored_ends.begin() > number
+                            ? number
+                            : worker.acknowledged;
+    worker.acknowledged = std::max(worker.acknowledged, stored);
+    const bool all_stored = worker.unstored_ends.empty();
+    if (all_stored && worker.looks_under_way == 0 && worker.silent_looks == 0) {
+        look(worker);
+    }
+}
+
 void leader::take_end(worker_state& worker, const fleet::ended_task& end)
 {
     const auto task = batch::to_text(end.task);
@@ -405,6 +425,16 @@
     }
 }
 
+void leader::prove_leadership()
+{
+    // The next commit tells whether another VM has taken the lease.
+    for (auto& part : parts_) {
+        if (part.journal) {
+            part.journal->add({});
+        }
+    }
+}
+
 base::time_point leader::lease_over_at(const worker_state& worker) const
 {
     // What an earlier leader may have granted, or this one to an earlier life.
@@ -442,8 +472,8 @@
     check_silent(worker);
     tend_runs(worker);
     const bool due = now >= worker.next_look_at;
-    const bool stuck = worker.storing_ends && now - worker.answered_at >= storing_look_interval;
-    const bool idle = worker.looks_under_way == 0 && (!worker.storing_ends || stuck);
+    const bool stuck = !worker.unstored_ends.empty() && now - worker.answered_at >= storing_look_interval;
+    const bool idle = worker.looks_under_way == 0 && (worker.unstored_ends.empty() || stuck);
     const bool urgent = worker.urgent_look && worker.looks_under_way < 2;
     if (due && needs_look(worker) && (idle || urgent)) {
         look(worker);
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -2,6 +2,8 @@
 
 #include "base/event_line.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -14,6 +16,9 @@
 constexpr base::event_logger log{"leadership"};
 constexpr base::milliseconds tick_interval{100};
 constexpr base::milliseconds retry{200};
+/// The low bits of an epoch tell VMs apart.
+constexpr std::uint32_t epoch_tag_bits = 10;
+constexpr std::uint64_t epoch_tag_mask = (std::uint64_t{1} << epoch_tag_bits) - 1;
 /// Time in which the VM that a leaving leader has named takes the lease.
 constexpr base::milliseconds successor_head_start{300};
 /// Steps between candidates, so that one of them is first.
@@ -75,14 +80,14 @@
         not_before_ = ports_.time->now() + successor_head_start;
         return;
     }
-    if (busy_ || left_) {
+    if (busy_ || left_ || beat.lease_part >= options_.parts.size()) {
         not_before_ = {};
         return;
     }
     busy_ = true;
     store::lease_record record;
     record.epoch = beat.epoch;
-    take_lease(beat.lease_version, record);
+    take_lease(beat.lease_part, beat.lease_version, record);
 }
 
 void leadership::step_down(const store::lease_record& found)
@@ -125,7 +130,7 @@
         return;
     }
     busy_ = true;
-    read_lease();
+    read_lease(0);
 }
 
 void leadership::try_again(base::milliseconds delay)
@@ -134,25 +139,30 @@
     not_before_ = ports_.time->now() + delay;
 }
 
-void leadership::read_lease()
+void leadership::read_lease(std::size_t part)
 {
-    const auto lease = store::lease_row(options_.part);
+    const auto lease = store::lease_row(options_.parts.name(part));
     ports_.rows->read({lease.table, lease.part, lease.key, lease.key + '\0', 1},
-                      [this, alive = alive_](const store::read_reply& reply) {
+                      [this, part, alive = alive_](const store::read_reply& reply) {
                           if (*alive) {
-                              take_lease_row(reply);
+                              take_lease_row(part, reply);
                           }
                       });
 }
 
-void leadership::take_lease_row(const store::read_reply& reply)
+void leadership::take_lease_row(std::size_t part, const store::read_reply& reply)
 {
-    if (reply.outcome != store::call_outcome::done || left_ || leading_) {
+    const bool answered = reply.outcome == store::call_outcome::done;
+    if (!answered && part + 1 < options_.parts.size()) {
+        read_lease(part + 1);
+        return;
+    }
+    if (!answered || left_ || leading_) {
         try_again(retry);
         return;
     }
     if (reply.rows.empty()) {
-        take_lease(0, {});
+        take_lease(part, 0, {});
         return;
     }
     const auto& row = reply.rows.front();
@@ -163,19 +173,21 @@
         return;
     }
     const auto& record = decoded.value();
-    if (row.version != row_version_) {
+    if (row.version != row_version_ || part != row_part_) {
+        row_part_ = part;
         row_version_ = row.version;
         row_seen_at_ = ports_.time->now();
     }
     auto round = std::make_shared<canvass>();
     round->record = record;
+    round->part = part;
     round->version = row.version;
     const bool own = record.holder == options_.self.vm;
     if (own && record.holder_born == options_.self.born) {
         // A try of ours took effect though its answer was lost.
-        elected(record, row.version);
+        elected(record, part, row.version);
     } else if (own) {
-        take_lease(row.version, record);
+        take_lease(part, row.version, record);
     } else {
         ask_others(round);
     }
@@ -281,25 +293,34 @@
             try_again(retry);
             return;
         }
-        take_lease(round->version, round->record);
+        take_lease(round->part, round->version, round->record);
     });
 }
 
-void leadership::take_lease(store::row_version version, const store::lease_record& record)
+std::uint64_t leadership::next_epoch(std::uint64_t found) const
+{
+    // Two VMs that take different parts at the same moment must not share a fencing token.
+    const auto counter = (std::max(found, epoch_) >> epoch_tag_bits) + 1;
+    const auto tag = XXH64(options_.self.vm.data(), options_.self.vm.size(), options_.self.born);
+    return (counter << epoch_tag_bits) | (tag & epoch_tag_mask);
+}
+
+void leadership::take_lease(std::size_t part, store::row_version version,
+                            const store::lease_record& record)
 {
-    const auto lease = store::lease_row(options_.part);
+    const auto lease = store::lease_row(options_.parts.name(part));
     store::lease_record taken{options_.self.vm, options_.self.born, options_.self.address,
-                              std::max(record.epoch, epoch_) + 1, 0};
+                              next_epoch(record.epoch), 0};
     store::transaction take;
     take.expected.push_back({lease, version});
     take.puts.push_back({lease, store::encode(taken)});
-    ports_.rows->commit(std::move(take), [this, taken, lease,
+    ports_.rows->commit(std::move(take), [this, part, taken, lease,
                                           alive = alive_](const store::commit_reply& reply) {
         if (!*alive) {
             return;
         }
         if (reply.outcome == store::call_outcome::done) {
-            elected(taken, reply.version);
+            elected(taken, part, reply.version);
             return;
         }
         if (reply.outcome == store::call_outcome::conflict) {
@@ -307,7 +328,7 @@
                 const auto found = store::decode_lease(row.value);
                 if (row.id == lease && found.has_value() &&
                     found.value().holder_born == options_.self.born) {
-                    elected(found.value(), row.version);
+                    elected(found.value(), part, row.version);
                     return;
                 }
             }
@@ -318,7 +339,8 @@
     });
 }
 
-void leadership::elected(const store::lease_record& record, store::row_version version)
+void leadership::elected(const store::lease_record& record, std::size_t part,
+                         store::row_version version)
 {
     busy_ = false;
     if (left_) {
@@ -331,7 +353,7 @@
     leader_ = options_.self;
     log.info("elected", {{"epoch", epoch_}, {"silence_ms", base::milliseconds_between(
                                                                heard_at_, ports_.time->now())}});
-    ports_.on_elected(record, version);
+    ports_.on_elected(record, part, version);
 }
 
 } // namespace poplarstile::control
--- a/src/control/leadership.hpp
+++ b/src/control/leadership.hpp
@@ -3,6 +3,7 @@
 #include "base/timers.hpp"
 #include "cluster/cluster_message.hpp"
 #include "store/lease_record.hpp"
+#include "store/part_map.hpp"
 #include "store/row_store.hpp"
 
 #include <cstdint>
@@ -25,7 +26,8 @@
 };
 
 struct leadership_options {
-    std::string part{};
+    /// Each part has a lease row; the first that answers decides who leads.
+    store::part_map parts{};
     cluster::vm_entry self{};
     /// Silence of the leader after which the others are asked whether they hear it.
     base::milliseconds leader_silence{1'000};
@@ -43,7 +45,9 @@
     /// All VMs known, this one not among them.
     std::function<std::vector<cluster::vm_entry>()> vms{};
     /// This VM has written the lease row and leads from now on.
-    std::function<void(const store::lease_record& lease, store::row_version version)> on_elected{};
+    std::function<void(const store::lease_record& lease, std::size_t part,
+                       store::row_version version)>
+        on_elected{};
     /// A VM has answered that may not be known yet.
     std::function<void(const cluster::vm_entry& vm)> on_vm{};
 };
@@ -67,7 +71,7 @@
     /// This VM no longer leads; `found` is the lease row as it is.
     void step_down(const store::lease_record& found);
 
-    /// Takes no part any more.
+    /// Never tries to lead again.
     void leave();
 
     [[nodiscard]] bool leading() const
@@ -89,6 +93,7 @@
     /// One look round before the lease row is taken.
     struct canvass {
         store::lease_record record{};
+        std::size_t part = 0;
         store::row_version version = 0;
         std::size_t asked = 0;
         std::size_t waiting = 0;
@@ -102,14 +107,16 @@
     void tick();
     void tick_later();
     [[nodiscard]] bool wants_to_lead() const;
-    void read_lease();
-    void take_lease_row(const store::read_reply& reply);
+    void read_lease(std::size_t part);
+    void take_lease_row(std::size_t part, const store::read_reply& reply);
     void ask_others(const std::shared_ptr<canvass>& round);
     void take_answer(canvass& round, const std::optional<cluster::message>& answer);
     void conclude(const std::shared_ptr<canvass>& round);
     [[nodiscard]] bool may_take(const canvass& round);
-    void take_lease(store::row_version version, const store::lease_record& record);
-    void elected(const store::lease_record& record, store::row_version version);
+    void take_lease(std::size_t part, store::row_version version,
+                    const store::lease_record& record);
+    void elected(const store::lease_record& record, std::size_t part, store::row_version version);
+    [[nodiscard]] std::uint64_t next_epoch(std::uint64_t found) const;
     void try_again(base::milliseconds delay);
 
     leadership_ports ports_;
@@ -123,7 +130,8 @@
     bool left_ = false;
     bool busy_ = false;
     base::time_point not_before_{};
-    /// The lease row as it was first seen at its version.
+    /// The lease row that was read last, since it was first seen at its version.
+    std::size_t row_part_ = 0;
     store::row_version row_version_ = 0;
     base::time_point row_seen_at_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/control/run_book.hpp
+++ b/src/control/run_book.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -87,8 +88,10 @@
     std::uint32_t looks_under_way = 0;
     /// Something waits for the next look; it goes out beside one that waits for an end.
     bool urgent_look = false;
-    /// Ends are on their way to the store; the next look acknowledges them.
-    bool storing_ends = false;
+    /// Numbers up to which ends were taken in that are not durable yet.
+    std::set<std::uint64_t> unstored_ends{};
+    /// Runs shown there that no known job has.
+    std::uint32_t hidden_runs = 0;
     /// Looks without an answer since the last one that had one.
     std::uint32_t silent_looks = 0;
     base::time_point answered_at{};
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -57,6 +57,24 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+/// Jobs of a queue without a record of runs.
+std::uint32_t waiting_in(const store::read_reply& jobs, const store::read_reply& runs,
+                         const std::string& queue)
+{
+    std::uint32_t waiting = 0;
+    for (const auto& row : jobs.rows) {
+        const bool started = std::ranges::any_of(
+            runs.rows, [&row](const store::row& run) { return run.id.key == row.id.key; });
+        const auto decoded = batch::decode_job_row(row.value);
+        if (started || !decoded.has_value()) {
+            continue;
+        }
+        const auto* const accepted = std::get_if<batch::submission>(&decoded.value());
+        waiting += accepted != nullptr && accepted->policy.queue == queue ? 1 : 0;
+    }
+    return waiting;
+}
+
 } // namespace
 
 /// A call on its way to its answer.
@@ -74,6 +92,7 @@
     std::uint32_t tries = 0;
     /// A try went out whose effect is not known.
     bool in_doubt = false;
+    std::optional<std::size_t> part{};
 };
 
 door::door(door_ports ports, door_options options)
@@ -86,9 +105,31 @@
     *alive_ = false;
 }
 
-store::row_id door::jobs_row(const std::string& key) const
+store::row_id door::jobs_row(std::size_t part, const std::string& key) const
+{
+    return {"jobs", options_.parts.name(part), key};
+}
+
+base::milliseconds door::store_away() const
 {
-    return {"jobs", options_.part, key};
+    auto shortest = base::milliseconds::max();
+    for (const auto& part : options_.parts.names()) {
+        const auto away = ports_.rows->away(part);
+        shortest = std::min(shortest, away.value_or(base::milliseconds{0}));
+    }
+    return shortest;
+}
+
+std::optional<std::size_t> door::choose_part(const std::string& job) const
+{
+    const auto home = options_.parts.home_of(job);
+    for (std::size_t step = 0; step < options_.parts.size(); ++step) {
+        const auto part = (home + step) % options_.parts.size();
+        if (!ports_.rows->away(options_.parts.name(part))) {
+            return part;
+        }
+    }
+    return std::nullopt;
 }
 
 bool door::may_decide() const
@@ -161,20 +202,25 @@
     accepted.spec = std::move(decoded).value();
     accepted.accepted_ms = ports_.time->unix_ms();
     call->row = batch::encode(accepted);
-    if (const auto away = ports_.rows->away()) {
-        // Nothing was sent, so this call certainly had no effect.
-        finish(call, call_refused{call_refused::cause::store_away, retry_after_outage(*away)});
-        return;
-    }
     store_submission(call);
 }
 
 void door::store_submission(const call_ptr& call)
 {
+    // A try whose effect is not known is only ever repeated where it was made.
+    const auto part = call->in_doubt ? call->part : choose_part(call->job);
+    if (!part) {
+        // Nothing was sent, so this call certainly had no effect.
+        finish(call,
+               call_refused{call_refused::cause::store_away, retry_after_outage(store_away())});
+        return;
+    }
+    call->part = part;
     ++call->tries;
+    const auto row = jobs_row(*part, call->job);
     store::transaction insert;
-    insert.expected.push_back({jobs_row(call->job), 0});
-    insert.puts.push_back({jobs_row(call->job), call->row});
+    insert.expected.push_back({row, 0});
+    insert.puts.push_back({row, call->row});
     ports_.rows->commit(std::move(insert),
                         [this, call, alive = alive_](const store::commit_reply& reply) {
                             if (*alive) {
@@ -187,7 +233,7 @@
 {
     switch (reply.outcome) {
     case store::call_outcome::done:
-        ports_.on_stored({jobs_row(call->job), call->row, reply.version});
+        ports_.on_stored({jobs_row(*call->part, call->job), call->row, reply.version});
         ports_.views->note(
             {call->job, call->queue->policy.queue, call->workspace, batch::job_status::pending});
         finish(call, job_accepted{});
@@ -219,23 +265,44 @@
         }
         return;
     }
-    read_job(call, [this, call](const store::row* row) { show_row(call, row); });
+    find_job(call, [this, call](const store::row* row) { show_row(call, row); });
 }
 
-void door::read_job(const call_ptr& call, std::function<void(const store::row*)> found)
+void door::find_job(const call_ptr& call, std::function<void(const store::row*)> found)
 {
     ++counters_.store_reads;
+    find_job_in(call, 0, std::move(found));
+}
+
+void door::find_job_in(const call_ptr& call, std::size_t tried,
+                       std::function<void(const store::row*)> found)
+{
+    if (tried == options_.parts.size()) {
+        found(nullptr);
+        return;
+    }
+    const auto part = (options_.parts.home_of(call->job) + tried) % options_.parts.size();
     ports_.rows->read(
-        {"jobs", options_.part, call->job, call->job + '\0', 1},
-        [this, call, found = std::move(found), alive = alive_](const store::read_reply& reply) {
+        {"jobs", options_.parts.name(part), call->job, call->job + '\0', 1},
+        [this, call, tried, found = std::move(found),
+         alive = alive_](const store::read_reply& reply) {
             if (!*alive) {
                 return;
             }
-            if (reply.outcome == store::call_outcome::done) {
-                found(reply.rows.empty() ? nullptr : &reply.rows.front());
-                return;
+            const auto away = ports_.rows->away(options_.parts.name(
+                (options_.parts.home_of(call->job) + tried) % options_.parts.size()));
+            if (reply.outcome != store::call_outcome::done && away) {
+                finish(call, call_refused{call_refused::cause::store_away,
+                                          retry_after_outage(*away)});
+            } else if (reply.outcome != store::call_outcome::done) {
+                // Without this part's word nobody can say that there is no such job.
+                retry(call, [this, call, tried, found] { find_job_in(call, tried, found); },
+                      call_unsettled{});
+            } else if (reply.rows.empty()) {
+                find_job_in(call, tried + 1, found);
+            } else {
+                found(&reply.rows.front());
             }
-            retry(call, [this, call, found] { read_job(call, found); }, call_unsettled{});
         });
 }
 
@@ -257,7 +324,7 @@
         return;
     }
     // Accepted and not over; whether a task has begun stands in the record of its runs.
-    ports_.rows->read({"runs", options_.part, call->job, call->job + '\0', 1},
+    ports_.rows->read({"runs", row->id.part, call->job, call->job + '\0', 1},
                       [this, call, alive = alive_](const store::read_reply& reply) {
                           if (!*alive) {
                               return;
@@ -275,50 +342,42 @@
         finish(call, queue_shown{load->waiting});
         return;
     }
-    count_waiting(call);
+    count_waiting(call, 0, 0);
 }
 
-void door::count_waiting(const call_ptr& call)
+void door::count_waiting(const call_ptr& call, std::size_t part, std::uint32_t counted)
 {
+    if (part == options_.parts.size()) {
+        finish(call, queue_shown{counted});
+        return;
+    }
     ++counters_.store_reads;
+    const auto again = [this, call, part, counted] { count_waiting(call, part, counted); };
+    const auto& name = options_.parts.name(part);
     ports_.rows->read(
-        {"jobs", options_.part, {}, {}, scan_rows},
-        [this, call, alive = alive_](const store::read_reply& jobs) {
+        {"jobs", name, {}, {}, scan_rows},
+        [this, call, part, counted, again, name, alive = alive_](const store::read_reply& jobs) {
             if (!*alive) {
                 return;
             }
             if (jobs.outcome != store::call_outcome::done) {
-                retry(call, [this, call] { count_waiting(call); }, call_unsettled{});
+                retry(call, again, call_unsettled{});
                 return;
             }
-            ports_.rows->read(
-                {"runs", options_.part, {}, {}, scan_rows},
-                [this, call, jobs, alive](const store::read_reply& runs) {
-                    if (!*alive) {
-                        return;
-                    }
-                    if (runs.outcome != store::call_outcome::done) {
-                        retry(call, [this, call] { count_waiting(call); }, call_unsettled{});
-                        return;
-                    }
-                    std::uint32_t waiting = 0;
-                    for (const auto& row : jobs.rows) {
-                        const bool started =
-                            std::ranges::any_of(runs.rows, [&row](const store::row& run) {
-                                return run.id.key == row.id.key;
-                            });
-                        const auto decoded = batch::decode_job_row(row.value);
-                        if (started || !decoded.has_value()) {
-                            continue;
-                        }
-                        const auto* const accepted =
-                            std::get_if<batch::submission>(&decoded.value());
-                        const bool here = accepted != nullptr &&
-                                          accepted->policy.queue == call->queue->policy.queue;
-                        waiting += here ? 1 : 0;
-                    }
-                    finish(call, queue_shown{waiting});
-                });
+            ports_.rows->read({"runs", name, {}, {}, scan_rows},
+                              [this, call, part, counted, again, jobs,
+                               alive](const store::read_reply& runs) {
+                                  if (!*alive) {
+                                      return;
+                                  }
+                                  if (runs.outcome != store::call_outcome::done) {
+                                      retry(call, again, call_unsettled{});
+                                      return;
+                                  }
+                                  count_waiting(call, part + 1,
+                                                counted + waiting_in(jobs, runs,
+                                                                     call->queue->policy.queue));
+                              });
         });
 }
 
@@ -334,7 +393,7 @@
         store_cancel(call);
         return;
     }
-    read_job(call, [this, call](const store::row* row) {
+    find_job(call, [this, call](const store::row* row) {
         if (row == nullptr) {
             finish(call, no_such_job{});
         } else {
@@ -345,18 +404,25 @@
 
 void door::store_cancel(const call_ptr& call)
 {
-    const auto row = jobs_row(call->job + std::string{cancel_suffix});
+    // The leader takes a wish to cancel from any part.
+    const auto part = call->in_doubt ? call->part : choose_part(call->job);
+    if (!part) {
+        finish(call,
+               call_refused{call_refused::cause::store_away, retry_after_outage(store_away())});
+        return;
+    }
+    call->part = part;
+    const auto row = jobs_row(*part, call->job + std::string{cancel_suffix});
     store::transaction insert;
     insert.expected.push_back({row, 0});
     insert.puts.push_back({row, "{}"});
-    ports_.rows->commit(std::move(insert), [this, call,
+    ports_.rows->commit(std::move(insert), [this, call, row,
                                             alive = alive_](const store::commit_reply& reply) {
         if (!*alive) {
             return;
         }
         if (reply.outcome == store::call_outcome::done) {
-            ports_.on_stored(
-                {jobs_row(call->job + std::string{cancel_suffix}), "{}", reply.version});
+            ports_.on_stored({row, "{}", reply.version});
         }
         const bool stored = reply.outcome == store::call_outcome::done ||
                             reply.outcome == store::call_outcome::conflict;
--- a/src/door/door.hpp
+++ b/src/door/door.hpp
@@ -5,6 +5,7 @@
 #include "batch/job_codec.hpp"
 #include "catalog/configuration_keeper.hpp"
 #include "door/job_views.hpp"
+#include "store/part_map.hpp"
 #include "store/row_store.hpp"
 
 #include <cstdint>
@@ -65,7 +66,7 @@
 using answer_handler = std::function<void(caller_answer)>;
 
 struct door_options {
-    std::string part{};
+    store::part_map parts{};
     /// A configuration whose proof is older decides nothing any more.
     base::milliseconds oldest_configuration{6'500};
     /// Left of the caller's patience when the last answer is given.
@@ -110,6 +111,8 @@
     }
     /// True while this VM may decide by the configuration that it has.
     [[nodiscard]] bool may_decide() const;
+    /// How long no part of the store has been served; zero while any is.
+    [[nodiscard]] base::milliseconds store_away() const;
 
 private:
     struct pending_call;
@@ -119,16 +122,21 @@
     void store_submission(const call_ptr& call);
     void take_submission_reply(const call_ptr& call, const store::commit_reply& reply);
     void show(const call_ptr& call);
-    void read_job(const call_ptr& call, std::function<void(const store::row*)> found);
+    /// Looks for the job's row in all parts, its home first.
+    void find_job(const call_ptr& call, std::function<void(const store::row*)> found);
+    void find_job_in(const call_ptr& call, std::size_t tried,
+                     std::function<void(const store::row*)> found);
     void show_row(const call_ptr& call, const store::row* row);
     void show_queue(const call_ptr& call);
-    void count_waiting(const call_ptr& call);
+    void count_waiting(const call_ptr& call, std::size_t part, std::uint32_t counted);
+    /// The part for a new row about the job: its home, or the next that is served.
+    [[nodiscard]] std::optional<std::size_t> choose_part(const std::string& job) const;
     void cancel(const call_ptr& call);
     void store_cancel(const call_ptr& call);
     /// Runs `again` after a pause, or gives the last answer when the caller's patience is over.
     void retry(const call_ptr& call, std::function<void()> again, caller_answer otherwise);
     void finish(const call_ptr& call, caller_answer answer);
-    [[nodiscard]] store::row_id jobs_row(const std::string& key) const;
+    [[nodiscard]] store::row_id jobs_row(std::size_t part, const std::string& key) const;
 
     door_ports ports_;
     door_options options_;
--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -19,6 +19,7 @@
 constexpr double longest_text = 64;
 constexpr double one_minute_ms = 60'000;
 constexpr double one_day_s = 86'400;
+constexpr double most_parts = 16;
 constexpr double most_remote_factor = 1'000;
 constexpr auto required = presence::required;
 constexpr auto optional = presence::optional;
@@ -36,7 +37,8 @@
 
 constexpr auto store_members = std::to_array<member<site_store_settings>>({
     {"address", &site_store_settings::address, required, 1, longest_text, "", endpoint, "address of the row store"},
-    {"part", &site_store_settings::part, optional, 1, longest_text, "characters", name, "part of the tables that holds this site's rows"},
+    {"part", &site_store_settings::part, optional, 1, longest_text, "characters", name, "name of the parts of the tables that hold this site's rows"},
+    {"parts", &site_store_settings::parts, optional, 1, most_parts, "parts", name, "number of these parts; the same on all VMs"},
 });
 
 constexpr auto bound_members = std::to_array<member<site_bound_settings>>({
--- a/src/settings/site_settings.hpp
+++ b/src/settings/site_settings.hpp
@@ -24,6 +24,8 @@
     std::string address;
     /// Part of the tables that holds this site's rows.
     std::string part = "site";
+    /// How many parts the site's jobs are spread over; the same on all VMs.
+    std::uint32_t parts = 4;
 };
 
 /// Times that the platform and its workers keep, and that callers were promised.
--- a/src/store/row_store.hpp
+++ b/src/store/row_store.hpp
@@ -125,8 +125,8 @@
     std::function<void(transaction, std::function<void(commit_reply)>)> commit{};
     std::function<void(read_range, std::function<void(read_reply)>)> read{};
     std::function<void(feed_request, std::function<void(feed_reply)>)> follow{};
-    /// How long no call has been served on any way; nothing while calls are served.
-    std::function<std::optional<base::milliseconds>()> away{};
+    /// How long no call to a part has been served on any way; nothing while calls are served.
+    std::function<std::optional<base::milliseconds>(const std::string& part)> away{};
 };
 
 } // namespace poplarstile::store
--- a/src/store/store_link.hpp
+++ b/src/store/store_link.hpp
@@ -5,9 +5,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplarstile::store
@@ -19,6 +21,8 @@
 /// One call to the store, whatever it means.
 struct link_call {
     call_kind kind = call_kind::read;
+    /// What fails together: the part that the call touches, or the feed that it follows.
+    std::string scope{};
     std::string method{};
     /// Path with query.
     std::string target{};
@@ -45,8 +49,8 @@
         through{};
     /// Addresses of VMs that may help, best first.
     std::function<std::vector<std::string>()> helpers{};
-    /// A read without effect that shows whether the store serves.
-    link_call probe{};
+    /// A read without effect that shows whether the store serves a part.
+    std::function<link_call(std::string_view part)> probe{};
 };
 
 struct link_counters {
@@ -56,10 +60,12 @@
     std::uint64_t relayed = 0;
 };
 
-/// The way to the store: direct while it serves this VM, else through a VM that it serves.
+/// The way to the store: direct while it serves this VM, else through a VM that it serves. Each part
+/// is judged by itself, since parts fail by themselves.
 /// Time-outs follow the answers' times, so that a lost answer is noticed soon and a slow store is
 /// not taken for a silent one.
-/// Load pattern: a store that turns single VMs away, loses answers, is slow, or is gone for all.
+/// Load pattern: a store that turns single VMs away, loses answers, is slow, or is gone for all,
+/// wholly or in part.
 class store_link
 {
 public:
@@ -73,13 +79,12 @@
     /// Only on this VM's own way; what a helper does.
     void send_direct(const link_call& call, link_handler handler);
 
-    /// True while the store serves this VM.
-    [[nodiscard]] bool served() const
-    {
-        return served_;
-    }
-    /// How long no call has been served on any way; nothing while calls are served.
-    [[nodiscard]] std::optional<base::milliseconds> away() const;
+    /// True while the store serves this VM directly, as far as its calls show.
+    [[nodiscard]] bool served() const;
+
+    /// How long no call to this part has been served on any way; nothing while calls are served.
+    [[nodiscard]] std::optional<base::milliseconds> away(std::string_view scope) const;
+
     [[nodiscard]] const link_counters& counters() const
     {
         return counters_;
@@ -92,27 +97,30 @@
         double mean_ms = 0.0;
         double backoff = 1.0;
     };
+    /// What the calls to one part have shown.
+    struct scope_state {
+        bool served = true;
+        base::time_point next_direct{};
+        /// First of the failures since the last served call.
+        std::optional<base::time_point> failing_since{};
+        std::uint32_t failures = 0;
+        bool probing = false;
+        std::string good_helper{};
+        std::size_t next_helper = 0;
+        base::time_point no_help_before{};
+    };
 
-    void note(const link_call& call, const link_reply& reply, base::time_point sent);
-    void note_served(bool served, const link_reply& reply);
+    void note_answer(const link_call& call, const link_reply& reply, base::time_point sent);
     /// Notes whether a call was served in the end, on whichever way.
-    void note_end(const link_reply& reply);
-    void probe_soon();
-    void probe();
+    void note_end(const std::string& scope, const link_reply& reply);
+    void probe_soon(const std::string& scope);
     void send_either_way(const link_call& call, link_handler handler);
     void help(const link_call& call, link_reply refused, link_handler handler);
-    [[nodiscard]] std::string choose_helper();
+    [[nodiscard]] std::string choose_helper(const scope_state& scope) const;
+    [[nodiscard]] std::optional<base::milliseconds> away(const scope_state& scope) const;
 
     link_ports ports_;
-    bool served_ = true;
-    base::time_point next_probe_{};
-    base::time_point no_help_before_{};
-    /// First of the failures since the last served call.
-    std::optional<base::time_point> failing_since_{};
-    std::uint32_t failures_ = 0;
-    bool probing_ = false;
-    std::string good_helper_{};
-    std::size_t next_helper_ = 0;
+    std::map<std::string, scope_state, std::less<>> scopes_{};
     latency reads_{};
     latency writes_{};
     link_counters counters_{};
--- a/tests/control/leader_takeover_test.cpp
+++ b/tests/control/leader_takeover_test.cpp
@@ -146,5 +146,28 @@
     EXPECT_EQ(site.leading_vm()->node->leading()->counters().stops, stops);
 }
 
+TEST_F(leader_takeover, AnEndThatIsListedWhileTheLeaseIsHandedBackIsNotForgotten)
+{
+    // Seen in a played day: a leaving leader acknowledged ends that it could no longer store.
+    auto* const first = site.await_leader();
+    ASSERT_NE(first, nullptr);
+    site.workers.duration = [](const std::string& task) {
+        const auto index = batch::parse_task_id(task)->index;
+        return milliseconds{1'000 + 7 * index};
+    };
+    site.submit(make_job("0000000000000001", 20, small_task));
+    ASSERT_TRUE(
+        site.time.run_until([&] { return site.workers.starts().size() == 20; }, seconds{2}));
+    site.time.run_for(milliseconds{1'030});
+
+    bool handed_back = false;
+    first->node->leave([&handed_back] { handed_back = true; });
+
+    EXPECT_EQ(site.await_end("0000000000000001"), batch::job_status::completed);
+    EXPECT_TRUE(handed_back);
+    EXPECT_EQ(site.workers.starts().size(), 20U);
+    expect_sound();
+}
+
 } // namespace
 } // namespace poplarstile::tests
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -46,7 +46,7 @@
     [[nodiscard]] store::row_store port(const std::string& vm)
     {
         store::row_store made;
-        made.away = [this, vm]() -> std::optional<base::milliseconds> {
+        made.away = [this, vm](const std::string& /*part*/) -> std::optional<base::milliseconds> {
             return decide(vm, false) == fate::serve ? std::nullopt
                                                     : std::optional{base::milliseconds{1'000}};
         };
--- a/tests/support/site_fixture.hpp
+++ b/tests/support/site_fixture.hpp
@@ -21,8 +21,6 @@
 namespace poplarstile::tests
 {
 
-constexpr const char* site_part = "site";
-
 /// A job of one step.
 inline batch::submission make_job(const std::string& id, std::uint32_t tasks, batch::resources need,
                                   std::uint32_t priority = 1)
@@ -89,7 +87,7 @@
             std::make_unique<catalog::configuration_keeper>(made->source, timers);
         made->views = std::make_unique<door::job_views>(timers, base::milliseconds{1'000}, 1'000);
         door::door_options door_options;
-        door_options.part = site_part;
+        door_options.parts = parts;
         door_options.oldest_configuration = base::milliseconds{60'000};
         made->door = std::make_unique<door::door>(
             door::door_ports{&made->rows, &timers, made->configuration.get(), made->views.get(),
@@ -104,8 +102,8 @@
             options.seeds.push_back(address_of(other));
         }
         options.leading = leading;
-        options.leading.part = site_part;
-        options.standing.part = site_part;
+        options.leading.parts = parts;
+        options.standing.parts = parts;
         options.standing.self = options.self;
         control::cluster_node_ports ports;
         ports.rows = &made->rows;
@@ -166,17 +164,17 @@
     {
         auto accepted = job;
         accepted.accepted_ms = time.timers().unix_ms();
-        store.put({"jobs", site_part, job.job}, batch::encode(accepted));
+        store.put({"jobs", part_of(job.job), job.job}, batch::encode(accepted));
     }
     void cancel(const std::string& job)
     {
-        store.put({"jobs", site_part, job + ".cancel"}, "{}");
+        store.put({"jobs", part_of(job), job + ".cancel"}, "{}");
     }
 
     /// The stored final status of a job, if it has ended.
     [[nodiscard]] std::optional<batch::job_status> ended_as(const std::string& job) const
     {
-        const auto row = store.find({"jobs", site_part, job});
+        const auto row = store.find({"jobs", part_of(job), job});
         if (!row) {
             return std::nullopt;
         }
@@ -210,6 +208,11 @@
         return cuts_.contains({one, other});
     }
 
+    [[nodiscard]] const std::string& part_of(const std::string& job) const
+    {
+        return parts.name(parts.home_of(job));
+    }
+
     static std::string address_of(const std::string& name)
     {
         return "peer-of-" + name;
@@ -219,6 +222,7 @@
     fake_store store;
     fake_workers workers;
     catalog::contents contents{};
+    store::part_map parts{"site", 4};
     control::leader_options leading{};
     /// What the doors read every body as.
     batch::submission submitted{};
