Leave ends of jobs that can't be read yet with their worker

Change: until all parts are read such ends are not acknowledged, and the worker is looked at again. Test EndsOfAPartThatIsAwayWaitForIt red before, green after.

--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -164,6 +164,7 @@
     worker.acknowledged = 0;
     worker.seen = 0;
     worker.unstored_ends.clear();
+    worker.deferred_ends.clear();
     worker.hidden_runs = 0;
     worker.fenced = false;
     worker.silent_looks = 0;
@@ -288,7 +289,8 @@
     if (first) {
         plan_soon();
     }
-    if (needs_look(worker) && worker.unstored_ends.empty() && worker.looks_under_way == 0) {
+    const bool settled = worker.unstored_ends.empty() && worker.deferred_ends.empty();
+    if (needs_look(worker) && settled && worker.looks_under_way == 0) {
         look(worker);
     }
 }
@@ -339,11 +341,17 @@
     std::ranges::sort(ends, {}, &fleet::ended_task::number);
     bool any = false;
     for (const auto& end : ends) {
-        if (end.number > worker.seen) {
-            worker.seen = end.number;
-            take_end(worker, end);
-            any = true;
+        if (end.number <= worker.seen && !worker.deferred_ends.contains(end.number)) {
+            continue;
+        }
+        worker.seen = std::max(worker.seen, end.number);
+        if (!all_parts_active() && !jobs_.contains(end.task.job)) {
+            worker.deferred_ends.insert(end.number);
+            continue;
         }
+        worker.deferred_ends.erase(end.number);
+        take_end(worker, end);
+        any = true;
     }
     if (!any) {
         return;
@@ -370,8 +378,10 @@
                         : *worker.unstored_ends.begin() > number
                             ? number
                             : worker.acknowledged;
-    worker.acknowledged = std::max(worker.acknowledged, stored);
-    const bool all_stored = worker.unstored_ends.empty();
+    const auto known = worker.deferred_ends.empty() ? stored
+                                                    : std::min(stored, *worker.deferred_ends.begin() - 1);
+    worker.acknowledged = std::max(worker.acknowledged, known);
+    const bool all_stored = worker.unstored_ends.empty() && worker.deferred_ends.empty();
     if (all_stored && worker.looks_under_way == 0 && worker.silent_looks == 0) {
         look(worker);
     }
@@ -472,8 +482,9 @@
     check_silent(worker);
     tend_runs(worker);
     const bool due = now >= worker.next_look_at;
-    const bool stuck = !worker.unstored_ends.empty() && now - worker.answered_at >= storing_look_interval;
-    const bool idle = worker.looks_under_way == 0 && (worker.unstored_ends.empty() || stuck);
+    const bool unsettled = !worker.unstored_ends.empty() || !worker.deferred_ends.empty();
+    const bool stuck = unsettled && now - worker.answered_at >= storing_look_interval;
+    const bool idle = worker.looks_under_way == 0 && (!unsettled || stuck);
     const bool urgent = worker.urgent_look && worker.looks_under_way < 2;
     if (due && needs_look(worker) && (idle || urgent)) {
         look(worker);
--- a/src/control/run_book.hpp
+++ b/src/control/run_book.hpp
@@ -90,6 +90,9 @@
     bool urgent_look = false;
     /// Numbers up to which ends were taken in that are not durable yet.
     std::set<std::uint64_t> unstored_ends{};
+    /// Ends of jobs that may lie in a part which can't be read yet. They are not acknowledged, so
+    /// the worker goes on listing them.
+    std::set<std::uint64_t> deferred_ends{};
     /// Runs shown there that no known job has.
     std::uint32_t hidden_runs = 0;
     /// Looks without an answer since the last one that had one.
--- a/tests/control/leader_takeover_test.cpp
+++ b/tests/control/leader_takeover_test.cpp
@@ -169,5 +169,33 @@
     expect_sound();
 }
 
+TEST_F(leader_takeover, EndsOfAPartThatIsAwayWaitForIt)
+{
+    // Seen in played days: a leader took over while some parts were away, and acknowledged ends of
+    // jobs that it could not read yet.
+    auto* const first = site.await_leader();
+    ASSERT_NE(first, nullptr);
+    site.workers.duration = [](const std::string& /*task*/) { return milliseconds{2'500}; };
+    std::vector<std::string> jobs;
+    for (int number = 1; number <= 8; ++number) {
+        jobs.push_back(fmt::format("{:016x}", number));
+        site.submit(make_job(jobs.back(), 2, small_task));
+    }
+    ASSERT_TRUE(
+        site.time.run_until([&] { return site.workers.starts().size() == 16; }, seconds{2}));
+    site.store.away_parts = {site.parts.name(1), site.parts.name(2)};
+    site.stop(first->name);
+    site.time.run_for(seconds{6});
+    ASSERT_NE(site.leading_vm(), nullptr) << "the other parts go on";
+
+    site.store.away_parts.clear();
+
+    for (const auto& job : jobs) {
+        EXPECT_EQ(site.await_end(job), batch::job_status::completed) << job;
+    }
+    EXPECT_EQ(site.workers.starts().size(), 16U);
+    expect_sound();
+}
+
 } // namespace
 } // namespace poplarstile::tests
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,6 +37,9 @@
     std::function<fate(const std::string& vm, bool is_write)> decide =
         [](const std::string& /*vm*/, bool /*is_write*/) { return fate::serve; };
 
+    /// Parts that neither serve nor answer.
+    std::set<std::string> away_parts{};
+
     base::milliseconds latency{4};
     base::milliseconds late_by{2'500};
     base::milliseconds call_timeout{400};
@@ -46,9 +50,9 @@
     [[nodiscard]] store::row_store port(const std::string& vm)
     {
         store::row_store made;
-        made.away = [this, vm](const std::string& /*part*/) -> std::optional<base::milliseconds> {
-            return decide(vm, false) == fate::serve ? std::nullopt
-                                                    : std::optional{base::milliseconds{1'000}};
+        made.away = [this, vm](const std::string& part) -> std::optional<base::milliseconds> {
+            const bool served = !away_parts.contains(part) && decide(vm, false) == fate::serve;
+            return served ? std::nullopt : std::optional{base::milliseconds{1'000}};
         };
         made.commit = [this, vm](store::transaction sent,
                                  std::function<void(store::commit_reply)> handler) {
@@ -156,7 +160,8 @@
     void commit(const std::string& vm, store::transaction sent,
                 std::function<void(store::commit_reply)> handler)
     {
-        const auto what = decide(vm, true);
+        const bool away = !sent.expected.empty() && away_parts.contains(sent.expected.front().id.part);
+        const auto what = away ? fate::swallow : decide(vm, true);
         const auto unanswered = [this, handler] {
             time_.after(call_timeout, [handler] { handler({}); });
         };
@@ -191,7 +196,7 @@
     void read(const std::string& vm, store::read_range range,
               std::function<void(store::read_reply)> handler)
     {
-        const auto what = decide(vm, false);
+        const auto what = away_parts.contains(range.part) ? fate::swallow : decide(vm, false);
         if (what != fate::serve) {
             fail_read(what, [handler](store::call_outcome outcome) {
                 store::read_reply reply;
