--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -326,7 +326,7 @@
     }
     mark_dirty(run.job);
     if (how != batch::run_end::done && job.state.spec_of(run.ref.step).gang) {
-        break_gang(job, run.ref, run.run, how);
+        break_gang(job, run.ref, run.run);
     }
     if (was_open && job.state.failed()) {
         log.warning("job_failed", {{"job", run.job}, {"task", task}, {"run", run.run}});
@@ -334,23 +334,15 @@
     }
 }
 
-void leader::break_gang(job_entry& entry, const batch::task_ref& ref, std::uint32_t number,
-                        batch::run_end how)
+void leader::break_gang(job_entry& entry, const batch::task_ref& ref, std::uint32_t number)
 {
     for (auto& [id, worker] : workers_) {
-        const bool silent = worker->silent_looks > 0 || !worker->listed;
         for (auto& [task, run] : worker->runs) {
+            // The other members' own ends are waited for: one of them may count as an attempt.
             const bool member = run.job == entry.state.id() && run.run == number &&
                                 run.ref.occurrence == ref.occurrence && run.ref.step == ref.step;
-            if (!member) {
-                continue;
-            }
-            stop_run(*worker, run, stop_reason::gang_broken);
-            if (how == batch::run_end::broken && silent) {
-                // Members end together: the gang may go on elsewhere. The room here stays taken
-                // until the worker shows that it is free.
-                log.info("member_given_up", {{"job", run.job}, {"task", task}, {"worker", id}});
-                (void)entry.state.end_run(run.ref, run.run, batch::run_end::lost, run.checkpoint);
+            if (member) {
+                stop_run(*worker, run, stop_reason::gang_broken);
             }
         }
     }
