Prove the configuration's age by when the store answered; keep trying for a submission in doubt

A submission in doubt got 504 at once from the next door and used up its caller's tries. Change: a call held to its end proves the configuration until then; a door goes on trying while the caller waits. Jobs' chains and objectives stand in the log.

--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace poplarstile::batch
@@ -82,6 +83,28 @@
     });
 }
 
+base::milliseconds job::longest_chain() const
+{
+    std::vector<base::milliseconds> chains;
+    auto longest = base::milliseconds{0};
+    for (const auto& step : accepted_.spec.steps) {
+        auto before = base::milliseconds{0};
+        for (const auto earlier : step.after) {
+            before = std::max(before, chains.at(earlier));
+        }
+        chains.push_back(before + step.estimate);
+        longest = std::max(longest, chains.back());
+    }
+    return longest;
+}
+
+base::milliseconds job::objective() const
+{
+    const auto stretched =
+        static_cast<double>(longest_chain().count()) * accepted_.policy.stretch;
+    return base::milliseconds{std::llround(stretched)} + accepted_.policy.completion_target;
+}
+
 std::int64_t job::due_ms(std::uint32_t occurrence) const
 {
     const auto& repeat = accepted_.spec.repeat;
--- a/src/batch/job.hpp
+++ b/src/batch/job.hpp
@@ -165,6 +165,12 @@
     /// True when the steps that this one comes after are done, and the step itself is not.
     [[nodiscard]] bool step_ready(std::uint32_t occurrence, std::uint32_t step) const;
 
+    /// The longest chain of steps that come after each other, by their estimates.
+    [[nodiscard]] base::milliseconds longest_chain() const;
+
+    /// Time from the submission within which the job is in time.
+    [[nodiscard]] base::milliseconds objective() const;
+
     /// Unix milliseconds at which an occurrence is due; 0 for a job without times.
     [[nodiscard]] std::int64_t due_ms(std::uint32_t occurrence) const;
 
--- a/src/catalog/configuration_keeper.cpp
+++ b/src/catalog/configuration_keeper.cpp
@@ -48,7 +48,7 @@
         if (!*alive) {
             return;
         }
-        take(reply, asked);
+        take(reply, asked, base::milliseconds{0});
         if (reply.outcome == store::call_outcome::done) {
             follow();
             return;
@@ -68,7 +68,7 @@
                        if (!*alive) {
                            return;
                        }
-                       take(reply, asked);
+                       take(reply, asked, follow_wait);
                        if (reply.outcome == store::call_outcome::done) {
                            follow();
                        } else if (reply.outcome == store::call_outcome::expired) {
@@ -85,7 +85,8 @@
                    });
 }
 
-void configuration_keeper::take(const configuration_reply& reply, base::time_point asked)
+void configuration_keeper::take(const configuration_reply& reply, base::time_point asked,
+                                base::milliseconds wait)
 {
     const bool answered = reply.outcome == store::call_outcome::done;
     if (answered != store_answers_ && reply.outcome != store::call_outcome::expired) {
@@ -100,7 +101,9 @@
         return;
     }
     position_ = std::max(position_, reply.position);
-    confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, asked) : asked;
+    // A call that was held back to the end was answered after its wait, and knows all until then.
+    const auto proven = time_.now() - asked >= wait ? asked + wait : asked;
+    confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, proven) : proven;
     if (reply.newest) {
         adopt(*reply.newest, "store");
     }
--- a/src/catalog/configuration_keeper.hpp
+++ b/src/catalog/configuration_keeper.hpp
@@ -77,7 +77,7 @@
 private:
     void read();
     void follow();
-    void take(const configuration_reply& reply, base::time_point asked);
+    void take(const configuration_reply& reply, base::time_point asked, base::milliseconds wait);
     bool adopt(const stored_configuration& newer, std::string_view origin);
 
     const configuration_source& source_;
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -171,6 +171,7 @@
                            {"workspace", position->second.state.accepted().workspace},
                            {"part", options_.parts.name(part)},
                            {"age_ms", age_ms},
+                           {"chain_ms", position->second.state.longest_chain().count()},
                            {"epoch", epoch_}});
     const auto cancels = early_cancels_.extract(id);
     if (!cancels.empty()) {
@@ -326,7 +327,8 @@
         log.info("job_ended", {{"job", id},
                                {"status", batch::name_of(status)},
                                {"queue", ended.policy.queue},
-                               {"age_ms", ports_.time->unix_ms() - ended.accepted_ms}});
+                               {"age_ms", ports_.time->unix_ms() - ended.accepted_ms},
+                               {"objective_ms", found->second.state.objective().count()}});
         show(id, found->second, status);
         jobs_.erase(found);
         ended_.push_back({id, part, store_ms});
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -233,11 +233,15 @@
     // A try whose effect is not known is only ever repeated where it was made.
     const auto part = call->in_doubt ? call->part : choose_part(call->job);
     if (!part) {
-        // Nothing was sent, so this call certainly had no effect; an earlier one may have had.
-        const call_refused refused{call_refused::cause::store_away,
-                                   retry_after_outage(store_away())};
-        finish(call, doubtful(call->job) ? caller_answer{call_unsettled{}}
-                                         : caller_answer{refused});
+        if (doubtful(call->job)) {
+            // An earlier call may have had an effect: only the store can tell, and it may be back
+            // within the caller's patience.
+            retry(call, [this, call] { store_submission(call); }, call_unsettled{});
+            return;
+        }
+        // Nothing was sent, so this call certainly had no effect.
+        finish(call,
+               call_refused{call_refused::cause::store_away, retry_after_outage(store_away())});
         return;
     }
     call->part = part;
