--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -67,9 +67,9 @@
 {
     timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return base::time_point{std::chrono::seconds{now.tv_sec} +
-                            std::chrono::duration_cast<base::microseconds>(
-                                std::chrono::nanoseconds{now.tv_nsec})};
+    return base::time_point{
+        std::chrono::seconds{now.tv_sec} +
+        std::chrono::duration_cast<base::microseconds>(std::chrono::nanoseconds{now.tv_nsec})};
 }
 
 base::timers make_timers(asio::io_context& context)
@@ -100,7 +100,8 @@
 } // namespace
 
 struct site_daemon::parts {
-    explicit parts(settings::site_settings site) : settings{std::move(site)}, time{make_timers(context)}
+    explicit parts(settings::site_settings site)
+        : settings{std::move(site)}, time{make_timers(context)}
     {
         self = {settings.vm.id, make_born(), settings.listen.peers, settings.vm.failure_domain};
     }
@@ -208,23 +209,21 @@
     ports.through = [this](const std::string& helper, const store::link_call& call,
                            base::milliseconds timeout, const store::link_handler& handler) {
         const cluster::store_call carried{call.method, call.target, call.body,
-                                          static_cast<std::uint32_t>(call.wait.count()), call.scope};
-        peers.ask(helper, carried, timeout,
-                  [handler](const std::optional<cluster::message>& answer) {
-                      const auto* const made =
-                          answer ? std::get_if<cluster::store_answer>(&*answer) : nullptr;
-                      if (made == nullptr) {
-                          handler({net::delivery::lost, 0, {}});
-                          return;
-                      }
-                      handler({static_cast<net::delivery>(made->delivery), made->status,
-                               made->body});
-                  });
+                                          static_cast<std::uint32_t>(call.wait.count()),
+                                          call.scope};
+        peers.ask(
+            helper, carried, timeout, [handler](const std::optional<cluster::message>& answer) {
+                const auto* const made =
+                    answer ? std::get_if<cluster::store_answer>(&*answer) : nullptr;
+                if (made == nullptr) {
+                    handler({net::delivery::lost, 0, {}});
+                    return;
+                }
+                handler({static_cast<net::delivery>(made->delivery), made->status, made->body});
+            });
     };
     ports.probe = [](std::string_view part) { return platform::make_probe(part); };
-    ports.helpers = [this] {
-        return node ? node->helpers() : std::vector<std::string>{};
-    };
+    ports.helpers = [this] { return node ? node->helpers() : std::vector<std::string>{}; };
     link = std::make_unique<store::store_link>(std::move(ports));
     rows = platform::make_row_store(*link);
     directory = platform::make_worker_directory(rows);
@@ -280,8 +279,8 @@
     door::door_options door_options;
     const store::part_map parts_of_store{settings.store.part, settings.store.parts};
     door_options.parts = parts_of_store;
-    door_options.oldest_configuration = bounds.configuration_time + bounds.configuration_stretch -
-                                        base::milliseconds{500};
+    door_options.oldest_configuration =
+        bounds.configuration_time + bounds.configuration_stretch - base::milliseconds{500};
     door = std::make_unique<door::door>(
         door::door_ports{&rows, &time, configuration.get(), views.get(),
                          [this](const store::row& stored) { node->tell_leader(stored); },
@@ -328,8 +327,8 @@
     return base::success();
 }
 
-base::result<std::unique_ptr<net::http_server>>
-site_daemon::parts::serve(const std::string& at, net::http_handler handler)
+base::result<std::unique_ptr<net::http_server>> site_daemon::parts::serve(const std::string& at,
+                                                                          net::http_handler handler)
 {
     const auto where = split(at);
     net::http_server_options options;
@@ -343,29 +342,29 @@
 
 base::result<void> site_daemon::parts::listen()
 {
-    BOOST_OUTCOME_TRY(callers, serve(settings.listen.callers,
-                                     [this](net::http_request request,
-                                            const net::http_responder& responder) {
-                                         handle_caller(std::move(request), responder);
-                                     }));
+    BOOST_OUTCOME_TRY(
+        callers, serve(settings.listen.callers,
+                       [this](net::http_request request, const net::http_responder& responder) {
+                           handle_caller(std::move(request), responder);
+                       }));
     caller_port = std::move(callers);
-    BOOST_OUTCOME_TRY(readiness, serve(settings.listen.readiness,
-                                       [this](const net::http_request& request,
-                                              const net::http_responder& responder) {
-                                           handle_readiness(request, responder);
-                                       }));
+    BOOST_OUTCOME_TRY(
+        readiness, serve(settings.listen.readiness, [this](const net::http_request& request,
+                                                           const net::http_responder& responder) {
+            handle_readiness(request, responder);
+        }));
     readiness_port = std::move(readiness);
-    BOOST_OUTCOME_TRY(peer_server, serve(settings.listen.peers,
-                                         [this](const net::http_request& request,
-                                                const net::http_responder& responder) {
-                                             handle_peer(request, responder);
-                                         }));
+    BOOST_OUTCOME_TRY(peer_server,
+                      serve(settings.listen.peers, [this](const net::http_request& request,
+                                                          const net::http_responder& responder) {
+                          handle_peer(request, responder);
+                      }));
     peer_port = std::move(peer_server);
-    BOOST_OUTCOME_TRY(metrics_server, serve(settings.listen.metrics,
-                                            [this](const net::http_request& /*request*/,
-                                                   const net::http_responder& responder) {
-                                                handle_metrics(responder);
-                                            }));
+    BOOST_OUTCOME_TRY(metrics_server,
+                      serve(settings.listen.metrics, [this](const net::http_request& /*request*/,
+                                                            const net::http_responder& responder) {
+                          handle_metrics(responder);
+                      }));
     metrics_port = std::move(metrics_server);
     return base::success();
 }
@@ -406,15 +405,14 @@
     }
     const auto received = time.now();
     const auto kind = call->kind;
-    door->handle(std::move(*call), [this, responder, received,
-                                    kind](const door::caller_answer& answer) {
-        metrics->record_answer(kind, answer,
-                               base::milliseconds_between(received, time.now()));
-        auto response = platform::encode_answer(answer);
-        // Callers move to a VM that stays, or to one that reaches the store.
-        response.close = leaving || !ready();
-        responder.send(std::move(response));
-    });
+    door->handle(
+        std::move(*call), [this, responder, received, kind](const door::caller_answer& answer) {
+            metrics->record_answer(kind, answer, base::milliseconds_between(received, time.now()));
+            auto response = platform::encode_answer(answer);
+            // Callers move to a VM that stays, or to one that reaches the store.
+            response.close = leaving || !ready();
+            responder.send(std::move(response));
+        });
 }
 
 void site_daemon::parts::handle_peer(const net::http_request& request,
@@ -469,8 +467,8 @@
 void site_daemon::parts::poll_left()
 {
     const auto waited = time.now() - left_at;
-    const auto grace = base::milliseconds{
-        static_cast<std::int64_t>(settings.bounds.grace_s * 1'000.0)};
+    const auto grace =
+        base::milliseconds{static_cast<std::int64_t>(settings.bounds.grace_s * 1'000.0)};
     const bool noticed = waited >= leave_notice;
     const bool idle = caller_port->open_requests() == 0 && lease_returned;
     if ((noticed && idle) || waited >= grace - exit_margin) {
--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -21,8 +21,9 @@
 std::string_view outcome_of(const door::caller_answer& answer)
 {
     static constexpr std::array<std::string_view, 11> names{
-        "accepted",      "cancel_accepted", "shown",       "queue_shown",      "refused",  "unsettled",
-        "no_such_queue", "no_such_job",     "key_unknown", "key_not_allowed", "malformed"};
+        "accepted",    "cancel_accepted", "shown",         "queue_shown",
+        "refused",     "unsettled",       "no_such_queue", "no_such_job",
+        "key_unknown", "key_not_allowed", "malformed"};
     return names.at(answer.index());
 }
 
@@ -84,10 +85,9 @@
     made.count("poplarstile_status_store_reads_total", door.counters().store_reads);
     made.count("poplarstile_log_lines_left_out_total", base::event_lines_left_out());
     made.own.set_gauge("poplarstile_store_served", link.served() ? 1.0 : 0.0);
-    made.own.set_gauge("poplarstile_configuration_version",
-                       configuration.current()
-                           ? static_cast<double>(configuration.current()->version())
-                           : 0.0);
+    made.own.set_gauge(
+        "poplarstile_configuration_version",
+        configuration.current() ? static_cast<double>(configuration.current()->version()) : 0.0);
     made.own.set_gauge("poplarstile_leading", node.leading() != nullptr ? 1.0 : 0.0);
     made.own.set_gauge("poplarstile_leader_epoch", static_cast<double>(node.standing().epoch()));
     made.own.set_gauge("poplarstile_known_vms", static_cast<double>(node.known_vms()));
--- a/src/base/event_line.cpp
+++ b/src/base/event_line.cpp
@@ -73,8 +73,7 @@
 /// Takes one line out of the budget.
 bool take_budget(line_log& log, std::int64_t now_us)
 {
-    const auto elapsed_s =
-        static_cast<double>(now_us - log.refilled_us) / microseconds_per_second;
+    const auto elapsed_s = static_cast<double>(now_us - log.refilled_us) / microseconds_per_second;
     log.refilled_us = now_us;
     log.budget =
         std::min(log.options.burst_lines, log.budget + elapsed_s * log.options.lines_per_s);
@@ -85,7 +84,7 @@
     return true;
 }
 
-void append_line(line_log& log, std::string line)
+void append_line(line_log& log, const std::string& line)
 {
     if (log.waiting.size() + line.size() > log.options.max_waiting_bytes) {
         ++log.left_out;
--- a/src/base/event_line.hpp
+++ b/src/base/event_line.hpp
@@ -33,8 +33,8 @@
     line_field(std::string_view name, double number) : name_{name}, value_{number} {}
 
     template <class Integer>
-        requires(std::is_integral_v<Integer> && !std::is_same_v<Integer, bool>)
-    line_field(std::string_view name, Integer number)
+    requires(std::is_integral_v<Integer> && !std::is_same_v<Integer, bool>)
+        line_field(std::string_view name, Integer number)
         : name_{name}, value_{static_cast<std::int64_t>(number)}
     {
     }
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -100,8 +100,7 @@
 
 base::milliseconds job::objective() const
 {
-    const auto stretched =
-        static_cast<double>(longest_chain().count()) * accepted_.policy.stretch;
+    const auto stretched = static_cast<double>(longest_chain().count()) * accepted_.policy.stretch;
     return base::milliseconds{std::llround(stretched)} + accepted_.policy.completion_target;
 }
 
@@ -172,7 +171,8 @@
         }
         return;
     }
-    // One member's checkpoint is good for the whole gang, and all members must resume from the same.
+    // One member's checkpoint is good for the whole gang, and all members must resume from the
+    // same.
     for (auto& member : step.tasks) {
         member.checkpoint = checkpoint;
     }
--- a/src/batch/job.hpp
+++ b/src/batch/job.hpp
@@ -177,7 +177,8 @@
     /// Run number that the next run of a task must have; the same for all members of a gang.
     [[nodiscard]] std::uint32_t next_run(const task_ref& ref) const;
 
-    /// Notes that a run was given to a worker. Members of a gang are placed one by one with one run.
+    /// Notes that a run was given to a worker. Members of a gang are placed one by one with one
+    /// run.
     void place(const task_ref& ref, std::uint32_t run, worker_life worker);
 
     /// Notes the end of a placed run. False when the task has no such run under way.
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -12,7 +12,8 @@
 std::string normal_host(std::string_view host)
 {
     const auto colon = host.rfind(':');
-    const bool has_port = colon != std::string_view::npos && host.find(']') == std::string_view::npos;
+    const bool has_port =
+        colon != std::string_view::npos && host.find(']') == std::string_view::npos;
     std::string name{has_port ? host.substr(0, colon) : host};
     std::ranges::transform(name, name.begin(), [](unsigned char letter) {
         return static_cast<char>(std::tolower(letter));
--- a/src/catalog/configuration_keeper.cpp
+++ b/src/catalog/configuration_keeper.cpp
@@ -127,13 +127,12 @@
     }
     auto decoded = source_.decode(newer.document);
     if (!decoded.has_value()) {
-        log.error("unreadable",
-                  {{"version", newer.version}, {"detail", decoded.error().detail}});
+        log.error("unreadable", {{"version", newer.version}, {"detail", decoded.error().detail}});
         return false;
     }
     if (current_ && decoded.value().version < current_->version()) {
-        log.error("older_than_current", {{"version", decoded.value().version},
-                                         {"current", current_->version()}});
+        log.error("older_than_current",
+                  {{"version", decoded.value().version}, {"current", current_->version()}});
         return false;
     }
     stored_ = newer;
--- a/src/cluster/cluster_codec.cpp
+++ b/src/cluster/cluster_codec.cpp
@@ -233,9 +233,9 @@
 {
     const auto& isset = wire.__isset;
     return int{isset.beat} + int{isset.beat_reply} + int{isset.hello_message} +
-           int{isset.hello_reply} + int{isset.configuration_ask} +
-           int{isset.configuration_given} + int{isset.store_ask} + int{isset.store_given} +
-           int{isset.row_stored} + int{isset.job_in_doubt};
+           int{isset.hello_reply} + int{isset.configuration_ask} + int{isset.configuration_given} +
+           int{isset.store_ask} + int{isset.store_given} + int{isset.row_stored} +
+           int{isset.job_in_doubt};
 }
 
 base::result<message> from_wire(gen::message& wire)
@@ -273,8 +273,7 @@
     if (isset.store_ask) {
         auto& call = wire.store_ask;
         return message{store_call{std::move(call.method), std::move(call.target),
-                                  std::move(call.body),
-                                  static_cast<std::uint32_t>(call.wait_ms),
+                                  std::move(call.body), static_cast<std::uint32_t>(call.wait_ms),
                                   std::move(call.scope)}};
     }
     if (isset.job_in_doubt) {
@@ -282,9 +281,8 @@
     }
     if (isset.row_stored) {
         auto& row = wire.row_stored;
-        return message{
-            stored_row{std::move(row.part), std::move(row.key), std::move(row.value),
-                       from_wire(row.version)}};
+        return message{stored_row{std::move(row.part), std::move(row.key), std::move(row.value),
+                                  from_wire(row.version)}};
     }
     auto& given = wire.store_given;
     return message{store_answer{static_cast<std::uint8_t>(given.delivery),
--- a/src/cluster/cluster_message.hpp
+++ b/src/cluster/cluster_message.hpp
@@ -119,7 +119,8 @@
     bool operator==(const store_answer&) const = default;
 };
 
-/// A row of the jobs table that the sender has stored, told to the leader ahead of the store's feed.
+/// A row of the jobs table that the sender has stored, told to the leader ahead of the store's
+/// feed.
 struct stored_row {
     std::string part{};
     std::string key{};
@@ -129,15 +130,16 @@
     bool operator==(const stored_row&) const = default;
 };
 
-/// A submission whose effect the sender does not know: nobody may say of it that it was not accepted.
+/// A submission whose effect the sender does not know: nobody may say of it that it was not
+/// accepted.
 struct doubtful_job {
     std::string job{};
 
     bool operator==(const doubtful_job&) const = default;
 };
 
-using message = std::variant<leader_beat, beat_answer, hello, hello_answer, configuration_request,
-                             configuration_reply, store_call, store_answer, stored_row,
-                             doubtful_job>;
+using message =
+    std::variant<leader_beat, beat_answer, hello, hello_answer, configuration_request,
+                 configuration_reply, store_call, store_answer, stored_row, doubtful_job>;
 
 } // namespace poplarstile::cluster
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -258,8 +258,8 @@
 }
 
 void cluster_node::take_beat_answer(const std::string& address,
-                                    std::map<std::string, cluster::job_view> carried,
-                                    bool snapshot, const std::optional<cluster::message>& answer)
+                                    std::map<std::string, cluster::job_view> carried, bool snapshot,
+                                    const std::optional<cluster::message>& answer)
 {
     const auto found = vms_.find(address);
     if (found == vms_.end()) {
@@ -315,24 +315,24 @@
     }
     asking_configuration_ = true;
     const auto asked = ports_.time->now();
-    ports_.peers->ask(address, cluster::configuration_request{ports_.configuration->version()},
-                      configuration_timeout,
-                      [this, asked, alive = alive_](const std::optional<cluster::message>& told) {
-                          if (!*alive) {
-                              return;
-                          }
-                          asking_configuration_ = false;
-                          const auto* const reply =
-                              told ? std::get_if<cluster::configuration_reply>(&*told) : nullptr;
-                          if (reply == nullptr) {
-                              return;
-                          }
-                          const auto took = std::chrono::duration_cast<base::milliseconds>(
-                              ports_.time->now() - asked);
-                          ports_.configuration->hear(
-                              {reply->version, reply->document},
-                              took + base::milliseconds{reply->confirmed_ms_ago});
-                      });
+    ports_.peers->ask(
+        address, cluster::configuration_request{ports_.configuration->version()},
+        configuration_timeout,
+        [this, asked, alive = alive_](const std::optional<cluster::message>& told) {
+            if (!*alive) {
+                return;
+            }
+            asking_configuration_ = false;
+            const auto* const reply =
+                told ? std::get_if<cluster::configuration_reply>(&*told) : nullptr;
+            if (reply == nullptr) {
+                return;
+            }
+            const auto took =
+                std::chrono::duration_cast<base::milliseconds>(ports_.time->now() - asked);
+            ports_.configuration->hear({reply->version, reply->document},
+                                       took + base::milliseconds{reply->confirmed_ms_ago});
+        });
 }
 
 cluster::message cluster_node::answer_beat(const cluster::leader_beat& beat)
@@ -444,11 +444,10 @@
     const auto& address = leadership_->leader().address;
     if (!address.empty()) {
         // The feed shows it in any case; an answer is not needed.
-        ports_.peers->ask(address,
-                          cluster::stored_row{stored.id.part, stored.id.key, stored.value,
-                                              stored.version},
-                          hello_timeout,
-                          [](const std::optional<cluster::message>& /*answer*/) {});
+        ports_.peers->ask(
+            address,
+            cluster::stored_row{stored.id.part, stored.id.key, stored.value, stored.version},
+            hello_timeout, [](const std::optional<cluster::message>& /*answer*/) {});
     }
 }
 
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -103,6 +103,7 @@
         count += entry.state.open() && !entry.state.started() ? 1 : 0;
     }
     std::vector<cluster::queue_load> loads;
+    loads.reserve(waiting.size());
     for (const auto& [queue, count] : waiting) {
         loads.push_back({queue, count, 0});
     }
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -87,8 +87,8 @@
 {
 public:
     /// `lease` and `version` are the lease row of part `first` as this VM wrote it.
-    leader(leader_ports ports, leader_options options, store::lease_record lease,
-           std::size_t first, store::row_version version);
+    leader(leader_ports ports, leader_options options, store::lease_record lease, std::size_t first,
+           store::row_version version);
     ~leader();
     leader(const leader&) = delete;
     leader& operator=(const leader&) = delete;
@@ -200,7 +200,7 @@
     void flush_soon();
     void flush();
     /// Calls `done` once all that was added to the journals so far is durable.
-    void when_durable(std::function<void()> done);
+    void when_durable(const std::function<void()>& done);
     void write_job(const std::string& id, job_entry& entry);
     void close_job(const std::string& id, job_entry& entry);
     void show(const std::string& id, job_entry& entry, batch::job_status status);
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -230,9 +230,8 @@
     run.stop_under_way = true;
     run.stop_sent_at = now;
     ++counters_.stops;
-    const run_key key{
-        worker.facts.life.worker,
-        batch::to_text({run.job, run.ref.occurrence, run.ref.step, run.ref.index})};
+    const run_key key{worker.facts.life.worker,
+                      batch::to_text({run.job, run.ref.occurrence, run.ref.step, run.ref.index})};
     fleet::stop_order order{{worker.facts.life, worker.facts.address},
                             {run.job, run.ref.occurrence, run.ref.step, run.ref.index},
                             run.run,
@@ -301,17 +300,16 @@
     if (how == batch::run_end::lost) {
         ++counters_.lost_runs;
     }
-    log.info("run_ended",
-             {{"job", run.job},
-              {"task", task},
-              {"run", run.run},
-              {"worker", worker.facts.life.worker},
-              {"how", batch::name_of(how)},
-              {"cause", cause},
-              {"stopping", name_of(run.stopping)},
-              {"ran_ms", run.order == order_state::taken
-                             ? base::milliseconds_between(run.taken_at, now)
-                             : 0}});
+    log.info("run_ended", {{"job", run.job},
+                           {"task", task},
+                           {"run", run.run},
+                           {"worker", worker.facts.life.worker},
+                           {"how", batch::name_of(how)},
+                           {"cause", cause},
+                           {"stopping", name_of(run.stopping)},
+                           {"ran_ms", run.order == order_state::taken
+                                          ? base::milliseconds_between(run.taken_at, now)
+                                          : 0}});
     const auto entry = jobs_.find(run.job);
     plan_soon();
     if (entry == jobs_.end()) {
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -36,9 +36,8 @@
     }
     lost_ = true;
     active_ = false;
-    log.warning("lease_lost", {{"epoch", epoch_},
-                               {"found_holder", found.holder},
-                               {"found_epoch", found.epoch}});
+    log.warning("lease_lost",
+                {{"epoch", epoch_}, {"found_holder", found.holder}, {"found_epoch", found.epoch}});
     if (ports_.on_lost) {
         ports_.on_lost(found);
     }
@@ -82,8 +81,8 @@
     const auto& row = reply.rows.front();
     const auto decoded = store::decode_lease(row.value);
     if (!decoded.has_value()) {
-        log.error("lease_unreadable", {{"part", options_.parts.name(part)},
-                                       {"detail", decoded.error().detail}});
+        log.error("lease_unreadable",
+                  {{"part", options_.parts.name(part)}, {"detail", decoded.error().detail}});
         commit_part_lease(part, row.version);
         return;
     }
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -146,8 +146,7 @@
     return sum <= workspace->guaranteed_accelerators;
 }
 
-void leader::collect_unit(plan_input& input,
-                          const std::map<std::string, std::size_t>& worker_index,
+void leader::collect_unit(plan_input& input, const std::map<std::string, std::size_t>& worker_index,
                           const job_entry& entry, unit_origin origin, bool guaranteed) const
 {
     const auto& job = entry.state;
@@ -195,16 +194,15 @@
             }
             const auto& accepted = entry->second.state.accepted();
             const auto& spec = entry->second.state.spec_of(run.ref.step);
-            const auto since = spec.checkpoints && run.saved_at > run.taken_at ? run.saved_at
-                                                                              : run.taken_at;
+            const auto since =
+                spec.checkpoints && run.saved_at > run.taken_at ? run.saved_at : run.taken_at;
             const bool taken = run.order == order_state::taken;
             const double lost_s =
                 taken ? static_cast<double>(base::milliseconds_between(since, now)) /
                             milliseconds_per_second
                       : 0.0;
             const auto loss = lost_s * batch::core_weight(run.need);
-            const auto holding =
-                planning::victim::holding{worker_index.at(id), run.need};
+            const auto holding = planning::victim::holding{worker_index.at(id), run.need};
             if (spec.gang) {
                 const auto gang = run.job + '.' + std::to_string(run.ref.occurrence) + '.' +
                                   std::to_string(run.ref.step);
@@ -217,8 +215,8 @@
                     continue;
                 }
             }
-            input.victims.push_back({{holding}, accepted.policy.priority,
-                                     accepted.policy.priority == 0, loss});
+            input.victims.push_back(
+                {{holding}, accepted.policy.priority, accepted.policy.priority == 0, loss});
             input.victim_runs.push_back({{id, task}});
         }
     }
@@ -265,8 +263,7 @@
         run.planned_at = now;
         run.lease_until = lease_for(worker, now).value_or(0);
         entry.state.place(ref, run.run, worker.facts.life);
-        const auto task =
-            batch::to_text({origin.job, ref.occurrence, ref.step, ref.index});
+        const auto task = batch::to_text({origin.job, ref.occurrence, ref.step, ref.index});
         worker.used += run.need;
         entry.unsent.push_back({worker.facts.life.worker, task});
         worker.runs.insert_or_assign(task, std::move(run));
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -41,35 +41,35 @@
 
 void leader::follow_jobs()
 {
-    ports_.rows->follow(
-        {"jobs", jobs_version_, feed_wait}, [this, alive = alive_](const store::feed_reply& reply) {
-            if (!*alive || lost_) {
-                return;
-            }
-            if (reply.outcome == store::call_outcome::done) {
-                for (const auto& changed : reply.rows) {
-                    if (!changed.removed) {
-                        hear_row(changed.current);
-                    }
-                }
-                jobs_version_ = std::max(jobs_version_, reply.version);
-                follow_jobs();
-                return;
-            }
-            if (reply.outcome == store::call_outcome::expired) {
-                log.warning("job_history_gone", {{"after", jobs_version_}});
-                jobs_version_ = 0;
-                for (std::size_t part = 0; part < parts_.size(); ++part) {
-                    reread_jobs(part, {});
-                }
-                return;
-            }
-            ports_.time->after(feed_retry, [this, alive] {
-                if (*alive) {
-                    follow_jobs();
-                }
-            });
-        });
+    ports_.rows->follow({"jobs", jobs_version_, feed_wait},
+                        [this, alive = alive_](const store::feed_reply& reply) {
+                            if (!*alive || lost_) {
+                                return;
+                            }
+                            if (reply.outcome == store::call_outcome::done) {
+                                for (const auto& changed : reply.rows) {
+                                    if (!changed.removed) {
+                                        hear_row(changed.current);
+                                    }
+                                }
+                                jobs_version_ = std::max(jobs_version_, reply.version);
+                                follow_jobs();
+                                return;
+                            }
+                            if (reply.outcome == store::call_outcome::expired) {
+                                log.warning("job_history_gone", {{"after", jobs_version_}});
+                                jobs_version_ = 0;
+                                for (std::size_t part = 0; part < parts_.size(); ++part) {
+                                    reread_jobs(part, {});
+                                }
+                                return;
+                            }
+                            ports_.time->after(feed_retry, [this, alive] {
+                                if (*alive) {
+                                    follow_jobs();
+                                }
+                            });
+                        });
 }
 
 void leader::reread_jobs(std::size_t part, const std::string& from)
@@ -128,8 +128,7 @@
     }
     auto decoded = batch::decode_job_row(seen.value);
     if (!decoded.has_value()) {
-        log.error("job_row_unreadable",
-                  {{"job", seen.id.key}, {"detail", decoded.error().detail}});
+        log.error("job_row_unreadable", {{"job", seen.id.key}, {"detail", decoded.error().detail}});
         return;
     }
     if (auto* const finished = std::get_if<batch::finished_job>(&decoded.value())) {
@@ -247,12 +246,12 @@
             write_job(id, found->second);
         }
     }
-    for (auto& after : std::exchange(after_flush_, {})) {
-        when_durable(std::move(after));
+    for (const auto& after : std::exchange(after_flush_, {})) {
+        when_durable(after);
     }
 }
 
-void leader::when_durable(std::function<void()> done)
+void leader::when_durable(const std::function<void()>& done)
 {
     if (handing_back_ || lost_) {
         // Nothing that is added now becomes durable here.
@@ -306,9 +305,8 @@
     const auto store_ms = journal.store_ms();
     store::journal_entry written;
     written.writes.push_back(
-        {jobs_row(part, id),
-         batch::encode(batch::finished_job{status, accepted.policy.queue, accepted.workspace,
-                                           store_ms})});
+        {jobs_row(part, id), batch::encode(batch::finished_job{status, accepted.policy.queue,
+                                                               accepted.workspace, store_ms})});
     written.writes.push_back({runs_row(part, id), std::nullopt});
     for (const auto cancel_part : entry.cancel_parts) {
         const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -150,7 +150,8 @@
     std::vector<std::string> over;
     for (auto& [task, run] : worker.runs) {
         if (run.order == order_state::sent) {
-            // A late start could still reach the new life; the room stays taken until it is forbidden.
+            // A late start could still reach the new life; the room stays taken until it is
+            // forbidden.
             run.stopping = run.stopping == stop_reason::none ? stop_reason::moved : run.stopping;
             run.stop_taken = false;
         } else {
@@ -212,15 +213,16 @@
     if (worker.silent_looks == 0) {
         order.lease_until = lease_for(worker, now);
     }
-    const bool settled = worker.fenced && worker.silent_looks == 0 && worker.unstored_ends.empty() &&
-                         worker.seen == worker.acknowledged && !worker.urgent_look;
+    const bool settled = worker.fenced && worker.silent_looks == 0 &&
+                         worker.unstored_ends.empty() && worker.seen == worker.acknowledged &&
+                         !worker.urgent_look;
     order.wait = settled ? options_.look_wait : base::milliseconds{0};
     worker.urgent_look = false;
     ++worker.looks_under_way;
     ++counters_.looks;
     ports_.orders->look(order, [this, alive = alive_, id = worker.facts.life.worker,
-                                born = worker.facts.life.born, sent = now](
-                                   const fleet::look_reply& reply) {
+                                born = worker.facts.life.born,
+                                sent = now](const fleet::look_reply& reply) {
         if (*alive) {
             receive_look(id, born, sent, reply);
         }
@@ -374,12 +376,11 @@
     auto& worker = *found->second;
     worker.unstored_ends.erase(number);
     // Ends of a part that is away come before later ones that are stored already.
-    const auto stored = worker.unstored_ends.empty() ? worker.seen
-                        : *worker.unstored_ends.begin() > number
-                            ? number
-                            : worker.acknowledged;
-    const auto known = worker.deferred_ends.empty() ? stored
-                                                    : std::min(stored, *worker.deferred_ends.begin() - 1);
+    const auto stored = worker.unstored_ends.empty()             ? worker.seen
+                        : *worker.unstored_ends.begin() > number ? number
+                                                                 : worker.acknowledged;
+    const auto known =
+        worker.deferred_ends.empty() ? stored : std::min(stored, *worker.deferred_ends.begin() - 1);
     worker.acknowledged = std::max(worker.acknowledged, known);
     const bool all_stored = worker.unstored_ends.empty() && worker.deferred_ends.empty();
     if (all_stored && worker.looks_under_way == 0 && worker.silent_looks == 0) {
@@ -414,14 +415,17 @@
                            const fleet::look_reply& reply)
 {
     std::vector<std::string> missing;
-    for (const auto& [task, run] : worker.runs) {
+    for (const auto& entry : worker.runs) {
+        const auto& task = entry.first;
+        const auto& run = entry.second;
         const bool listed = std::ranges::any_of(reply.running, [&](const auto& running) {
             return running.run == run.run && batch::to_text(running.task) == task;
         });
         if (listed) {
             continue;
         }
-        const bool should_show = run.order == order_state::taken && run.taken_at + look_slack < sent;
+        const bool should_show =
+            run.order == order_state::taken && run.taken_at + look_slack < sent;
         const bool forbidden = run.stop_taken && run.stop_taken_at < sent;
         if (should_show || forbidden || run.adopted) {
             missing.push_back(task);
@@ -459,8 +463,8 @@
 
 bool leader::has_left(const worker_state& worker) const
 {
-    // A registration ends when the worker leaves, or after three silent heartbeats. A worker that was
-    // heard less than two before can't have been silent for three.
+    // A registration ends when the worker leaves, or after three silent heartbeats. A worker that
+    // was heard less than two before can't have been silent for three.
     constexpr base::milliseconds margin{400};
     const auto longest = 2 * options_.worker_heartbeat - margin;
     return !worker.listed && worker.facts.draining && worker.silent_looks > 0 && worker.fenced &&
@@ -475,10 +479,11 @@
     if (!unreachable || worker.runs.empty() || !nothing_runs) {
         return;
     }
-    log.warning(left ? "worker_left" : "lease_of_worker_over",
-                {{"worker", worker.facts.life.worker},
-                 {"runs", worker.runs.size()},
-                 {"silent_ms", base::milliseconds_between(worker.answered_at, ports_.time->now())}});
+    log.warning(
+        left ? "worker_left" : "lease_of_worker_over",
+        {{"worker", worker.facts.life.worker},
+         {"runs", worker.runs.size()},
+         {"silent_ms", base::milliseconds_between(worker.answered_at, ports_.time->now())}});
     std::vector<std::string> over;
     for (const auto& [task, run] : worker.runs) {
         over.push_back(task);
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -56,9 +56,9 @@
         return false;
     }
     if (beat.epoch > epoch_ || beat.leader.vm != leader_.vm) {
-        log.info("leader_known", {{"leader", beat.leader.vm},
-                                  {"epoch", beat.epoch},
-                                  {"silence_ms", silence().count()}});
+        log.info(
+            "leader_known",
+            {{"leader", beat.leader.vm}, {"epoch", beat.epoch}, {"silence_ms", silence().count()}});
     }
     epoch_ = beat.epoch;
     leader_ = beat.leader;
@@ -210,17 +210,17 @@
         return;
     }
     for (const auto& address : addresses) {
-        ports_.peers->ask(address, cluster::hello{options_.self}, options_.ask_timeout,
-                          [this, round, alive = alive_](
-                              const std::optional<cluster::message>& answer) {
-                              if (!*alive) {
-                                  return;
-                              }
-                              take_answer(*round, answer);
-                              if (--round->waiting == 0) {
-                                  conclude(round);
-                              }
-                          });
+        ports_.peers->ask(
+            address, cluster::hello{options_.self}, options_.ask_timeout,
+            [this, round, alive = alive_](const std::optional<cluster::message>& answer) {
+                if (!*alive) {
+                    return;
+                }
+                take_answer(*round, answer);
+                if (--round->waiting == 0) {
+                    conclude(round);
+                }
+            });
     }
 }
 
@@ -351,8 +351,9 @@
     confirmed_lately_ = true;
     epoch_ = record.epoch;
     leader_ = options_.self;
-    log.info("elected", {{"epoch", epoch_}, {"silence_ms", base::milliseconds_between(
-                                                               heard_at_, ports_.time->now())}});
+    log.info("elected",
+             {{"epoch", epoch_},
+              {"silence_ms", base::milliseconds_between(heard_at_, ports_.time->now())}});
     ports_.on_elected(record, part, version);
 }
 
--- a/src/control/leadership.hpp
+++ b/src/control/leadership.hpp
@@ -52,8 +52,8 @@
     std::function<void(const cluster::vm_entry& vm)> on_vm{};
 };
 
-/// Decides when this VM tries to lead. Being wrong is safe: the lease row, its epoch and the workers'
-/// fencing decide; this only keeps VMs from deposing a leader that the others still hear.
+/// Decides when this VM tries to lead. Being wrong is safe: the lease row, its epoch and the
+/// workers' fencing decide; this only keeps VMs from deposing a leader that the others still hear.
 /// Load pattern: a dead, frozen or cut-off leader while work waits.
 class leadership
 {
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -40,8 +40,8 @@
 std::string_view outcome_of(const caller_answer& answer)
 {
     static constexpr std::array<std::string_view, 11> names{
-        "accepted",   "cancel_accepted",   "shown",           "queue_shown", "refused",
-        "unsettled",  "no_such_queue",     "no_such_job",     "key_unknown", "key_of_another_workspace",
+        "accepted",  "cancel_accepted", "shown",       "queue_shown", "refused",
+        "unsettled", "no_such_queue",   "no_such_job", "key_unknown", "key_of_another_workspace",
         "malformed"};
     return names.at(answer.index());
 }
@@ -191,9 +191,8 @@
 
 bool door::doubtful(const std::string& job)
 {
-    std::erase_if(doubtful_, [now = ports_.time->now()](const auto& entry) {
-        return entry.second < now;
-    });
+    std::erase_if(doubtful_,
+                  [now = ports_.time->now()](const auto& entry) { return entry.second < now; });
     return doubtful_.contains(job);
 }
 
@@ -236,7 +235,8 @@
         if (doubtful(call->job)) {
             // An earlier call may have had an effect: only the store can tell, and it may be back
             // within the caller's patience.
-            retry(call, [this, call] { store_submission(call); }, call_unsettled{});
+            retry(
+                call, [this, call] { store_submission(call); }, call_unsettled{});
             return;
         }
         // Nothing was sent, so this call certainly had no effect.
@@ -281,10 +281,11 @@
         }
         break;
     }
-    retry(call, [this, call] { store_submission(call); },
-          call->in_doubt ? caller_answer{call_unsettled{}}
-                         : caller_answer{call_refused{call_refused::cause::store_away,
-                                                      outage_retry}});
+    retry(
+        call, [this, call] { store_submission(call); },
+        call->in_doubt
+            ? caller_answer{call_unsettled{}}
+            : caller_answer{call_refused{call_refused::cause::store_away, outage_retry}});
 }
 
 void door::show(const call_ptr& call)
@@ -315,28 +316,29 @@
         return;
     }
     const auto part = (options_.parts.home_of(call->job) + tried) % options_.parts.size();
-    ports_.rows->read(
-        {"jobs", options_.parts.name(part), call->job, call->job + '\0', 1},
-        [this, call, tried, found = std::move(found),
-         alive = alive_](const store::read_reply& reply) {
-            if (!*alive) {
-                return;
-            }
-            const auto away = ports_.rows->away(options_.parts.name(
-                (options_.parts.home_of(call->job) + tried) % options_.parts.size()));
-            if (reply.outcome != store::call_outcome::done && away) {
-                finish(call, call_refused{call_refused::cause::store_away,
-                                          retry_after_outage(*away)});
-            } else if (reply.outcome != store::call_outcome::done) {
-                // Without this part's word nobody can say that there is no such job.
-                retry(call, [this, call, tried, found] { find_job_in(call, tried, found); },
-                      call_unsettled{});
-            } else if (reply.rows.empty()) {
-                find_job_in(call, tried + 1, found);
-            } else {
-                found(&reply.rows.front());
-            }
-        });
+    ports_.rows->read({"jobs", options_.parts.name(part), call->job, call->job + '\0', 1},
+                      [this, call, tried, found = std::move(found),
+                       alive = alive_](const store::read_reply& reply) {
+                          if (!*alive) {
+                              return;
+                          }
+                          const auto away = ports_.rows->away(options_.parts.name(
+                              (options_.parts.home_of(call->job) + tried) % options_.parts.size()));
+                          if (reply.outcome != store::call_outcome::done && away) {
+                              finish(call, call_refused{call_refused::cause::store_away,
+                                                        retry_after_outage(*away)});
+                          } else if (reply.outcome != store::call_outcome::done) {
+                              // Without this part's word nobody can say that there is no such job.
+                              retry(
+                                  call,
+                                  [this, call, tried, found] { find_job_in(call, tried, found); },
+                                  call_unsettled{});
+                          } else if (reply.rows.empty()) {
+                              find_job_in(call, tried + 1, found);
+                          } else {
+                              found(&reply.rows.front());
+                          }
+                      });
 }
 
 void door::show_row(const call_ptr& call, const store::row* row)
@@ -397,20 +399,19 @@
                 retry(call, again, call_unsettled{});
                 return;
             }
-            ports_.rows->read({"runs", name, {}, {}, scan_rows},
-                              [this, call, part, counted, again, jobs,
-                               alive](const store::read_reply& runs) {
-                                  if (!*alive) {
-                                      return;
-                                  }
-                                  if (runs.outcome != store::call_outcome::done) {
-                                      retry(call, again, call_unsettled{});
-                                      return;
-                                  }
-                                  count_waiting(call, part + 1,
-                                                counted + waiting_in(jobs, runs,
-                                                                     call->queue->policy.queue));
-                              });
+            ports_.rows->read(
+                {"runs", name, {}, {}, scan_rows},
+                [this, call, part, counted, again, jobs, alive](const store::read_reply& runs) {
+                    if (!*alive) {
+                        return;
+                    }
+                    if (runs.outcome != store::call_outcome::done) {
+                        retry(call, again, call_unsettled{});
+                        return;
+                    }
+                    count_waiting(call, part + 1,
+                                  counted + waiting_in(jobs, runs, call->queue->policy.queue));
+                });
         });
 }
 
@@ -449,23 +450,24 @@
     store::transaction insert;
     insert.expected.push_back({row, 0});
     insert.puts.push_back({row, "{}"});
-    ports_.rows->commit(std::move(insert), [this, call, row,
-                                            alive = alive_](const store::commit_reply& reply) {
-        if (!*alive) {
-            return;
-        }
-        if (reply.outcome == store::call_outcome::done) {
-            ports_.on_stored({row, "{}", reply.version});
-        }
-        const bool stored = reply.outcome == store::call_outcome::done ||
-                            reply.outcome == store::call_outcome::conflict;
-        if (stored) {
-            finish(call, cancel_accepted{});
-            return;
-        }
-        call->in_doubt = call->in_doubt || reply.outcome == store::call_outcome::unknown;
-        retry(call, [this, call] { store_cancel(call); }, call_unsettled{});
-    });
+    ports_.rows->commit(
+        std::move(insert), [this, call, row, alive = alive_](const store::commit_reply& reply) {
+            if (!*alive) {
+                return;
+            }
+            if (reply.outcome == store::call_outcome::done) {
+                ports_.on_stored({row, "{}", reply.version});
+            }
+            const bool stored = reply.outcome == store::call_outcome::done ||
+                                reply.outcome == store::call_outcome::conflict;
+            if (stored) {
+                finish(call, cancel_accepted{});
+                return;
+            }
+            call->in_doubt = call->in_doubt || reply.outcome == store::call_outcome::unknown;
+            retry(
+                call, [this, call] { store_cancel(call); }, call_unsettled{});
+        });
 }
 
 void door::retry(const call_ptr& call, std::function<void()> again, caller_answer otherwise)
@@ -493,8 +495,8 @@
     const auto* const refused = std::get_if<call_refused>(&answer);
     counters_.refused += refused != nullptr ? 1 : 0;
     const bool read = call->call.kind == call_kind::show;
-    const bool plain = std::holds_alternative<job_shown>(answer) ||
-                       std::holds_alternative<queue_shown>(answer);
+    const bool plain =
+        std::holds_alternative<job_shown>(answer) || std::holds_alternative<queue_shown>(answer);
     const auto level = read && plain ? base::log_level::debug : base::log_level::info;
     const auto age = ports_.configuration->age();
     const auto* const shown = std::get_if<job_shown>(&answer);
--- a/src/door/door.hpp
+++ b/src/door/door.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "base/timers.hpp"
 #include "base/result.hpp"
+#include "base/timers.hpp"
 #include "batch/job_codec.hpp"
 #include "catalog/configuration_keeper.hpp"
 #include "door/job_views.hpp"
@@ -35,9 +35,11 @@
 };
 
 /// The job is stored and will run.
-struct job_accepted {};
+struct job_accepted {
+};
 /// The cancel is stored, or there was nothing left to cancel.
-struct cancel_accepted {};
+struct cancel_accepted {
+};
 struct job_shown {
     batch::job_status status = batch::job_status::pending;
 };
@@ -51,18 +53,23 @@
     base::milliseconds retry_after{1'000};
 };
 /// Nobody knows yet whether it was done; the same call again settles it.
-struct call_unsettled {};
-struct no_such_queue {};
-struct no_such_job {};
-struct key_unknown {};
-struct key_of_another_workspace {};
+struct call_unsettled {
+};
+struct no_such_queue {
+};
+struct no_such_job {
+};
+struct key_unknown {
+};
+struct key_of_another_workspace {
+};
 struct call_malformed {
     std::string detail{};
 };
 
-using caller_answer =
-    std::variant<job_accepted, cancel_accepted, job_shown, queue_shown, call_refused, call_unsettled,
-                 no_such_queue, no_such_job, key_unknown, key_of_another_workspace, call_malformed>;
+using caller_answer = std::variant<job_accepted, cancel_accepted, job_shown, queue_shown,
+                                   call_refused, call_unsettled, no_such_queue, no_such_job,
+                                   key_unknown, key_of_another_workspace, call_malformed>;
 
 using answer_handler = std::function<void(caller_answer)>;
 
--- a/src/door/job_views.cpp
+++ b/src/door/job_views.cpp
@@ -7,8 +7,7 @@
 namespace poplarstile::door
 {
 
-job_views::job_views(const base::timers& time, base::milliseconds fresh_for,
-                     std::size_t most_final)
+job_views::job_views(const base::timers& time, base::milliseconds fresh_for, std::size_t most_final)
     : time_{time}, fresh_for_{fresh_for}, most_final_{most_final}
 {
 }
--- a/src/fleet/worker_clock.cpp
+++ b/src/fleet/worker_clock.cpp
@@ -28,7 +28,8 @@
     if (!observed_) {
         return base::time_point::max();
     }
-    const auto left = static_cast<double>(std::max<std::int64_t>(worker_ms - observed_->worker_ms, 0));
+    const auto left =
+        static_cast<double>(std::max<std::int64_t>(worker_ms - observed_->worker_ms, 0));
     const auto slowest = base::milliseconds{std::llround(std::ceil(left / slowest_clock_rate))};
     return observed_->received + slowest;
 }
--- a/src/peer/thrift_frame.hpp
+++ b/src/peer/thrift_frame.hpp
@@ -56,8 +56,8 @@
             fmt::format("{} bytes, at most {} are accepted", bytes.size(), limits.max_bytes));
     }
     try {
-        // Thrift reads through a pointer to mutable bytes but does not change them when it observes.
-        // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast)
+        // Thrift reads through a pointer to mutable bytes but does not change them when it
+        // observes. NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast)
         auto* data = const_cast<std::uint8_t*>(reinterpret_cast<const std::uint8_t*>(bytes.data()));
         const auto buffer = std::make_shared<TMemoryBuffer>(
             data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
--- a/src/planning/placement.cpp
+++ b/src/planning/placement.cpp
@@ -71,9 +71,8 @@
     return slots;
 }
 
-std::optional<std::vector<assignment>> place_in_one_rack(const work_unit& unit,
-                                                         std::span<const worker_room> workers,
-                                                         room_kind kind)
+std::optional<std::vector<assignment>>
+place_in_one_rack(const work_unit& unit, std::span<const worker_room> workers, room_kind kind)
 {
     auto racks = racks_for(unit, workers);
     std::optional<std::vector<assignment>> best;
@@ -95,9 +94,8 @@
     return best;
 }
 
-std::optional<std::vector<assignment>> place_anywhere(const work_unit& unit,
-                                                      std::span<const worker_room> workers,
-                                                      room_kind kind)
+std::optional<std::vector<assignment>>
+place_anywhere(const work_unit& unit, std::span<const worker_room> workers, room_kind kind)
 {
     std::vector<std::size_t> members;
     for (const auto& [rack, indexes] : racks_for(unit, workers)) {
@@ -105,7 +103,7 @@
     }
     sort_fullest_first(members, workers, kind);
     if (!unit.spec->data_rack.empty()) {
-        std::ranges::stable_partition(members, [&](std::size_t index) {
+        std::stable_partition(members.begin(), members.end(), [&](std::size_t index) {
             return workers[index].facts->rack == unit.spec->data_rack;
         });
     }
@@ -132,9 +130,8 @@
 {
     auto slots = unit.spec->need.times_in(room);
     if (unit.spec->max_per_worker > 0) {
-        const auto found = std::ranges::find(unit.present, index, [](const auto& entry) {
-            return entry.first;
-        });
+        const auto found =
+            std::ranges::find(unit.present, index, [](const auto& entry) { return entry.first; });
         const std::int64_t present = found == unit.present.end() ? 0 : found->second;
         slots = std::min(slots, std::int64_t{unit.spec->max_per_worker} - present);
     }
--- a/src/planning/placement.hpp
+++ b/src/planning/placement.hpp
@@ -11,10 +11,10 @@
 /// Which of a worker's rooms a placement may use.
 enum class room_kind : std::uint8_t { free, coming };
 
-/// Where the tasks of a unit would go. Whole: all tasks or none. A gang that wants one rack gets one
-/// where any rack could ever hold it.
-/// Load pattern: racks half full of small tasks while gangs arrive; small tasks go to the fullest
-/// worker that holds them, gangs to the rack that they fill best, so that whole workers stay free.
+/// Where the tasks of a unit would go. Whole: all tasks or none. A gang that wants one rack gets
+/// one where any rack could ever hold it. Load pattern: racks half full of small tasks while gangs
+/// arrive; small tasks go to the fullest worker that holds them, gangs to the rack that they fill
+/// best, so that whole workers stay free.
 [[nodiscard]] std::optional<std::vector<assignment>>
 place_whole(const work_unit& unit, std::span<const worker_room> workers, room_kind kind);
 
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -28,7 +28,8 @@
     {
         std::vector<std::size_t> order(units_.size());
         std::iota(order.begin(), order.end(), std::size_t{0});
-        std::ranges::stable_sort(order, {}, [this](std::size_t index) { return units_[index].rank; });
+        std::ranges::stable_sort(order, {},
+                                 [this](std::size_t index) { return units_[index].rank; });
         for (const auto index : order) {
             consider(index);
         }
--- a/src/planning/reclaim.cpp
+++ b/src/planning/reclaim.cpp
@@ -80,9 +80,8 @@
             }
         }
         for (auto& [worker, indexes] : by_worker_) {
-            std::ranges::stable_sort(indexes, {}, [this](std::size_t index) {
-                return cost_of(unit_, victims_[index]);
-            });
+            std::ranges::stable_sort(
+                indexes, {}, [this](std::size_t index) { return cost_of(unit_, victims_[index]); });
         }
     }
 
@@ -110,7 +109,8 @@
         return best->worker;
     }
 
-    [[nodiscard]] std::optional<option> option_on(std::size_t worker, const reclaim_plan& made) const
+    [[nodiscard]] std::optional<option> option_on(std::size_t worker,
+                                                  const reclaim_plan& made) const
     {
         if (bound_reached(worker, made)) {
             return std::nullopt;
--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -73,18 +73,21 @@
 }
 
 /// Reads a member of the whole settings; false when there is no such member.
-bool read_member(std::string_view member_name, const internal::json& value,
-                 site_settings& settings, internal::fault_list& faults)
+bool read_member(std::string_view member_name, const internal::json& value, site_settings& settings,
+                 internal::fault_list& faults)
 {
     const std::string path{member_name};
     if (member_name == "vm") {
         internal::read_object(internal::members_of(settings.vm), value, path, settings.vm, faults);
     } else if (member_name == "listen") {
-        internal::read_object(std::span<const member<site_listen_settings>>{listen_members}, value, path, settings.listen, faults);
+        internal::read_object(std::span<const member<site_listen_settings>>{listen_members}, value,
+                              path, settings.listen, faults);
     } else if (member_name == "store") {
-        internal::read_object(std::span<const member<site_store_settings>>{store_members}, value, path, settings.store, faults);
+        internal::read_object(std::span<const member<site_store_settings>>{store_members}, value,
+                              path, settings.store, faults);
     } else if (member_name == "bounds") {
-        internal::read_object(std::span<const member<site_bound_settings>>{bound_members}, value, path, settings.bounds, faults);
+        internal::read_object(std::span<const member<site_bound_settings>>{bound_members}, value,
+                              path, settings.bounds, faults);
     } else if (member_name == "seeds") {
         read_seeds(value, settings.seeds, faults);
     } else if (member_name == "log_level" && value.is_string()) {
@@ -99,9 +102,8 @@
 
 settings_faults unreadable(std::string place, std::string detail)
 {
-    return settings_faults{{base::error{base::error_code::settings_unreadable, std::move(place),
-                                        std::move(detail),
-                                        {}}}};
+    return settings_faults{{base::error{
+        base::error_code::settings_unreadable, std::move(place), std::move(detail), {}}}};
 }
 
 } // namespace
--- a/src/store/lease_record.cpp
+++ b/src/store/lease_record.cpp
@@ -26,11 +26,10 @@
 {
     try {
         const auto object = nlohmann::json::parse(text);
-        return lease_record{object.at("holder").get<std::string>(),
-                            object.at("born").get<std::uint64_t>(),
-                            object.at("address").get<std::string>(),
-                            object.at("epoch").get<std::uint64_t>(),
-                            object.at("commit").get<std::uint64_t>()};
+        return lease_record{
+            object.at("holder").get<std::string>(), object.at("born").get<std::uint64_t>(),
+            object.at("address").get<std::string>(), object.at("epoch").get<std::uint64_t>(),
+            object.at("commit").get<std::uint64_t>()};
     } catch (const std::exception& failure) {
         return base::error{base::error_code::platform_answer_invalid, "lease row", failure.what(),
                            ""};
--- a/src/store/lease_record.hpp
+++ b/src/store/lease_record.hpp
@@ -10,8 +10,8 @@
 namespace poplarstile::store
 {
 
-/// What the lease row says: who leads, and how many commits it has made. Each commit rewrites it, so
-/// that its version defeats every earlier commit that is still under way.
+/// What the lease row says: who leads, and how many commits it has made. Each commit rewrites it,
+/// so that its version defeats every earlier commit that is still under way.
 struct lease_record {
     /// VM that leads; empty when the last holder handed the lease back.
     std::string holder{};
--- a/src/store/row_store.hpp
+++ b/src/store/row_store.hpp
@@ -2,11 +2,11 @@
 
 #include "base/time.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 /// The port to a transactional store of rows, and what is built on it: commits under a lease.
@@ -22,7 +22,13 @@
     std::string part{};
     std::string key{};
 
-    auto operator<=>(const row_id&) const = default;
+    bool operator==(const row_id&) const = default;
+
+    [[nodiscard]] friend bool operator<(const row_id& left, const row_id& right)
+    {
+        return std::tie(left.table, left.part, left.key) <
+               std::tie(right.table, right.part, right.key);
+    }
 };
 
 struct row {
--- a/src/store/store_link.cpp
+++ b/src/store/store_link.cpp
@@ -119,14 +119,14 @@
 {
     ++counters_.calls;
     const auto sent = ports_.time->now();
-    ports_.direct(call, call.wait + timeout(call.kind),
-                  [this, call, sent, handler = std::move(handler),
-                   alive = alive_](link_reply reply) {
-                      if (*alive) {
-                          note_answer(call, reply, sent);
-                          handler(std::move(reply));
-                      }
-                  });
+    ports_.direct(
+        call, call.wait + timeout(call.kind),
+        [this, call, sent, handler = std::move(handler), alive = alive_](link_reply reply) {
+            if (*alive) {
+                note_answer(call, reply, sent);
+                handler(std::move(reply));
+            }
+        });
 }
 
 void store_link::note_end(const std::string& name, const link_reply& reply)
@@ -175,30 +175,28 @@
     });
 }
 
-void store_link::send(link_call call, link_handler handler)
+void store_link::send(const link_call& call, link_handler handler)
 {
     const auto scope = call.scope;
     if (away(scopes_[scope])) {
         // Not sent at all: whoever asked knows at once that nothing has happened.
-        ports_.time->after(base::milliseconds{0},
-                           [handler = std::move(handler)] { handler({}); });
+        ports_.time->after(base::milliseconds{0}, [handler = std::move(handler)] { handler({}); });
         return;
     }
-    send_either_way(call, [this, scope, handler = std::move(handler),
-                           alive = alive_](link_reply reply) {
-        if (*alive) {
-            note_end(scope, reply);
-        }
-        handler(std::move(reply));
-    });
+    send_either_way(call,
+                    [this, scope, handler = std::move(handler), alive = alive_](link_reply reply) {
+                        if (*alive) {
+                            note_end(scope, reply);
+                        }
+                        handler(std::move(reply));
+                    });
 }
 
 void store_link::send_either_way(const link_call& call, link_handler handler)
 {
     const auto now = ports_.time->now();
     auto& scope = scopes_[call.scope];
-    const bool direct =
-        scope.served || now >= scope.next_direct || choose_helper(scope).empty();
+    const bool direct = scope.served || now >= scope.next_direct || choose_helper(scope).empty();
     if (!direct) {
         help(call, {}, std::move(handler));
         return;
--- a/src/store/store_link.hpp
+++ b/src/store/store_link.hpp
@@ -60,12 +60,11 @@
     std::uint64_t relayed = 0;
 };
 
-/// The way to the store: direct while it serves this VM, else through a VM that it serves. Each part
-/// is judged by itself, since parts fail by themselves.
-/// Time-outs follow the answers' times, so that a lost answer is noticed soon and a slow store is
-/// not taken for a silent one.
-/// Load pattern: a store that turns single VMs away, loses answers, is slow, or is gone for all,
-/// wholly or in part.
+/// The way to the store: direct while it serves this VM, else through a VM that it serves. Each
+/// part is judged by itself, since parts fail by themselves. Time-outs follow the answers' times,
+/// so that a lost answer is noticed soon and a slow store is not taken for a silent one. Load
+/// pattern: a store that turns single VMs away, loses answers, is slow, or is gone for all, wholly
+/// or in part.
 class store_link
 {
 public:
@@ -74,7 +73,7 @@
     store_link(const store_link&) = delete;
     store_link& operator=(const store_link&) = delete;
 
-    void send(link_call call, link_handler handler);
+    void send(const link_call& call, link_handler handler);
 
     /// Only on this VM's own way; what a helper does.
     void send_direct(const link_call& call, link_handler handler);
--- a/tests/control/leader_takeover_test.cpp
+++ b/tests/control/leader_takeover_test.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-using std::chrono::seconds;
 using base::milliseconds;
+using std::chrono::seconds;
 
 constexpr batch::resources worker_room{32'000, 65'536, 8};
 constexpr batch::resources small_task{2'000, 4'000, 1};
@@ -97,8 +97,8 @@
 
 TEST_F(leader_takeover, ALookThatTimesOutAfterANewerAnswerDoesNotEndRunsOfAnEarlierLeader)
 {
-    // Seen in a played day: a cut heals, an urgent look is answered and its ends wait for the store,
-    // and an older look times out meanwhile. The earlier leader's leases still run.
+    // Seen in a played day: a cut heals, an urgent look is answered and its ends wait for the
+    // store, and an older look times out meanwhile. The earlier leader's leases still run.
     auto* const first = site.await_leader();
     ASSERT_NE(first, nullptr);
     const auto first_name = first->name;
@@ -199,8 +199,8 @@
 
 TEST_F(leader_takeover, ASubmissionThatComesTwiceStaysOneJobWhileItsPartIsAway)
 {
-    // Seen in a played day: the home of an accepted job was away, its submission came once more, and
-    // a leader that could not read the home took the second row for another job.
+    // Seen in a played day: the home of an accepted job was away, its submission came once more,
+    // and a leader that could not read the home took the second row for another job.
     auto* const first = site.await_leader();
     ASSERT_NE(first, nullptr);
     site.workers.duration = [](const std::string& /*task*/) { return seconds{5}; };
@@ -209,7 +209,7 @@
     const auto submit = [&](const std::string& vm) {
         std::optional<door::caller_answer> answer;
         door::caller_call call{door::call_kind::submit, "host.example", "/queue/" + id, "key",
-                               milliseconds{3'000}, "body"};
+                               milliseconds{3'000},     "body"};
         site.at(vm).door->handle(call, [&answer](const door::caller_answer& got) { answer = got; });
         site.time.run_until([&answer] { return answer.has_value(); }, seconds{4});
         return answer;
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -55,8 +55,8 @@
             return served ? std::nullopt : std::optional{base::milliseconds{1'000}};
         };
         made.commit = [this, vm](store::transaction sent,
-                                 std::function<void(store::commit_reply)> handler) {
-            commit(vm, std::move(sent), std::move(handler));
+                                 const std::function<void(store::commit_reply)>& handler) {
+            commit(vm, std::move(sent), handler);
         };
         made.read = [this, vm](store::read_range range,
                                std::function<void(store::read_reply)> handler) {
@@ -158,9 +158,10 @@
     }
 
     void commit(const std::string& vm, store::transaction sent,
-                std::function<void(store::commit_reply)> handler)
+                const std::function<void(store::commit_reply)>& handler)
     {
-        const bool away = !sent.expected.empty() && away_parts.contains(sent.expected.front().id.part);
+        const bool away =
+            !sent.expected.empty() && away_parts.contains(sent.expected.front().id.part);
         const auto what = away ? fate::swallow : decide(vm, true);
         const auto unanswered = [this, handler] {
             time_.after(call_timeout, [handler] { handler({}); });
@@ -212,8 +213,7 @@
             reply.store_ms = time_.now_ms();
             for (const auto& [id, row] : rows_) {
                 const bool inside = id.table == range.table && id.part == range.part &&
-                                    id.key >= range.from &&
-                                    (range.to.empty() || id.key < range.to);
+                                    id.key >= range.from && (range.to.empty() || id.key < range.to);
                 if (!inside) {
                     continue;
                 }
@@ -246,28 +246,29 @@
                    base::time_point since)
     {
         constexpr base::milliseconds step{2};
-        time_.after(step, [this, asked = std::move(asked), handler = std::move(handler),
-                           since]() mutable {
-            store::feed_reply reply;
-            reply.store_ms = time_.now_ms();
-            reply.version = version_;
-            if (asked.after < forgotten_) {
-                reply.outcome = store::call_outcome::expired;
-                handler(reply);
-                return;
-            }
-            for (const auto& change : changes_) {
-                if (change.current.id.table == asked.table && change.current.version > asked.after) {
-                    reply.rows.push_back(change);
+        time_.after(
+            step, [this, asked = std::move(asked), handler = std::move(handler), since]() mutable {
+                store::feed_reply reply;
+                reply.store_ms = time_.now_ms();
+                reply.version = version_;
+                if (asked.after < forgotten_) {
+                    reply.outcome = store::call_outcome::expired;
+                    handler(reply);
+                    return;
                 }
-            }
-            if (reply.rows.empty() && time_.now() - since < asked.wait) {
-                poll_feed(std::move(asked), std::move(handler), since);
-                return;
-            }
-            reply.outcome = store::call_outcome::done;
-            time_.after(latency, [handler, reply] { handler(reply); });
-        });
+                for (const auto& change : changes_) {
+                    if (change.current.id.table == asked.table &&
+                        change.current.version > asked.after) {
+                        reply.rows.push_back(change);
+                    }
+                }
+                if (reply.rows.empty() && time_.now() - since < asked.wait) {
+                    poll_feed(std::move(asked), std::move(handler), since);
+                    return;
+                }
+                reply.outcome = store::call_outcome::done;
+                time_.after(latency, [handler, reply] { handler(reply); });
+            });
     }
 
     void fail_read(fate what, std::function<void(store::call_outcome)> handler)
--- a/tests/support/fake_workers.hpp
+++ b/tests/support/fake_workers.hpp
@@ -24,8 +24,8 @@
     base::time_point at{};
 };
 
-/// Workers in memory: they keep leases on clocks of their own, fence by token, run tasks for a given
-/// time, list ends until they are acknowledged, and can be cut off, crash or answer late.
+/// Workers in memory: they keep leases on clocks of their own, fence by token, run tasks for a
+/// given time, list ends until they are acknowledged, and can be cut off, crash or answer late.
 class fake_workers
 {
 public:
@@ -136,11 +136,13 @@
     [[nodiscard]] fleet::worker_orders orders()
     {
         fleet::worker_orders made;
-        made.start = [this](fleet::start_order order, std::function<void(fleet::order_reply)> reply) {
+        made.start = [this](const fleet::start_order& order,
+                            const std::function<void(fleet::order_reply)>& reply) {
             const auto id = order.to.life.worker;
             handle<fleet::order_reply>(id, "start", reply, [this, order] { return start(order); });
         };
-        made.stop = [this](fleet::stop_order order, std::function<void(fleet::order_reply)> reply) {
+        made.stop = [this](const fleet::stop_order& order,
+                           const std::function<void(fleet::order_reply)>& reply) {
             const auto id = order.to.life.worker;
             handle<fleet::order_reply>(id, "stop", reply, [this, order] { return stop(order); });
         };
@@ -240,8 +242,8 @@
     }
 
     template <class Reply>
-    void handle(const std::string& id, const std::string& order,
-                std::function<void(Reply)> reply, std::function<Reply()> carry_out)
+    void handle(const std::string& id, const std::string& order, std::function<void(Reply)> reply,
+                std::function<Reply()> carry_out)
     {
         const auto& worker = machines_.at(id);
         auto what = decide(id, order);
--- a/tests/support/site_fixture.hpp
+++ b/tests/support/site_fixture.hpp
@@ -83,21 +83,17 @@
         cut_when_needed(*made);
         made->source = make_source(*made);
         const auto& timers = time.timers();
-        made->configuration =
-            std::make_unique<catalog::configuration_keeper>(made->source, timers);
+        made->configuration = std::make_unique<catalog::configuration_keeper>(made->source, timers);
         made->views = std::make_unique<door::job_views>(timers, base::milliseconds{1'000}, 1'000);
         door::door_options door_options;
         door_options.parts = parts;
         door_options.oldest_configuration = base::milliseconds{60'000};
         made->door = std::make_unique<door::door>(
-            door::door_ports{&made->rows, &timers, made->configuration.get(), made->views.get(),
-                             [node = &made->node](const store::row& stored) {
-                                 (*node)->tell_leader(stored);
-                             },
-                             [node = &made->node](const std::string& job) {
-                                 (*node)->tell_doubt(job);
-                             },
-                             [this](std::string_view /*body*/) { return submitted.spec; }},
+            door::door_ports{
+                &made->rows, &timers, made->configuration.get(), made->views.get(),
+                [node = &made->node](const store::row& stored) { (*node)->tell_leader(stored); },
+                [node = &made->node](const std::string& job) { (*node)->tell_doubt(job); },
+                [this](std::string_view /*body*/) { return submitted.spec; }},
             door_options);
         control::cluster_node_options options;
         options.self = {name, made->born, address_of(name), "domain"};
@@ -185,9 +181,8 @@
             return std::nullopt;
         }
         const auto decoded = batch::decode_job_row(row->value);
-        const auto* const finished = decoded.has_value()
-                                         ? std::get_if<batch::finished_job>(&decoded.value())
-                                         : nullptr;
+        const auto* const finished =
+            decoded.has_value() ? std::get_if<batch::finished_job>(&decoded.value()) : nullptr;
         return finished == nullptr ? std::nullopt : std::optional{finished->status};
     }
 
@@ -239,42 +234,41 @@
     {
         const auto orders = made.orders;
         const auto name = made.name;
-        made.orders.start = [this, orders, name](fleet::start_order order, auto reply) {
+        made.orders.start = [this, orders, name](const fleet::start_order& order, auto reply) {
             if (is_cut(name, order.to.life.worker)) {
                 time.after(workers.call_timeout, [reply] { reply({}); });
             } else {
-                orders.start(std::move(order), reply);
+                orders.start(order, reply);
             }
         };
-        made.orders.stop = [this, orders, name](fleet::stop_order order, auto reply) {
+        made.orders.stop = [this, orders, name](const fleet::stop_order& order, auto reply) {
             if (is_cut(name, order.to.life.worker)) {
                 time.after(workers.call_timeout, [reply] { reply({}); });
             } else {
-                orders.stop(std::move(order), reply);
+                orders.stop(order, reply);
             }
         };
-        made.orders.look = [this, orders, name](fleet::look_order order, auto reply) {
+        made.orders.look = [this, orders, name](const fleet::look_order& order, auto reply) {
             const auto worker = order.to.life.worker;
             const auto give_up = order.wait + workers.call_timeout;
             if (is_cut(name, worker)) {
                 time.after(give_up, [reply] { reply({}); });
                 return;
             }
-            orders.look(std::move(order), [this, name, worker, reply](fleet::look_reply answer) {
+            orders.look(order, [this, name, worker, reply](fleet::look_reply answer) {
                 reply(is_cut(name, worker) ? fleet::look_reply{} : std::move(answer));
             });
         };
         made.peers.ask = [this, name](const std::string& address, const cluster::message& sent,
-                                      base::milliseconds timeout, auto reply) {
-            ask(name, address, sent, timeout, reply);
-        };
+                                      base::milliseconds timeout,
+                                      auto reply) { ask(name, address, sent, timeout, reply); };
     }
 
     void ask(const std::string& from, const std::string& address, const cluster::message& sent,
              base::milliseconds timeout,
              const std::function<void(std::optional<cluster::message>)>& reply)
     {
-        constexpr base::milliseconds hop{1};
+        const base::milliseconds hop{1};
         const auto to = std::find_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
             return address_of(entry.first) == address;
         });
@@ -283,14 +277,14 @@
             time.after(timeout, [reply] { reply(std::nullopt); });
             return;
         }
-        time.after(hop, [this, name = to->first, from, sent, timeout, reply] {
+        time.after(hop, [this, name = to->first, from, sent, timeout, reply, hop] {
             auto& receiver = vms_.at(name);
             if (!receiver) {
                 time.after(timeout, [reply] { reply(std::nullopt); });
                 return;
             }
-            receiver->node->receive(sent, [this, name, from, timeout,
-                                           reply](std::optional<cluster::message> answer) {
+            receiver->node->receive(sent, [this, name, from, timeout, reply,
+                                           hop](const std::optional<cluster::message>& answer) {
                 time.after(is_cut(name, from) ? timeout : hop, [this, name, from, reply, answer] {
                     reply(is_cut(name, from) ? std::nullopt : answer);
                 });
--- a/tests/support/virtual_time.hpp
+++ b/tests/support/virtual_time.hpp
@@ -19,9 +19,8 @@
     {
         timers_.now = [this] { return now_; };
         timers_.unix_ms = [this] {
-            return unix_start_ms + std::chrono::duration_cast<base::milliseconds>(
-                                       now_.time_since_epoch())
-                                       .count();
+            return unix_start_ms +
+                   std::chrono::duration_cast<base::milliseconds>(now_.time_since_epoch()).count();
         };
         timers_.after = [this](base::milliseconds delay, std::function<void()> action) {
             at(now_ + delay, std::move(action));
