Let the VM with the most processor lead; keep idle connections to every worker

Cause: on the grown sites the lease went to whichever VM was first or had answered last, an eighth of a core and 10 Mbit/s as a rule. Change: VMs tell their share of processor; candidates, successors and a leader that yields go by it, of equals the youngest life that answers, never one that leaves. Looks go on while the lease is handed back. 1,536 idle connections, at most half of the descriptors.

--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -92,6 +92,21 @@
     return time;
 }
 
+std::uint32_t processor_millis(const settings::site_limit_settings& limits)
+{
+    constexpr double millis_per_core = 1'000.0;
+    return static_cast<std::uint32_t>(limits.processor_share * limits.processors * millis_per_core);
+}
+
+/// Half of the descriptors, so that callers and new connections find some.
+net::reactor_client_options client_options(const settings::site_limit_settings& limits)
+{
+    net::reactor_client_options options;
+    options.max_idle_connections =
+        std::min(options.max_idle_connections, static_cast<long>(limits.descriptors / 2));
+    return options;
+}
+
 std::uint64_t make_born()
 {
     return static_cast<std::uint64_t>(base::wall_clock_us());
@@ -103,7 +118,8 @@
     explicit parts(settings::site_settings site)
         : settings{std::move(site)}, time{make_timers(context)}
     {
-        self = {settings.vm.id, make_born(), settings.listen.peers, settings.vm.failure_domain};
+        self = {settings.vm.id, make_born(), settings.listen.peers, settings.vm.failure_domain,
+                processor_millis(settings.limits)};
     }
 
     base::result<void> build();
@@ -267,7 +283,7 @@
 
 base::result<void> site_daemon::parts::build()
 {
-    BOOST_OUTCOME_TRY(made, net::reactor_client::create(context, {}));
+    BOOST_OUTCOME_TRY(made, net::reactor_client::create(context, client_options(settings.limits)));
     client = std::move(made);
     connect_peers();
     connect_store();
--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -7,6 +7,7 @@
   2: i64 born
   3: string address
   4: string failure_domain
+  5: i32 processor_millis
 }
 
 struct job_change {
@@ -45,6 +46,7 @@
   2: i64 epoch
   3: bool wants_snapshot
   4: i64 configuration
+  5: bool leaving
 }
 
 struct hello {
--- a/src/cluster/cluster_codec.cpp
+++ b/src/cluster/cluster_codec.cpp
@@ -47,12 +47,14 @@
     wire.__set_born(to_wire(value.born));
     wire.__set_address(value.address);
     wire.__set_failure_domain(value.failure_domain);
+    wire.__set_processor_millis(static_cast<std::int32_t>(value.processor_millis));
     return wire;
 }
 
 vm_entry from_wire(const gen::vm_entry& wire)
 {
-    return {wire.vm, from_wire(wire.born), wire.address, wire.failure_domain};
+    return {wire.vm, from_wire(wire.born), wire.address, wire.failure_domain,
+            static_cast<std::uint32_t>(std::max(wire.processor_millis, 0))};
 }
 
 std::vector<gen::vm_entry> to_wire(const std::vector<vm_entry>& values)
@@ -117,6 +119,7 @@
         answer.__set_from_vm(to_wire(value.from));
         answer.__set_epoch(to_wire(value.epoch));
         answer.__set_wants_snapshot(value.wants_snapshot);
+        answer.__set_leaving(value.leaving);
         answer.__set_configuration(to_wire(value.configuration));
         wire_->__set_beat_reply(answer);
     }
@@ -250,7 +253,8 @@
     if (isset.beat_reply) {
         const auto& reply = wire.beat_reply;
         return message{beat_answer{from_wire(reply.from_vm), from_wire(reply.epoch),
-                                   reply.wants_snapshot, from_wire(reply.configuration)}};
+                                   reply.wants_snapshot, from_wire(reply.configuration),
+                                   reply.leaving}};
     }
     if (isset.hello_message) {
         return message{hello{from_wire(wire.hello_message.from_vm)}};
--- a/src/cluster/cluster_message.hpp
+++ b/src/cluster/cluster_message.hpp
@@ -19,6 +19,8 @@
     /// Peer address, `IP:port`.
     std::string address{};
     std::string failure_domain{};
+    /// Processor that the VM may use, in thousandths of a core.
+    std::uint32_t processor_millis = 0;
 
     bool operator==(const vm_entry&) const = default;
 };
@@ -57,6 +59,8 @@
     std::uint64_t epoch = 0;
     bool wants_snapshot = false;
     std::uint64_t configuration = 0;
+    /// The VM is shutting down and will not lead.
+    bool leaving = false;
 
     bool operator==(const beat_answer&) const = default;
 };
--- a/src/cluster/gen/cluster_types.cpp
+++ b/src/cluster/gen/cluster_types.cpp
@@ -33,6 +33,10 @@
 void vm_entry::__set_failure_domain(const std::string& val) {
   this->failure_domain = val;
 }
+
+void vm_entry::__set_processor_millis(const int32_t val) {
+  this->processor_millis = val;
+}
 std::ostream& operator<<(std::ostream& out, const vm_entry& obj)
 {
   obj.printTo(out);
@@ -93,6 +97,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->processor_millis);
+          this->__isset.processor_millis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -126,6 +138,10 @@
   xfer += oprot->writeString(this->failure_domain);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("processor_millis", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->processor_millis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -137,6 +153,7 @@
   swap(a.born, b.born);
   swap(a.address, b.address);
   swap(a.failure_domain, b.failure_domain);
+  swap(a.processor_millis, b.processor_millis);
   swap(a.__isset, b.__isset);
 }
 
@@ -145,6 +162,7 @@
   born = other0.born;
   address = other0.address;
   failure_domain = other0.failure_domain;
+  processor_millis = other0.processor_millis;
   __isset = other0.__isset;
 }
 vm_entry& vm_entry::operator=(const vm_entry& other1) {
@@ -152,6 +170,7 @@
   born = other1.born;
   address = other1.address;
   failure_domain = other1.failure_domain;
+  processor_millis = other1.processor_millis;
   __isset = other1.__isset;
   return *this;
 }
@@ -162,6 +181,7 @@
   out << ", " << "born=" << to_string(born);
   out << ", " << "address=" << to_string(address);
   out << ", " << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "processor_millis=" << to_string(processor_millis);
   out << ")";
 }
 
@@ -901,6 +921,10 @@
 void beat_answer::__set_configuration(const int64_t val) {
   this->configuration = val;
 }
+
+void beat_answer::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const beat_answer& obj)
 {
   obj.printTo(out);
@@ -961,6 +985,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -994,6 +1026,10 @@
   xfer += oprot->writeI64(this->configuration);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1005,6 +1041,7 @@
   swap(a.epoch, b.epoch);
   swap(a.wants_snapshot, b.wants_snapshot);
   swap(a.configuration, b.configuration);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -1013,6 +1050,7 @@
   epoch = other26.epoch;
   wants_snapshot = other26.wants_snapshot;
   configuration = other26.configuration;
+  leaving = other26.leaving;
   __isset = other26.__isset;
 }
 beat_answer& beat_answer::operator=(const beat_answer& other27) {
@@ -1020,6 +1058,7 @@
   epoch = other27.epoch;
   wants_snapshot = other27.wants_snapshot;
   configuration = other27.configuration;
+  leaving = other27.leaving;
   __isset = other27.__isset;
   return *this;
 }
@@ -1030,6 +1069,7 @@
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "wants_snapshot=" << to_string(wants_snapshot);
   out << ", " << "configuration=" << to_string(configuration);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
--- a/src/cluster/gen/cluster_types.h
+++ b/src/cluster/gen/cluster_types.h
@@ -52,11 +52,12 @@
 class envelope;
 
 typedef struct _vm_entry__isset {
-  _vm_entry__isset() : vm(false), born(false), address(false), failure_domain(false) {}
+  _vm_entry__isset() : vm(false), born(false), address(false), failure_domain(false), processor_millis(false) {}
   bool vm :1;
   bool born :1;
   bool address :1;
   bool failure_domain :1;
+  bool processor_millis :1;
 } _vm_entry__isset;
 
 class vm_entry : public virtual ::apache::thrift::TBase {
@@ -68,7 +69,8 @@
            : vm(),
              born(0),
              address(),
-             failure_domain() {
+             failure_domain(),
+             processor_millis(0) {
   }
 
   virtual ~vm_entry() noexcept;
@@ -76,6 +78,7 @@
   int64_t born;
   std::string address;
   std::string failure_domain;
+  int32_t processor_millis;
 
   _vm_entry__isset __isset;
 
@@ -87,6 +90,8 @@
 
   void __set_failure_domain(const std::string& val);
 
+  void __set_processor_millis(const int32_t val);
+
   bool operator == (const vm_entry & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -97,6 +102,8 @@
       return false;
     if (!(failure_domain == rhs.failure_domain))
       return false;
+    if (!(processor_millis == rhs.processor_millis))
+      return false;
     return true;
   }
   bool operator != (const vm_entry &rhs) const {
@@ -374,11 +381,12 @@
 std::ostream& operator<<(std::ostream& out, const leader_beat& obj);
 
 typedef struct _beat_answer__isset {
-  _beat_answer__isset() : from_vm(false), epoch(false), wants_snapshot(false), configuration(false) {}
+  _beat_answer__isset() : from_vm(false), epoch(false), wants_snapshot(false), configuration(false), leaving(false) {}
   bool from_vm :1;
   bool epoch :1;
   bool wants_snapshot :1;
   bool configuration :1;
+  bool leaving :1;
 } _beat_answer__isset;
 
 class beat_answer : public virtual ::apache::thrift::TBase {
@@ -389,7 +397,8 @@
   beat_answer() noexcept
               : epoch(0),
                 wants_snapshot(0),
-                configuration(0) {
+                configuration(0),
+                leaving(0) {
   }
 
   virtual ~beat_answer() noexcept;
@@ -397,6 +406,7 @@
   int64_t epoch;
   bool wants_snapshot;
   int64_t configuration;
+  bool leaving;
 
   _beat_answer__isset __isset;
 
@@ -408,6 +418,8 @@
 
   void __set_configuration(const int64_t val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const beat_answer & rhs) const
   {
     if (!(from_vm == rhs.from_vm))
@@ -418,6 +430,8 @@
       return false;
     if (!(configuration == rhs.configuration))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const beat_answer &rhs) const {
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -25,6 +25,14 @@
 constexpr base::milliseconds greet_interval{500};
 constexpr base::milliseconds configuration_timeout{600};
 constexpr std::size_t most_vms = 256;
+/// A VM that takes a lease over has answered within this time.
+constexpr base::milliseconds successor_heard_within{900};
+/// A new leader settles before it looks for a stronger one.
+constexpr base::milliseconds yield_after{1'000};
+/// The store must answer while the lease changes hands.
+constexpr base::milliseconds yield_confirmed_within{500};
+/// How many times more processor is worth a change of leader.
+constexpr std::uint32_t yield_ratio = 2;
 
 } // namespace
 
@@ -155,6 +163,10 @@
         known.sequence = 0;
         known.under_way = false;
     }
+    vacant_ = false;
+    yielding_ = false;
+    successor_.clear();
+    elected_at_ = ports_.time->now();
     leader_->start();
     beat_all(false);
 }
@@ -274,6 +286,7 @@
         return;
     }
     known.answered_at = ports_.time->now();
+    known.leaving = told->leaving;
     known.wants_snapshot = told->wants_snapshot || (known.wants_snapshot && !snapshot);
     know(told->from);
     if (told->configuration > ports_.configuration->version()) {
@@ -302,6 +315,7 @@
             ports_.views->set_loads(leader_->loads(), leader_->knows_all_parts());
         }
         beat_all(true);
+        yield_to_stronger();
         std::erase_if(vms_, [now](const auto& entry) {
             return now - entry.second.answered_at > forget_after;
         });
@@ -352,6 +366,7 @@
         }
     }
     answer.epoch = leadership_->epoch();
+    answer.leaving = left_;
     answer.configuration = ports_.configuration->version();
     if (beat.configuration > ports_.configuration->version()) {
         ask_configuration(beat.leader.address);
@@ -378,7 +393,7 @@
 cluster::message cluster_node::plain_answer() const
 {
     return cluster::beat_answer{options_.self, leadership_->epoch(), false,
-                                ports_.configuration->version()};
+                                ports_.configuration->version(), left_};
 }
 
 void cluster_node::receive(const cluster::message& message,
@@ -428,11 +443,67 @@
     }
 }
 
-std::string cluster_node::choose_successor() const
+const cluster_node::neighbour* cluster_node::choose_successor() const
 {
-    const auto best = std::ranges::max_element(
-        vms_, {}, [](const auto& entry) { return entry.second.answered_at; });
-    return best == vms_.end() ? std::string{} : best->second.entry.vm;
+    const auto now = ports_.time->now();
+    const neighbour* best = nullptr;
+    const auto merit = [](const neighbour& vm) {
+        // Of equals the youngest life: a rolling restart has passed it already.
+        return std::pair{vm.entry.processor_millis, vm.entry.born};
+    };
+    for (const auto& [address, known] : vms_) {
+        const bool answers = now - known.answered_at <= successor_heard_within;
+        const bool able = answers && !known.leaving && !known.entry.vm.empty();
+        if (able && (best == nullptr || merit(known) > merit(*best))) {
+            best = &known;
+        }
+    }
+    return best;
+}
+
+void cluster_node::announce_vacancy()
+{
+    const auto* const next = choose_successor();
+    vacant_ = true;
+    successor_ = next == nullptr ? std::string{} : next->entry.vm;
+    log.info("handed_back", {{"epoch", leader_->epoch()}, {"successor", successor_}});
+    for (auto& [address, known] : vms_) {
+        beat(address, known);
+    }
+}
+
+void cluster_node::yield_to_stronger()
+{
+    const auto now = ports_.time->now();
+    const bool settled = leader_->active() && leader_->knows_all_parts() &&
+                         now - elected_at_ >= yield_after &&
+                         now - leader_->confirmed_at() < yield_confirmed_within;
+    if (!settled || left_ || yielding_) {
+        return;
+    }
+    const auto* const next = choose_successor();
+    const auto own = options_.self.processor_millis;
+    if (next == nullptr || next->entry.processor_millis < yield_ratio * own) {
+        return;
+    }
+    yielding_ = true;
+    log.info("yielding", {{"epoch", leader_->epoch()},
+                          {"to", next->entry.vm},
+                          {"its_processor_millis", next->entry.processor_millis},
+                          {"own_processor_millis", own}});
+    leader_->hand_back([this, alive = alive_] {
+        if (*alive) {
+            finish_yield();
+        }
+    });
+}
+
+void cluster_node::finish_yield()
+{
+    announce_vacancy();
+    store::lease_record vacated;
+    vacated.epoch = leader_->epoch();
+    lost(vacated);
 }
 
 void cluster_node::tell_leader(const store::row& stored)
@@ -463,12 +534,7 @@
         if (!*alive) {
             return;
         }
-        vacant_ = true;
-        successor_ = choose_successor();
-        log.info("handed_back", {{"epoch", leader_->epoch()}, {"successor", successor_}});
-        for (auto& [address, known] : vms_) {
-            beat(address, known);
-        }
+        announce_vacancy();
         on_done();
     });
 }
--- a/src/control/cluster_node.hpp
+++ b/src/control/cluster_node.hpp
@@ -90,6 +90,8 @@
         base::time_point beat_at{};
         bool under_way = false;
         bool wants_snapshot = true;
+        /// It has said that it shuts down.
+        bool leaving = false;
         std::uint64_t sequence = 0;
         std::map<std::string, cluster::job_view> unsent{};
     };
@@ -112,8 +114,13 @@
     [[nodiscard]] std::vector<cluster::vm_entry> vms() const;
     [[nodiscard]] cluster::hello_answer answer_hello() const;
 
-    /// The VM that answered last.
-    [[nodiscard]] std::string choose_successor() const;
+    /// The VM that should lead next, of those that answer; null when there is none.
+    [[nodiscard]] const neighbour* choose_successor() const;
+    /// Hands the lease to a VM with much more processor than this one.
+    void yield_to_stronger();
+    void finish_yield();
+    /// Tells all VMs that the lease is free, and who takes it first.
+    void announce_vacancy();
     [[nodiscard]] std::uint32_t configuration_ms_ago() const;
     /// Acknowledges a message that asks nothing.
     [[nodiscard]] cluster::message plain_answer() const;
@@ -128,6 +135,8 @@
     bool vacant_ = false;
     std::string successor_{};
     bool left_ = false;
+    bool yielding_ = false;
+    base::time_point elected_at_{};
     bool beat_scheduled_ = false;
     bool asking_configuration_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -201,7 +201,7 @@
 
 void leader::look(worker_state& worker)
 {
-    if (handing_back_ || lost_) {
+    if (lost_) {
         return;
     }
     const auto now = ports_.time->now();
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -26,6 +26,14 @@
 
 } // namespace
 
+bool better_leader(const cluster::vm_entry& one, const cluster::vm_entry& other)
+{
+    if (one.processor_millis != other.processor_millis) {
+        return one.processor_millis > other.processor_millis;
+    }
+    return one.vm < other.vm;
+}
+
 leadership::leadership(leadership_ports ports, leadership_options options)
     : ports_{std::move(ports)}, options_{std::move(options)}, heard_at_{ports_.time->now()}
 {
@@ -231,7 +239,7 @@
         return;
     }
     ++round.alive;
-    round.before_self += told->from.vm < options_.self.vm ? 1 : 0;
+    round.before_self += better_leader(told->from, options_.self) ? 1 : 0;
     ports_.on_vm(told->from);
     for (const auto& vm : told->vms) {
         ports_.on_vm(vm);
--- a/src/control/leadership.hpp
+++ b/src/control/leadership.hpp
@@ -25,6 +25,10 @@
         ask{};
 };
 
+/// Which of two VMs tries first when a leader is missing: the one with more processor, since a
+/// leader's work grows with the number of workers while a door's does not.
+[[nodiscard]] bool better_leader(const cluster::vm_entry& one, const cluster::vm_entry& other);
+
 struct leadership_options {
     /// Each part has a lease row; the first that answers decides who leads.
     store::part_map parts{};
@@ -98,6 +102,7 @@
         std::size_t asked = 0;
         std::size_t waiting = 0;
         std::size_t alive = 0;
+        /// VMs that answered and that are better leaders than this one.
         std::size_t before_self = 0;
         bool leader_heard = false;
         bool holder_reborn = false;
--- a/src/net/reactor_client.hpp
+++ b/src/net/reactor_client.hpp
@@ -12,8 +12,8 @@
 {
 
 struct reactor_client_options {
-    /// Open connections kept for reuse over all targets.
-    long max_idle_connections = 256;
+    /// Open connections kept for reuse over all targets: a few to each of several hundred workers.
+    long max_idle_connections = 1'536;
     long max_connections_per_target = 16;
     /// Unacknowledged bytes close a connection after this time; silent peers are found by it.
     base::milliseconds user_timeout{2'500};
--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -21,6 +21,9 @@
 constexpr double one_day_s = 86'400;
 constexpr double most_parts = 16;
 constexpr double most_remote_factor = 1'000;
+constexpr double most_processors = 1'024;
+constexpr double least_descriptors = 256;
+constexpr double most_descriptors = 1'048'576;
 constexpr auto required = presence::required;
 constexpr auto optional = presence::optional;
 constexpr auto endpoint = text_format::endpoint;
@@ -52,6 +55,12 @@
     {"status_retention_s", &site_bound_settings::status_retention_s, required, 0, one_day_s, "s", name, "how long the state of an ended job is kept"},
     {"remote_factor", &site_bound_settings::remote_factor, required, 1, most_remote_factor, "", name, "how many times longer work takes away from its data"},
 });
+
+constexpr auto limit_members = std::to_array<member<site_limit_settings>>({
+    {"processor_share", &site_limit_settings::processor_share, optional, 0, most_processors, "cores", name, "share of a core that the VM may use"},
+    {"processors", &site_limit_settings::processors, optional, 1, most_processors, "cores", name, "cores whose speed the share is counted in"},
+    {"descriptors", &site_limit_settings::descriptors, optional, least_descriptors, most_descriptors, "descriptors", name, "file descriptors that the process may have open"},
+});
 // clang-format on
 
 void read_seeds(const internal::json& value, std::vector<std::string>& seeds,
@@ -88,6 +97,9 @@
     } else if (member_name == "bounds") {
         internal::read_object(std::span<const member<site_bound_settings>>{bound_members}, value,
                               path, settings.bounds, faults);
+    } else if (member_name == "limits") {
+        internal::read_object(std::span<const member<site_limit_settings>>{limit_members}, value,
+                              path, settings.limits, faults);
     } else if (member_name == "seeds") {
         read_seeds(value, settings.seeds, faults);
     } else if (member_name == "log_level" && value.is_string()) {
--- a/src/settings/site_settings.hpp
+++ b/src/settings/site_settings.hpp
@@ -47,11 +47,21 @@
     double remote_factor = 3.0;
 };
 
+/// What the VM that the process runs on has to give.
+struct site_limit_settings {
+    /// Share of one core, and how many cores' speed it is a share of.
+    double processor_share = 1.0;
+    std::uint32_t processors = 1;
+    /// File descriptors that the process may have open.
+    std::uint32_t descriptors = 4'096;
+};
+
 struct site_settings {
     vm_identity vm;
     site_listen_settings listen;
     site_store_settings store;
     site_bound_settings bounds;
+    site_limit_settings limits;
     /// Peer addresses of VMs that may exist.
     std::vector<std::string> seeds;
     std::string log_level = "info";
--- a/tests/support/site_fixture.hpp
+++ b/tests/support/site_fixture.hpp
@@ -71,7 +71,7 @@
     }
 
     /// Starts a VM, or starts it anew with nothing of before.
-    vm& start(const std::string& name)
+    vm& start(const std::string& name, std::uint32_t processor_millis = 250)
     {
         stop(name);
         auto made = std::make_unique<vm>();
@@ -96,7 +96,7 @@
                 [this](std::string_view /*body*/) { return submitted.spec; }},
             door_options);
         control::cluster_node_options options;
-        options.self = {name, made->born, address_of(name), "domain"};
+        options.self = {name, made->born, address_of(name), "domain", processor_millis};
         for (const auto& [other, known] : vms_) {
             options.seeds.push_back(address_of(other));
         }
