--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -98,6 +98,20 @@
     return longest;
 }
 
+base::milliseconds job::chain_from(std::uint32_t step) const
+{
+    const auto& steps = accepted_.spec.steps;
+    std::vector<base::milliseconds> to_end(steps.size(), base::milliseconds{0});
+    for (auto index = steps.size(); index > 0; --index) {
+        const auto current = index - 1;
+        to_end.at(current) += steps.at(current).estimate;
+        for (const auto earlier : steps.at(current).after) {
+            to_end.at(earlier) = std::max(to_end.at(earlier), to_end.at(current));
+        }
+    }
+    return to_end.at(step);
+}
+
 base::milliseconds job::objective() const
 {
     const auto stretched = static_cast<double>(longest_chain().count()) * accepted_.policy.stretch;
--- a/src/batch/job.hpp
+++ b/src/batch/job.hpp
@@ -168,6 +168,9 @@
     /// The longest chain of steps that come after each other, by their estimates.
     [[nodiscard]] base::milliseconds longest_chain() const;
 
+    /// The longest chain that begins with a step, by the estimates.
+    [[nodiscard]] base::milliseconds chain_from(std::uint32_t step) const;
+
     /// Time from the submission within which the job is in time.
     [[nodiscard]] base::milliseconds objective() const;
 
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -280,7 +280,9 @@
     bool workers_read_ = false;
     bool plan_scheduled_ = false;
     bool flush_scheduled_ = false;
+    /// When the newest plan was finished, and how long it took.
     base::time_point last_plan_at_{};
+    base::milliseconds last_plan_took_{0};
 
     std::unordered_map<std::string, job_entry> jobs_{};
     std::set<std::string> dirty_{};
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -21,8 +21,15 @@
 constexpr std::size_t failed_jobs_to_close = 2;
 /// After this time without further failures a suspected worker is tried again.
 constexpr base::milliseconds suspicion_time{8'000};
-/// Ranks of one priority lie below all of the next.
-constexpr double priority_span = 1e15;
+/// Plans take at most one part in this many of the leader's time.
+/// Load pattern: hundreds of workers and waiting units on a VM with a part of a core.
+constexpr int plan_rest_factor = 3;
+
+/// Unix milliseconds that the objective of an occurrence counts from.
+std::int64_t began_ms(const batch::job& job, std::uint32_t occurrence)
+{
+    return std::max(job.accepted().accepted_ms, job.due_ms(occurrence));
+}
 
 } // namespace
 
@@ -33,7 +40,8 @@
     }
     plan_scheduled_ = true;
     const auto now = ports_.time->now();
-    const auto due = std::max(last_plan_at_ + plan_interval, now);
+    const auto rest = std::max(plan_interval, last_plan_took_ * plan_rest_factor);
+    const auto due = std::max(last_plan_at_ + rest, now);
     const auto delay = std::chrono::ceil<base::milliseconds>(due - now);
     ports_.time->after(delay, [this, alive = alive_] {
         if (*alive) {
@@ -48,17 +56,18 @@
     if (!active_ || handing_back_) {
         return;
     }
-    last_plan_at_ = ports_.time->now();
+    const auto began = ports_.time->now();
     plan_input input;
     std::map<std::string, std::size_t> worker_index;
     collect_workers(input, worker_index);
     collect_units(input, worker_index);
-    if (input.units.empty()) {
-        return;
+    if (!input.units.empty()) {
+        ++counters_.plans;
+        collect_victims(input, worker_index);
+        apply_plan(input, planning::make_plan(input.units, input.workers, input.victims));
     }
-    ++counters_.plans;
-    collect_victims(input, worker_index);
-    apply_plan(input, planning::make_plan(input.units, input.workers, input.victims));
+    last_plan_at_ = ports_.time->now();
+    last_plan_took_ = std::chrono::ceil<base::milliseconds>(last_plan_at_ - began);
 }
 
 void leader::collect_workers(plan_input& input,
@@ -155,7 +164,6 @@
     planning::work_unit unit;
     unit.spec = &spec;
     unit.service = &job.accepted().policy.service;
-    unit.priority = job.accepted().policy.priority;
     unit.guaranteed = guaranteed;
     std::map<std::size_t, std::uint32_t> present;
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
@@ -175,8 +183,19 @@
     }
     unit.failures = std::max(unit.failures, step.gang_failures);
     unit.present.assign(present.begin(), present.end());
-    unit.rank = static_cast<double>(unit.priority) * priority_span +
-                static_cast<double>(job.accepted().accepted_ms);
+    unit.work = batch::core_weight(spec.need) * static_cast<double>(unit.tasks.size()) *
+                static_cast<double>(spec.estimate.count()) / milliseconds_per_second;
+    planning::order_facts facts;
+    facts.priority = job.accepted().policy.priority;
+    facts.guaranteed = guaranteed;
+    const auto since_ms = began_ms(job, origin.occurrence);
+    if (!spec.long_running) {
+        facts.age =
+            base::milliseconds{std::max<std::int64_t>(ports_.time->unix_ms() - since_ms, 0)};
+        facts.left = job.chain_from(origin.step);
+    }
+    facts.objective = job.objective();
+    unit.rank = planning::rank_of(facts, since_ms);
     input.units.push_back(std::move(unit));
     input.origins.push_back(std::move(origin));
 }
--- a/src/planning/plan_types.hpp
+++ b/src/planning/plan_types.hpp
@@ -2,6 +2,7 @@
 
 #include "batch/job_spec.hpp"
 #include "fleet/worker_facts.hpp"
+#include "planning/order.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -34,7 +35,6 @@
     const std::string* service = nullptr;
     /// Tasks that wait, by their index in the step.
     std::vector<std::uint32_t> tasks{};
-    std::uint32_t priority = 0;
     /// Within its workspace's guarantee, which may take room from all that is not.
     bool guaranteed = false;
     /// Failures so far; work that has failed is kept from workers under suspicion.
@@ -43,8 +43,9 @@
     std::uint32_t attempts_left = 1;
     /// Tasks of this occurrence that are already on a worker, as (worker, count).
     std::vector<std::pair<std::size_t, std::uint32_t>> present{};
-    /// Rank in the order of work; smaller goes first.
-    double rank = 0.0;
+    work_rank rank{};
+    /// Core-seconds of the waiting tasks by their estimate.
+    double work = 0.0;
 };
 
 /// Running work that could give way: one task, or all members of a gang.
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -14,13 +14,37 @@
 /// Work of this priority may take the room of the others.
 constexpr std::uint32_t urgent_priority = 0;
 
+/// Late work stops others' work only up to this part of its own.
+constexpr double most_loss_of_late_work = 0.5;
+
+/// What a unit asked for that found no room in this plan.
+struct failed_shape {
+    const work_unit* unit = nullptr;
+    bool gang = false;
+
+    /// True when `other` asks for no less in the same places, so that it finds no room either.
+    [[nodiscard]] bool covers(const work_unit& other) const
+    {
+        const auto& mine = *unit->spec;
+        const auto& its = *other.spec;
+        const bool same_places = *unit->service == *other.service &&
+                                 mine.required_label == its.required_label &&
+                                 mine.one_rack == its.one_rack && gang == its.gang;
+        const bool same_claim =
+            unit->guaranteed == other.guaranteed && unit->rank.priority == other.rank.priority &&
+            unit->rank.late == other.rank.late && unit->rank.overdue == other.rank.overdue;
+        return same_places && same_claim && mine.max_per_worker == 0 && mine.need.fits(its.need) &&
+               unit->tasks.size() <= other.tasks.size();
+    }
+};
+
 /// One run through the units.
 class plan_builder
 {
 public:
     plan_builder(std::span<const work_unit> units, std::vector<worker_room> workers,
                  std::span<const victim> victims)
-        : units_{units}, workers_{std::move(workers)}, victims_{victims}, stopped_(victims.size())
+        : units_{units}, site_{std::move(workers)}, book_{victims, site_.workers().size()}
     {
     }
 
@@ -52,32 +76,39 @@
 
     void consider_gang(std::size_t index, const work_unit& unit)
     {
-        if (auto placed = place_whole(unit, workers_, room_kind::free)) {
+        const bool hopeless = std::ranges::any_of(
+            failed_, [&](const failed_shape& failed) { return failed.covers(unit); });
+        if (hopeless) {
+            return;
+        }
+        if (auto placed = place_whole(unit, site_, room_kind::free)) {
             start(index, unit, std::move(*placed));
             return;
         }
-        if (auto placed = place_whole(unit, workers_, room_kind::coming)) {
+        if (auto placed = place_whole(unit, site_, room_kind::coming)) {
             reserve(index, unit, *placed);
             return;
         }
-        reclaim(index, unit);
+        if (!reclaim(index, unit)) {
+            failed_.push_back({&unit, true});
+        }
     }
 
     void consider_tasks(std::size_t index, const work_unit& unit)
     {
-        auto placed = place_each(unit, workers_, room_kind::free, false);
+        auto placed = place_each(unit, site_, room_kind::free, data_side::near);
         const auto missing = unit.tasks.size() - placed.size();
         if (!placed.empty()) {
             start(index, unit, std::move(placed));
         }
-        if (missing > 0 && unit.priority == urgent_priority) {
+        if (missing > 0 && unit.rank.priority == urgent_priority) {
             auto rest = unit;
             rest.tasks.assign(unit.tasks.end() - static_cast<std::ptrdiff_t>(missing),
                               unit.tasks.end());
-            if (auto coming = place_whole(rest, workers_, room_kind::coming)) {
+            if (auto coming = place_whole(rest, site_, room_kind::coming)) {
                 reserve(index, rest, *coming);
             } else {
-                reclaim(index, rest);
+                (void)reclaim(index, rest);
             }
         }
     }
@@ -98,48 +129,53 @@
                 });
             }
         }
-        auto placed = place_each(rest, workers_, room_kind::free, true);
+        auto placed = place_each(rest, site_, room_kind::free, data_side::away);
         if (!placed.empty()) {
             start(index, unit, std::move(placed));
         }
     }
 
-    void reclaim(std::size_t index, const work_unit& unit)
+    /// Stops others' work for the unit; false when that is not worth it or not enough.
+    [[nodiscard]] bool reclaim(std::size_t index, const work_unit& unit)
     {
-        if (unit.priority != urgent_priority) {
-            return;
+        const bool entitled = unit.rank.priority == urgent_priority && !unit.rank.overdue;
+        if (!entitled) {
+            return false;
         }
-        const auto found = plan_reclaim(unit, workers_, victims_, stopped_);
-        if (!found) {
-            return;
+        const auto found = plan_reclaim(unit, site_, book_);
+        const bool too_dear =
+            found && unit.rank.late && found->loss > unit.work * most_loss_of_late_work;
+        if (!found || too_dear) {
+            return false;
         }
         for (const auto stop : found->victims) {
-            stopped_[stop] = true;
+            book_.stop(stop);
             made_.stops.push_back(stop);
-            for (const auto& holding : victims_[stop].holdings) {
-                workers_[holding.worker].coming += holding.need;
-            }
+            site_.release(book_.all()[stop]);
         }
         reserve(index, unit, found->tasks);
+        // What the victims held beyond this unit's need is room for others.
+        failed_.clear();
+        return true;
     }
 
     void start(std::size_t index, const work_unit& unit, std::vector<assignment> tasks)
     {
-        take_room(unit, tasks, workers_);
+        site_.take(unit, tasks);
         made_.starts.push_back({index, std::move(tasks)});
     }
 
     /// Keeps room for the unit; what is free of it is not given to others meanwhile.
     void reserve(std::size_t index, const work_unit& unit, std::span<const assignment> tasks)
     {
-        take_room(unit, tasks, workers_);
+        site_.take(unit, tasks);
         made_.reserved.push_back(index);
     }
 
     std::span<const work_unit> units_;
-    std::vector<worker_room> workers_;
-    std::span<const victim> victims_;
-    std::vector<bool> stopped_;
+    site_view site_;
+    victim_book book_;
+    std::vector<failed_shape> failed_{};
     plan made_{};
 };
 
--- a/src/planning/reclaim.cpp
+++ b/src/planning/reclaim.cpp
@@ -3,54 +3,68 @@
 #include "planning/placement.hpp"
 
 #include <algorithm>
-#include <map>
-#include <string_view>
+#include <iterator>
 
 namespace poplarstile::planning
 {
 namespace
 {
 
-/// Work of another priority counts this much more, in core-seconds, than work that may go first.
-constexpr double priority_weight = 1'000.0;
+/// Work of the unit's own priority counts this much more, in core-seconds, than work below it.
+constexpr double own_priority_weight = 1'000.0;
 
 bool may_stop(const work_unit& unit, const victim& candidate)
 {
-    if (candidate.priority > unit.priority) {
+    if (candidate.priority > unit.rank.priority) {
         return true;
     }
-    return unit.guaranteed && !candidate.guaranteed && candidate.priority == unit.priority;
+    return unit.guaranteed && !candidate.guaranteed && candidate.priority == unit.rank.priority;
 }
 
 double cost_of(const work_unit& unit, const victim& candidate)
 {
-    return candidate.loss + (candidate.priority == unit.priority ? priority_weight : 0.0);
+    return candidate.loss + (candidate.priority == unit.rank.priority ? own_priority_weight : 0.0);
+}
+
+batch::resources held_on(std::size_t worker, const victim& candidate)
+{
+    batch::resources held;
+    for (const auto& holding : candidate.holdings) {
+        if (holding.worker == worker) {
+            held += holding.need;
+        }
+    }
+    return held;
 }
 
 /// Tries one set of workers: stops the cheapest victims until all tasks fit.
 class reclaim_search
 {
 public:
-    reclaim_search(const work_unit& unit, std::span<const worker_room> workers,
-                   std::span<const victim> victims, const std::vector<bool>& stopped,
+    reclaim_search(const work_unit& unit, const site_view& site, const victim_book& book,
                    std::span<const std::size_t> members)
-        : unit_{unit}, workers_{workers}, victims_{victims}, taken_{stopped}, members_{members}
+        : unit_{unit}, book_{book}, members_{members}, taken_{book.stopped()}
     {
+        room_.resize(site.workers().size());
+        stale_.assign(site.workers().size(), true);
+        options_.resize(members.size());
         for (const auto index : members) {
-            room_.emplace(index, workers[index].coming);
+            room_[index] = site.worker(index).coming;
         }
-        collect_by_worker();
     }
 
     std::optional<reclaim_plan> run()
     {
         reclaim_plan made;
+        if (!could_hold_all()) {
+            return std::nullopt;
+        }
         for (const auto task : unit_.tasks) {
             const auto worker = next_slot(made);
             if (!worker) {
                 return std::nullopt;
             }
-            room_.at(*worker) -= unit_.spec->need;
+            room_[*worker] -= unit_.spec->need;
             made.tasks.push_back({task, *worker});
         }
         return made;
@@ -64,49 +78,53 @@
         std::int64_t left = 0;
     };
 
-    void collect_by_worker()
+    [[nodiscard]] bool may_take(std::size_t index) const
     {
-        for (std::size_t index = 0; index < victims_.size(); ++index) {
-            if (taken_[index] || !may_stop(unit_, victims_[index])) {
-                continue;
-            }
-            for (const auto& holding : victims_[index].holdings) {
-                if (room_.contains(holding.worker)) {
-                    auto& there = by_worker_[holding.worker];
-                    if (there.empty() || there.back() != index) {
-                        there.push_back(index);
-                    }
+        return !taken_[index] && may_stop(unit_, book_.all()[index]);
+    }
+
+    /// True when all tasks would fit if everything stopped that may be.
+    [[nodiscard]] bool could_hold_all() const
+    {
+        std::int64_t slots = 0;
+        for (const auto worker : members_) {
+            auto room = room_[worker];
+            for (const auto index : book_.on_worker(worker)) {
+                if (may_take(index)) {
+                    room += held_on(worker, book_.all()[index]);
                 }
             }
+            slots += internal::slots_on(unit_, room, worker);
         }
-        for (auto& [worker, indexes] : by_worker_) {
-            std::ranges::stable_sort(
-                indexes, {}, [this](std::size_t index) { return cost_of(unit_, victims_[index]); });
-        }
+        return slots >= static_cast<std::int64_t>(unit_.tasks.size());
     }
 
     /// Room for one more task on the cheapest worker; stops what that takes.
     std::optional<std::size_t> next_slot(reclaim_plan& made)
     {
-        std::optional<option> best;
-        for (const auto worker : members_) {
-            auto candidate = option_on(worker, made);
-            if (!candidate) {
-                continue;
+        const option* best = nullptr;
+        for (std::size_t at = 0; at < members_.size(); ++at) {
+            if (stale_[members_[at]]) {
+                options_[at] = option_on(members_[at], made);
+                stale_[members_[at]] = false;
             }
-            const bool better = !best || candidate->cost < best->cost ||
-                                (candidate->cost == best->cost && candidate->left < best->left);
+            const auto& candidate = options_[at];
+            const bool better =
+                candidate && (best == nullptr || candidate->cost < best->cost ||
+                              (candidate->cost == best->cost && candidate->left < best->left));
             if (better) {
-                best = std::move(candidate);
+                best = &*candidate;
             }
         }
-        if (!best) {
+        if (best == nullptr) {
             return std::nullopt;
         }
+        const auto worker = best->worker;
+        stale_[worker] = true;
         for (const auto index : best->stops) {
             stop(index, made);
         }
-        return best->worker;
+        return worker;
     }
 
     [[nodiscard]] std::optional<option> option_on(std::size_t worker,
@@ -116,99 +134,126 @@
             return std::nullopt;
         }
         option candidate{worker, {}, 0.0, 0};
-        auto room = room_.at(worker);
-        const auto there = by_worker_.find(worker);
-        if (there != by_worker_.end()) {
-            for (const auto index : there->second) {
-                if (unit_.spec->need.fits(room)) {
-                    break;
-                }
-                if (taken_[index]) {
-                    continue;
-                }
+        auto room = room_[worker];
+        for (const auto index : book_.on_worker(worker)) {
+            if (unit_.spec->need.fits(room)) {
+                break;
+            }
+            if (may_take(index)) {
                 candidate.stops.push_back(index);
-                candidate.cost += cost_of(unit_, victims_[index]);
-                room += held_on(worker, victims_[index]);
+                room += held_on(worker, book_.all()[index]);
             }
         }
         if (!unit_.spec->need.fits(room)) {
             return std::nullopt;
         }
+        spare_needless(candidate, room);
+        for (const auto index : candidate.stops) {
+            candidate.cost += cost_of(unit_, book_.all()[index]);
+        }
         candidate.left = room.accelerators;
         return candidate;
     }
 
-    [[nodiscard]] bool bound_reached(std::size_t worker, const reclaim_plan& made) const
+    /// Spares the dearest victims without which the need fits as well.
+    void spare_needless(option& candidate, batch::resources& room) const
     {
-        if (unit_.spec->max_per_worker == 0) {
-            return false;
+        for (auto position = candidate.stops.size(); position > 0; --position) {
+            const auto index = candidate.stops[position - 1];
+            const auto without = room - held_on(candidate.worker, book_.all()[index]);
+            if (unit_.spec->need.fits(without)) {
+                room = without;
+                candidate.stops.erase(
+                    std::next(candidate.stops.begin(), static_cast<std::ptrdiff_t>(position - 1)));
+            }
         }
-        const auto placed = std::ranges::count(made.tasks, worker, &assignment::worker);
-        return internal::slots_on(unit_, workers_[worker], workers_[worker].facts->capacity,
-                                  worker) <= placed;
     }
 
-    static batch::resources held_on(std::size_t worker, const victim& candidate)
+    [[nodiscard]] bool bound_reached(std::size_t worker, const reclaim_plan& made) const
     {
-        batch::resources held;
-        for (const auto& holding : candidate.holdings) {
-            if (holding.worker == worker) {
-                held += holding.need;
-            }
+        if (unit_.spec->max_per_worker == 0) {
+            return false;
         }
-        return held;
+        const auto placed = std::ranges::count(made.tasks, worker, &assignment::worker);
+        const auto present =
+            std::ranges::find(unit_.present, worker, [](const auto& entry) { return entry.first; });
+        const std::int64_t there = present == unit_.present.end() ? 0 : present->second;
+        return there + placed >= std::int64_t{unit_.spec->max_per_worker};
     }
 
     void stop(std::size_t index, reclaim_plan& made)
     {
+        const auto& stopped = book_.all()[index];
         taken_[index] = true;
         made.victims.push_back(index);
-        made.loss += cost_of(unit_, victims_[index]);
-        for (const auto& holding : victims_[index].holdings) {
-            const auto found = room_.find(holding.worker);
-            if (found != room_.end()) {
-                found->second += holding.need;
-            }
+        made.loss += cost_of(unit_, stopped);
+        for (const auto& holding : stopped.holdings) {
+            // Room of workers outside the search is never read.
+            room_[holding.worker] += holding.need;
+            stale_[holding.worker] = true;
         }
     }
 
     const work_unit& unit_;
-    std::span<const worker_room> workers_;
-    std::span<const victim> victims_;
-    std::vector<bool> taken_;
+    const victim_book& book_;
     std::span<const std::size_t> members_;
-    std::map<std::size_t, batch::resources> room_{};
-    std::map<std::size_t, std::vector<std::size_t>> by_worker_{};
+    std::vector<bool> taken_;
+    /// By worker.
+    std::vector<batch::resources> room_{};
+    /// By worker: whether its option was worked out before its room changed.
+    std::vector<bool> stale_{};
+    /// The cheapest way to one more slot, by the place of the worker in `members_`.
+    std::vector<std::optional<option>> options_{};
 };
 
+void keep_cheaper(std::optional<reclaim_plan>& best, std::optional<reclaim_plan> made)
+{
+    if (made && (!best || made->loss < best->loss)) {
+        best = std::move(made);
+    }
+}
+
 } // namespace
 
-std::optional<reclaim_plan> plan_reclaim(const work_unit& unit,
-                                         std::span<const worker_room> workers,
-                                         std::span<const victim> victims,
-                                         const std::vector<bool>& stopped)
+victim_book::victim_book(std::span<const victim> victims, std::size_t workers)
+    : victims_{victims}, by_worker_(workers), stopped_(victims.size())
 {
-    std::map<std::string_view, std::vector<std::size_t>> racks;
-    std::vector<std::size_t> all;
-    for (std::size_t index = 0; index < workers.size(); ++index) {
-        if (may_run(unit, workers[index])) {
-            racks[workers[index].facts->rack].push_back(index);
-            all.push_back(index);
+    for (std::size_t index = 0; index < victims.size(); ++index) {
+        for (const auto& holding : victims[index].holdings) {
+            auto& there = by_worker_[holding.worker];
+            if (there.empty() || there.back() != index) {
+                there.push_back(index);
+            }
         }
     }
+    for (auto& there : by_worker_) {
+        // The least urgent first, of those the least work lost.
+        std::ranges::stable_sort(there, [&](std::size_t one, std::size_t other) {
+            const auto& left = victims[one];
+            const auto& right = victims[other];
+            const bool urgent_left = left.priority == 0;
+            const bool urgent_right = right.priority == 0;
+            return std::pair{urgent_left, left.loss} < std::pair{urgent_right, right.loss};
+        });
+    }
+}
+
+std::optional<reclaim_plan> plan_reclaim(const work_unit& unit, site_view& site,
+                                         const victim_book& book)
+{
     std::optional<reclaim_plan> best;
-    for (const auto& [rack, members] : racks) {
-        auto made = reclaim_search{unit, workers, victims, stopped, members}.run();
-        if (made && (!best || made->loss < best->loss)) {
-            best = std::move(made);
-        }
+    const auto& racks = site.racks_for(unit);
+    for (const auto& rack : racks) {
+        keep_cheaper(best, reclaim_search{unit, site, book, rack.workers}.run());
     }
-    if (!best || !unit.spec->one_rack) {
-        auto made = reclaim_search{unit, workers, victims, stopped, all}.run();
-        if (made && (!best || made->loss < best->loss)) {
-            best = std::move(made);
-        }
+    if (best && unit.spec->one_rack) {
+        return best;
+    }
+    std::vector<std::size_t> all;
+    for (const auto& rack : racks) {
+        all.insert(all.end(), rack.workers.begin(), rack.workers.end());
     }
+    keep_cheaper(best, reclaim_search{unit, site, book, all}.run());
     return best;
 }
 
