--- /dev/null
+++ b/tests/catalog/catalog_test.cpp
@@ -0,0 +1,126 @@
+#include "catalog/catalog.hpp"
+#include "catalog/configuration_keeper.hpp"
+#include "support/virtual_time.hpp"
+
+#include <gtest/gtest.h>
+
+namespace poplarstile::catalog
+{
+namespace
+{
+
+using base::milliseconds;
+using std::chrono::seconds;
+
+contents two_queues()
+{
+    contents made;
+    made.version = 4;
+    for (const auto* const prefix : {"/a/", "/a/deep/"}) {
+        queue added;
+        added.policy.queue = prefix;
+        added.host = "shop.example";
+        added.prefix = prefix;
+        made.queues.push_back(added);
+    }
+    made.workspaces.push_back({"shop", {"k1", "k2"}, 8});
+    return made;
+}
+
+TEST(catalog, TheLongestPrefixSelectsTheQueue)
+{
+    const catalog made{two_queues()};
+
+    EXPECT_EQ(made.match("shop.example", "/a/1")->prefix, "/a/");
+    EXPECT_EQ(made.match("shop.example", "/a/deep/1")->prefix, "/a/deep/");
+    EXPECT_EQ(made.match("shop.example:80", "/a/1")->prefix, "/a/");
+    EXPECT_EQ(made.match("shop.example", "/b/1"), nullptr);
+    EXPECT_EQ(made.match("other.example", "/a/1"), nullptr);
+}
+
+TEST(catalog, KeysNameTheirWorkspace)
+{
+    const catalog made{two_queues()};
+
+    EXPECT_EQ(made.workspace_of("k2")->name, "shop");
+    EXPECT_EQ(made.workspace_of("k3"), nullptr);
+    EXPECT_EQ(made.workspace_named("shop")->guaranteed_accelerators, 8);
+}
+
+class configuration_keeper_test : public testing::Test
+{
+protected:
+    configuration_keeper_test()
+    {
+        source.read = [this](const std::function<void(configuration_reply)>& handler) {
+            time.after(milliseconds{4}, [this, handler] { handler(reply); });
+        };
+        source.follow = [this](store::row_version /*after*/, milliseconds wait,
+                               const std::function<void(configuration_reply)>& handler) {
+            time.after(wait, [this, handler] {
+                handler({reply.outcome, std::nullopt, reply.position});
+            });
+        };
+        source.decode = [](std::string_view document) {
+            contents made;
+            made.version = document.size();
+            return base::result<contents>{made};
+        };
+    }
+
+    tests::virtual_time time{};
+    configuration_source source{};
+    configuration_reply reply{store::call_outcome::done, stored_configuration{5, "12345"}, 5};
+    configuration_keeper keeper{source, time.timers()};
+};
+
+TEST_F(configuration_keeper_test, TakesWhatTheStoreHolds)
+{
+    EXPECT_EQ(keeper.current(), nullptr);
+
+    keeper.start();
+    time.run_for(milliseconds{100});
+
+    ASSERT_NE(keeper.current(), nullptr);
+    EXPECT_EQ(keeper.version(), 5U);
+}
+
+TEST_F(configuration_keeper_test, VersionsNeverGoBack)
+{
+    keeper.hear({9, "123456789"}, milliseconds{0});
+    keeper.hear({7, "1234567"}, milliseconds{0});
+
+    EXPECT_EQ(keeper.version(), 9U);
+    EXPECT_EQ(keeper.current()->version(), 9U);
+}
+
+TEST_F(configuration_keeper_test, AgeCountsFromTheProofAndNotFromTheMessage)
+{
+    keeper.hear({9, "123456789"}, milliseconds{700});
+    time.run_for(seconds{1});
+
+    EXPECT_EQ(keeper.age(), milliseconds{1'700});
+}
+
+TEST_F(configuration_keeper_test, AnOlderProofDoesNotMakeItOlder)
+{
+    keeper.hear({9, "123456789"}, milliseconds{100});
+    keeper.hear({9, "123456789"}, milliseconds{5'000});
+
+    EXPECT_EQ(keeper.age(), milliseconds{100});
+}
+
+TEST_F(configuration_keeper_test, WithoutTheStoreTheAgeGrows)
+{
+    keeper.start();
+    time.run_for(milliseconds{100});
+    reply.outcome = store::call_outcome::refused;
+
+    time.run_for(seconds{10});
+
+    EXPECT_GE(keeper.age(), seconds{5});
+    EXPECT_EQ(keeper.version(), 5U) << "what it has stays in force until it is too old";
+}
+
+} // namespace
+} // namespace poplarstile::catalog
--- /dev/null
+++ b/tests/platform/caller_port_test.cpp
@@ -0,0 +1,133 @@
+#include "platform/caller_port.hpp"
+
+#include <gtest/gtest.h>
+
+namespace poplarstile::platform
+{
+namespace
+{
+
+net::http_request request(std::string method, std::string path)
+{
+    net::http_request made;
+    made.method = std::move(method);
+    made.path = std::move(path);
+    return made;
+}
+
+TEST(caller_port, MethodsNameTheKindOfCall)
+{
+    EXPECT_EQ(decode_call(request("POST", "/q/1"))->kind, door::call_kind::submit);
+    EXPECT_EQ(decode_call(request("GET", "/q/1"))->kind, door::call_kind::show);
+    EXPECT_EQ(decode_call(request("DELETE", "/q/1"))->kind, door::call_kind::cancel);
+    EXPECT_FALSE(decode_call(request("PATCH", "/q/1")));
+}
+
+TEST(caller_port, HostKeyAndPatienceComeFromTheHeaders)
+{
+    auto made = request("GET", "/q/1");
+    made.headers = {{"Host", "shop.example"}, {"Key", "k-1"}, {"Deadline-Ms", "1200"}};
+
+    const auto call = decode_call(made);
+
+    EXPECT_EQ(call->host, "shop.example");
+    EXPECT_EQ(call->key, "k-1");
+    EXPECT_EQ(call->patience, base::milliseconds{1'200});
+}
+
+TEST(caller_port, APatienceThatIsNoNumberLeavesTheUsualOne)
+{
+    auto made = request("GET", "/q/1");
+    made.headers = {{"Deadline-Ms", "soon"}};
+
+    EXPECT_EQ(decode_call(made)->patience, door::caller_call{}.patience);
+}
+
+TEST(caller_port, ASubmissionIsReadWhole)
+{
+    const auto spec = decode_submission(R"({"spec":"text","steps":[
+        {"count":4,"cpu":500,"mem_mb":256,"gpu":2,"estimate_ms":900,"data_rack":"r1-3","gang":true,
+         "same_rack":true},
+        {"count":20,"after":[0],"checkpointing":true,"max_per_server":3,"required_label":"b"}],
+        "repeat_count":2,"first_ms":1000,"interval_ms":50})");
+
+    ASSERT_TRUE(spec.has_value());
+    const auto& read = spec.value();
+    EXPECT_EQ(read.payload, "text");
+    ASSERT_EQ(read.steps.size(), 2U);
+    EXPECT_EQ(read.steps.at(0).need, (batch::resources{500, 256, 2}));
+    EXPECT_TRUE(read.steps.at(0).gang && read.steps.at(0).one_rack);
+    EXPECT_EQ(read.steps.at(0).data_rack, "r1-3");
+    EXPECT_EQ(read.steps.at(1).after, std::vector<std::uint32_t>{0});
+    EXPECT_TRUE(read.steps.at(1).checkpoints);
+    EXPECT_EQ(read.steps.at(1).max_per_worker, 3U);
+    ASSERT_TRUE(read.repeat.has_value());
+    EXPECT_EQ(read.repeat->interval_ms, 50);
+}
+
+TEST(caller_port, UnknownMembersAreIgnored)
+{
+    EXPECT_TRUE(decode_submission(R"({"steps":[{"count":1,"colour":"red"}],"new":1})").has_value());
+}
+
+class bad_submission : public testing::TestWithParam<const char*>
+{
+};
+
+TEST_P(bad_submission, IsMalformed)
+{
+    const auto read = decode_submission(GetParam());
+
+    ASSERT_FALSE(read.has_value());
+    EXPECT_EQ(read.error().code, base::error_code::request_malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(caller_port, bad_submission,
+                         testing::Values("", "{", "[]", "{}", R"({"steps":7})",
+                                         R"({"steps":[{"count":"four"}]})", R"({"steps":[3]})",
+                                         R"({"steps":[{"count":1,"after":"0"}]})"));
+
+TEST(caller_port, AnswersHaveTheirStatus)
+{
+    const auto status = [](const door::caller_answer& answer) {
+        return encode_answer(answer).status;
+    };
+
+    EXPECT_EQ(status(door::job_accepted{}), 200);
+    EXPECT_EQ(status(door::cancel_accepted{}), 200);
+    EXPECT_EQ(status(door::call_unsettled{}), 504);
+    EXPECT_EQ(status(door::no_such_queue{}), 404);
+    EXPECT_EQ(status(door::no_such_job{}), 410);
+    EXPECT_EQ(status(door::key_unknown{}), 401);
+    EXPECT_EQ(status(door::key_of_another_workspace{}), 403);
+    EXPECT_EQ(status(door::call_malformed{"why"}), 400);
+}
+
+TEST(caller_port, ARefusalSaysWhenToComeBack)
+{
+    const door::call_refused away{door::call_refused::cause::store_away, base::milliseconds{1'200}};
+    const door::call_refused crowded{door::call_refused::cause::overloaded, base::milliseconds{10}};
+
+    const auto response = encode_answer(away);
+
+    EXPECT_EQ(response.status, 503);
+    ASSERT_FALSE(response.headers.empty());
+    EXPECT_EQ(response.headers.front().value, "2") << "whole seconds, never too early";
+    EXPECT_EQ(encode_answer(crowded).status, 429);
+}
+
+TEST(caller_port, StatesHaveTheirWord)
+{
+    EXPECT_EQ(encode_answer(door::job_shown{batch::job_status::running}).body,
+              R"({"state":"running"})");
+    EXPECT_EQ(encode_answer(door::queue_shown{12}).body, R"({"waiting":12})");
+}
+
+TEST(caller_port, OnlyTheBalancersQuestionIsOne)
+{
+    EXPECT_TRUE(is_readiness_question(request("GET", "/-/readiness")));
+    EXPECT_FALSE(is_readiness_question(request("GET", "/")));
+}
+
+} // namespace
+} // namespace poplarstile::platform
