--- a/apps/poplarstiled/metrics.cpp
+++ b/apps/poplarstiled/metrics.cpp
@@ -25,6 +25,7 @@
     prometheus::Labels labels;
     prometheus::Family<prometheus::Counter>* answers = nullptr;
     prometheus::Family<prometheus::Histogram>* latency = nullptr;
+    prometheus::Family<prometheus::Histogram>* stages = nullptr;
     prometheus::Family<prometheus::Counter>* control_bytes = nullptr;
 };
 
@@ -42,6 +43,11 @@
                           .Help("Time from arrival to answer")
                           .Labels(impl_->labels)
                           .Register(impl_->registry);
+    impl_->stages = &prometheus::BuildHistogram()
+                         .Name("poplarstile_stage_seconds")
+                         .Help("Time that a stage of the scheduler's work took")
+                         .Labels(impl_->labels)
+                         .Register(impl_->registry);
     impl_->control_bytes = &prometheus::BuildCounter()
                                 .Name("poplarstile_control_bytes_total")
                                 .Help("Bytes of control traffic by purpose")
@@ -59,6 +65,11 @@
     impl_->latency->Add({{"service", std::string{service}}}, latency_buckets()).Observe(seconds);
 }
 
+void daemon_metrics::record_stage(std::string_view stage, double seconds)
+{
+    impl_->stages->Add({{"stage", std::string{stage}}}, latency_buckets()).Observe(seconds);
+}
+
 void daemon_metrics::record_control_bytes(std::string_view purpose, std::size_t bytes)
 {
     impl_->control_bytes->Add({{"purpose", std::string{purpose}}})
--- a/apps/poplarstiled/metrics.hpp
+++ b/apps/poplarstiled/metrics.hpp
@@ -20,6 +20,9 @@
     /// One answered request of a class, and how long it took from arrival to answer.
     void record_answer(std::string_view service, std::string_view outcome, double seconds);
 
+    /// How long a stage of the work took.
+    void record_stage(std::string_view stage, double seconds);
+
     /// Bytes sent and received for control: gossip, heartbeats, rules.
     void record_control_bytes(std::string_view purpose, std::size_t bytes);
 
--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -325,6 +325,9 @@
     ports.time = &time;
     ports.configuration = configuration.get();
     ports.views = views.get();
+    ports.on_span = [this](control::leader_span span, base::milliseconds took) {
+        metrics->record_span(span, took);
+    };
     ports.on_doubt = [this](const std::string& job) { door->hear_doubt(job); };
     ports.relay = [this](const cluster::store_call& call,
                          const std::function<void(cluster::store_answer)>& answer) {
--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -73,6 +73,12 @@
                              static_cast<double>(took_ms) / milliseconds_per_second);
 }
 
+void site_metrics::record_span(control::leader_span span, base::milliseconds took)
+{
+    impl_->own.record_stage(control::name_of(span),
+                            static_cast<double>(took.count()) / milliseconds_per_second);
+}
+
 std::string site_metrics::text(const door::door& door, const control::cluster_node& node,
                                const store::store_link& link,
                                const catalog::configuration_keeper& configuration)
--- a/apps/poplarstiled/site_metrics.hpp
+++ b/apps/poplarstiled/site_metrics.hpp
@@ -25,6 +25,9 @@
     void record_answer(door::call_kind kind, const door::caller_answer& answer,
                        std::int64_t took_ms);
 
+    /// A span of the leader's work.
+    void record_span(control::leader_span span, base::milliseconds took);
+
     /// Text for the metrics address.
     [[nodiscard]] std::string text(const door::door& door, const control::cluster_node& node,
                                    const store::store_link& link,
--- a/src/control/cluster_node.hpp
+++ b/src/control/cluster_node.hpp
@@ -36,6 +36,8 @@
     door::job_views* views = nullptr;
     /// Told of a submission at another VM whose effect is not known.
     std::function<void(const std::string& job)> on_doubt{};
+    /// As in `leader_ports`; may be empty.
+    std::function<void(leader_span span, base::milliseconds took)> on_span{};
     /// Makes a call to the store for another VM, on this VM's own way only.
     std::function<void(const cluster::store_call&, std::function<void(cluster::store_answer)>)>
         relay{};
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -15,6 +15,13 @@
 
 } // namespace
 
+std::string_view name_of(leader_span span)
+{
+    static constexpr std::array<std::string_view, 4> names{"job_until_placed", "job_until_end",
+                                                           "takeover", "plan"};
+    return names.at(static_cast<std::size_t>(span));
+}
+
 leader::leader(leader_ports ports, leader_options options, store::lease_record lease,
                std::size_t first, store::row_version version)
     : ports_{std::move(ports)}, options_{std::move(options)}, epoch_{lease.epoch}, lease_{lease},
@@ -110,6 +117,19 @@
     return loads;
 }
 
+void leader::measured(leader_span span, base::milliseconds took) const
+{
+    if (ports_.on_span) {
+        ports_.on_span(span, took);
+    }
+}
+
+base::milliseconds leader::age_of(const batch::job& accepted) const
+{
+    const auto age = ports_.time->unix_ms() - accepted.accepted().accepted_ms;
+    return base::milliseconds{std::max<std::int64_t>(age, 0)};
+}
+
 void leader::tick_later()
 {
     ports_.time->after(tick_interval, [this, alive = alive_] {
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -49,6 +49,19 @@
     base::milliseconds authority{9'000};
 };
 
+/// A span of time of the leader's work that operators watch as a histogram.
+enum class leader_span : std::uint8_t {
+    /// From a job's acceptance until its first task is placed.
+    job_until_placed,
+    /// From a job's acceptance until its end is stored.
+    job_until_end,
+    /// From the election until the stored state was read.
+    takeover,
+    plan,
+};
+
+[[nodiscard]] std::string_view name_of(leader_span span);
+
 /// What the leader needs from outside.
 struct leader_ports {
     const store::row_store* rows = nullptr;
@@ -59,6 +72,8 @@
     std::function<catalog::catalog_ptr()> catalog{};
     /// Told of every durable change of a job's status.
     std::function<void(const cluster::job_view&)> on_status{};
+    /// Told of each span as it ends; may be empty.
+    std::function<void(leader_span span, base::milliseconds took)> on_span{};
     /// Told when another leader was found.
     std::function<void(const store::lease_record& found)> on_lost{};
 };
@@ -266,6 +281,9 @@
     void apply_plan(const plan_input& input, const planning::plan& made);
     void start_unit(const plan_input& input, const planning::placed_unit& placed);
 
+    void measured(leader_span span, base::milliseconds took) const;
+    /// Time since a job was accepted, by the wall clock.
+    [[nodiscard]] base::milliseconds age_of(const batch::job& accepted) const;
     void tick();
     void tick_later();
 
