Send no write to a store that has just gone silent

Each part was found to be away by a submission of its own, some 3 s into the outage. Ruled out: the retries of the door; the log shows store_tries 0 or 1 and part_away late for three of four parts. Change: while the newest call to the store went unanswered, a write waits for a read of its part to be answered, else it is refused unsent; with two silent scopes and no answer since, all parts count as away.

--- a/src/store/store_link.cpp
+++ b/src/store/store_link.cpp
@@ -25,6 +25,8 @@
 constexpr base::milliseconds help_pause{300};
 /// Calls that failed on every way, one after the other, before a part counts as away.
 constexpr std::uint32_t failures_until_away = 2;
+/// Parts and feeds that were silent, none answering since, before all count as away.
+constexpr std::size_t silent_scopes_until_away = 2;
 /// Before the read that tries whether a part is served.
 constexpr base::milliseconds probe_pause{60};
 constexpr std::uint16_t status_too_many = 429;
@@ -78,6 +80,9 @@
 
 std::optional<base::milliseconds> store_link::away(std::string_view scope) const
 {
+    if (silent_scopes_.size() >= silent_scopes_until_away) {
+        return std::chrono::duration_cast<base::milliseconds>(ports_.time->now() - silent_since_);
+    }
     const auto found = scopes_.find(scope);
     return found == scopes_.end() ? std::nullopt : away(found->second);
 }
@@ -88,8 +93,13 @@
     if (reply.outcome == net::delivery::lost) {
         ++counters_.unanswered;
         seen.backoff = std::min(seen.backoff * 2.0, most_backoff);
+        if (silent_scopes_.empty()) {
+            silent_since_ = ports_.time->now();
+        }
+        silent_scopes_.insert(call.scope);
     } else if (reply.outcome == net::delivery::answered) {
         seen.backoff = 1.0;
+        silent_scopes_.clear();
         if (call.kind != call_kind::follow) {
             const auto took =
                 static_cast<double>(base::milliseconds_between(sent, ports_.time->now()));
@@ -177,12 +187,39 @@
 
 void store_link::send(const link_call& call, link_handler handler)
 {
-    const auto scope = call.scope;
-    if (away(scopes_[scope])) {
+    if (away(call.scope)) {
         // Not sent at all: whoever asked knows at once that nothing has happened.
+        probe_soon(call.scope);
         ports_.time->after(base::milliseconds{0}, [handler = std::move(handler)] { handler({}); });
         return;
     }
+    if (call.kind == call_kind::write && !silent_scopes_.empty()) {
+        ask_first(call, std::move(handler));
+        return;
+    }
+    send_and_note(call, std::move(handler));
+}
+
+void store_link::ask_first(const link_call& call, link_handler handler)
+{
+    auto question = ports_.probe(call.scope);
+    question.scope = call.scope;
+    send_and_note(question, [this, call, handler = std::move(handler),
+                             alive = alive_](const link_reply& reply) {
+        if (!*alive) {
+            return;
+        }
+        if (is_good(reply)) {
+            send_and_note(call, handler);
+        } else {
+            handler({});
+        }
+    });
+}
+
+void store_link::send_and_note(const link_call& call, link_handler handler)
+{
+    const auto scope = call.scope;
     send_either_way(call,
                     [this, scope, handler = std::move(handler), alive = alive_](link_reply reply) {
                         if (*alive) {
--- a/src/store/store_link.hpp
+++ b/src/store/store_link.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,7 +63,9 @@
 
 /// The way to the store: direct while it serves this VM, else through a VM that it serves. Each
 /// part is judged by itself, since parts fail by themselves. Time-outs follow the answers' times,
-/// so that a lost answer is noticed soon and a slow store is not taken for a silent one. Load
+/// so that a lost answer is noticed soon and a slow store is not taken for a silent one. While the
+/// newest call went unanswered, a write waits for a read to be answered, since what is not sent can
+/// be refused truthfully; while several parts are silent and none answers, all count as away. Load
 /// pattern: a store that turns single VMs away, loses answers, is slow, or is gone for all, wholly
 /// or in part.
 class store_link
@@ -114,12 +117,18 @@
     void note_end(const std::string& scope, const link_reply& reply);
     void probe_soon(const std::string& scope);
     void send_either_way(const link_call& call, link_handler handler);
+    /// Sends a write once a read has shown that the part answers; else refuses it unsent.
+    void ask_first(const link_call& call, link_handler handler);
+    void send_and_note(const link_call& call, link_handler handler);
     void help(const link_call& call, link_reply refused, link_handler handler);
     [[nodiscard]] std::string choose_helper(const scope_state& scope) const;
     [[nodiscard]] std::optional<base::milliseconds> away(const scope_state& scope) const;
 
     link_ports ports_;
     std::map<std::string, scope_state, std::less<>> scopes_{};
+    /// Scopes with a call that went unanswered since the store last answered any.
+    std::set<std::string, std::less<>> silent_scopes_{};
+    base::time_point silent_since_{};
     latency reads_{};
     latency writes_{};
     link_counters counters_{};
--- /dev/null
+++ b/tests/store/store_link_test.cpp
@@ -0,0 +1,141 @@
+#include "store/store_link.hpp"
+#include "support/virtual_time.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+
+namespace poplarstile::store
+{
+namespace
+{
+
+using base::milliseconds;
+using std::chrono::seconds;
+
+class store_link_test : public testing::Test
+{
+protected:
+    store_link_test()
+    {
+        link_ports ports;
+        ports.time = &time.timers();
+        ports.direct = [this](const link_call& call, milliseconds timeout,
+                              const link_handler& handler) {
+            made.push_back(call);
+            const bool silent = all_silent || silent_scopes.contains(call.scope);
+            time.after(silent ? timeout : milliseconds{4}, [silent, handler] {
+                handler(silent ? link_reply{net::delivery::lost, 0, {}}
+                               : link_reply{net::delivery::answered, 200, "{}"});
+            });
+        };
+        ports.through = [this](const std::string& /*helper*/, const link_call& /*call*/,
+                               milliseconds timeout, const link_handler& handler) {
+            time.after(timeout, [handler] { handler({net::delivery::lost, 0, {}}); });
+        };
+        ports.helpers = [] { return std::vector<std::string>{}; };
+        ports.probe = [](std::string_view part) {
+            link_call probe;
+            probe.kind = call_kind::read;
+            probe.scope = part;
+            probe.method = "GET";
+            return probe;
+        };
+        link = std::make_unique<store_link>(std::move(ports));
+    }
+
+    /// Sends and waits for the end.
+    net::delivery send(const std::string& scope, call_kind kind = call_kind::write)
+    {
+        link_call call;
+        call.kind = kind;
+        call.scope = scope;
+        call.method = kind == call_kind::write ? "POST" : "GET";
+        std::optional<net::delivery> outcome;
+        link->send(call, [&outcome](const link_reply& reply) { outcome = reply.outcome; });
+        time.run_until([&outcome] { return outcome.has_value(); }, seconds{5});
+        return outcome.value_or(net::delivery::lost);
+    }
+
+    [[nodiscard]] std::size_t writes_sent() const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count(made, std::string{"POST"}, &link_call::method));
+    }
+
+    tests::virtual_time time{};
+    std::set<std::string> silent_scopes{};
+    bool all_silent = false;
+    std::vector<link_call> made{};
+    std::unique_ptr<store_link> link{};
+};
+
+TEST_F(store_link_test, AWriteGoesStraightOutWhileTheStoreAnswers)
+{
+    EXPECT_EQ(send("a"), net::delivery::answered);
+    EXPECT_EQ(made.size(), 1U);
+}
+
+TEST_F(store_link_test, AfterASilentCallElsewhereAWriteIsOnlySentOnceTheStoreAnswers)
+{
+    // Load pattern: the store goes silent for all. What is sent then stays in doubt for its caller;
+    // what is not sent can be refused truthfully.
+    EXPECT_EQ(send("a"), net::delivery::answered);
+    all_silent = true;
+    EXPECT_EQ(send("feeds", call_kind::read), net::delivery::lost);
+    const auto before = writes_sent();
+
+    EXPECT_EQ(send("a"), net::delivery::not_sent);
+
+    EXPECT_EQ(writes_sent(), before);
+}
+
+TEST_F(store_link_test, APartThatAnswersTakesWritesThoughAnotherIsSilent)
+{
+    silent_scopes = {"b"};
+    EXPECT_EQ(send("b", call_kind::read), net::delivery::lost);
+
+    EXPECT_EQ(send("a"), net::delivery::answered);
+}
+
+TEST_F(store_link_test, TwoSilentScopesMeanThatTheStoreIsAwayAndWritesAreRefusedAtOnce)
+{
+    all_silent = true;
+    EXPECT_EQ(send("feeds", call_kind::read), net::delivery::lost);
+    EXPECT_EQ(send("configuration", call_kind::read), net::delivery::lost);
+    const auto began = time.now();
+
+    EXPECT_EQ(send("a"), net::delivery::not_sent);
+
+    EXPECT_LE(time.now() - began, milliseconds{2});
+    EXPECT_TRUE(link->away("a"));
+}
+
+TEST_F(store_link_test, OneAnswerEndsTheOutageForAllScopes)
+{
+    all_silent = true;
+    EXPECT_EQ(send("feeds", call_kind::read), net::delivery::lost);
+    EXPECT_EQ(send("configuration", call_kind::read), net::delivery::lost);
+    EXPECT_EQ(send("a"), net::delivery::not_sent);
+
+    all_silent = false;
+    time.run_for(seconds{2});
+
+    EXPECT_FALSE(link->away("a"));
+    EXPECT_EQ(send("a"), net::delivery::answered);
+}
+
+TEST_F(store_link_test, APartThatGoesOnFailingIsAwayByItself)
+{
+    silent_scopes = {"b"};
+    EXPECT_EQ(send("b"), net::delivery::lost);
+    time.run_for(seconds{1});
+
+    EXPECT_TRUE(link->away("b"));
+    EXPECT_FALSE(link->away("a"));
+    EXPECT_EQ(send("b"), net::delivery::not_sent);
+}
+
+} // namespace
+} // namespace poplarstile::store
