Add poplarctl job explain: what became of a job, from collected logs alone

Cause: an on-call engineer had logs of all VMs and no way from a job's id to its cause when the VMs were gone. Lines of the leader no longer have two members named part (store_part).

--- a/apps/poplarctl/arguments.cpp
+++ b/apps/poplarctl/arguments.cpp
@@ -35,6 +35,7 @@
     {verb::job_show, "job", "show", "JOB", 1, "show one job"},
     {verb::job_why, "job", "why", "JOB", 1, "tell what a job waits for"},
     {verb::job_cancel, "job", "cancel", "JOB", 1, "cancel a job"},
+    {verb::job_explain, "job", "explain", "JOB", 1, "tell from the logs in --log what became of a job, without any VM"},
     {verb::status, "", "status", "", 0, "show VMs, workers and jobs"},
     {verb::fragmentation, "", "fragmentation", "", 0, "show free accelerators by shape"},
     {verb::drain, "", "drain", "", 0, "let the first VM of --vm leave gracefully"},
--- a/apps/poplarctl/arguments.hpp
+++ b/apps/poplarctl/arguments.hpp
@@ -28,6 +28,7 @@
     job_show,
     job_why,
     job_cancel,
+    job_explain,
     status,
     fragmentation,
     drain,
@@ -49,6 +50,8 @@
     std::string idempotency_key{};
     std::string author{};
     std::string subject{};
+    /// Files of collected logs.
+    std::vector<std::string> logs{};
     /// Where the time line goes as a page; empty for text.
     std::string html{};
     bool json = false;
--- a/apps/poplarctl/commands.cpp
+++ b/apps/poplarctl/commands.cpp
@@ -1,5 +1,6 @@
 #include "poplarctl/commands.hpp"
 
+#include "poplarctl/explain.hpp"
 #include "poplarctl/text_table.hpp"
 #include "poplarctl/timeline_page.hpp"
 
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iterator>
 #include <ostream>
 #include <random>
 #include <sstream>
@@ -181,6 +183,30 @@
     return call_and_show(call_of(method, path), flags, streams, members_as_lines);
 }
 
+exit_code explain_job(const command& wanted, const options& flags, const output& streams)
+{
+    if (flags.logs.empty()) {
+        return report({base::error_code::operator_argument_invalid, "--log",
+                       "no file of logs was given", "name the files with --log"},
+                      streams);
+    }
+    std::vector<log_line> lines;
+    for (const auto& path : flags.logs) {
+        const auto text = read_file(path);
+        if (text.has_error()) {
+            return report(text.error(), streams);
+        }
+        std::istringstream stream{text.value()};
+        auto read = read_log(stream);
+        lines.insert(lines.end(), std::make_move_iterator(read.begin()),
+                     std::make_move_iterator(read.end()));
+    }
+    const auto& job = wanted.operands.front();
+    const auto found = lines_about(lines, job);
+    *streams.results << explain(found, job);
+    return found.empty() ? exit_code::refused : exit_code::ok;
+}
+
 } // namespace
 
 exit_code run_command(const command& wanted, const options& flags, const output& streams)
@@ -193,6 +219,8 @@
     case verb::job_why:
     case verb::job_cancel:
         return run_job_command(wanted, flags, streams);
+    case verb::job_explain:
+        return explain_job(wanted, flags, streams);
     case verb::status:
         return call_and_show(call_of("GET", "/v1/status"), flags, streams, status_text);
     case verb::fragmentation:
--- a/apps/poplarctl/poplarctl.cpp
+++ b/apps/poplarctl/poplarctl.cpp
@@ -17,6 +17,7 @@
 ABSL_FLAG(std::string, author, "", "who applies the rules");
 ABSL_FLAG(std::string, subject, "", "timeline: only events of this subject");
 ABSL_FLAG(std::string, html, "", "timeline: write a page to this file");
+ABSL_FLAG(std::string, log, "", "job explain: files of collected logs, with commas");
 ABSL_FLAG(bool, json, false, "print JSON for programs");
 ABSL_FLAG(bool, wait, false, "rules apply: wait until every VM in reach has the rules");
 
@@ -35,6 +36,7 @@
     flags.idempotency_key = absl::GetFlag(FLAGS_idempotency_key);
     flags.author = absl::GetFlag(FLAGS_author);
     flags.subject = absl::GetFlag(FLAGS_subject);
+    flags.logs = split_list(absl::GetFlag(FLAGS_log));
     flags.html = absl::GetFlag(FLAGS_html);
     flags.json = absl::GetFlag(FLAGS_json);
     flags.wait = absl::GetFlag(FLAGS_wait);
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -152,7 +152,7 @@
         // The row as it was before the job ended, seen late.
         return;
     }
-    log.warning("duplicate_dropped", {{"job", id}, {"part", options_.parts.name(part)}});
+    log.warning("duplicate_dropped", {{"job", id}, {"store_part", options_.parts.name(part)}});
     if (parts_.at(part).journal) {
         parts_.at(part).journal->add({{{jobs_row(part, id), std::nullopt}}, {}});
     }
@@ -168,7 +168,7 @@
     log.info("job_known", {{"job", id},
                            {"queue", queue},
                            {"workspace", position->second.state.accepted().workspace},
-                           {"part", options_.parts.name(part)},
+                           {"store_part", options_.parts.name(part)},
                            {"age_ms", age_ms},
                            {"chain_ms", position->second.state.longest_chain().count()},
                            {"epoch", epoch_}});
