--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -479,11 +479,11 @@
     if (!unreachable || worker.runs.empty() || !nothing_runs) {
         return;
     }
-    log.warning(
-        left ? "worker_left" : "lease_of_worker_over",
-        {{"worker", worker.facts.life.worker},
-         {"runs", worker.runs.size()},
-         {"silent_ms", base::milliseconds_between(worker.answered_at, ports_.time->now())}});
+    log.warning(left ? "worker_left" : "lease_of_worker_over",
+                {{"worker", worker.facts.life.worker},
+                 {"runs", worker.runs.size()},
+                 {"silent_ms", base::milliseconds_between(std::max(worker.answered_at, began_),
+                                                          ports_.time->now())}});
     std::vector<std::string> over;
     for (const auto& [task, run] : worker.runs) {
         over.push_back(task);
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -37,6 +37,13 @@
            });
 }
 
+/// The id that a path ends in, for logs of calls whose queue is not known; else empty.
+std::string id_at_end(std::string_view path)
+{
+    const auto last = path.substr(path.rfind('/') + 1);
+    return is_job_id(last) ? std::string{last} : std::string{};
+}
+
 std::string_view outcome_of(const caller_answer& answer)
 {
     static constexpr std::array<std::string_view, 11> names{
@@ -150,6 +157,7 @@
     pending->answer = std::move(answer);
     pending->received = ports_.time->now();
     pending->catalog = ports_.configuration->current();
+    pending->job = id_at_end(pending->call.path);
     if (!may_decide()) {
         finish(pending, call_refused{call_refused::cause::no_configuration, outage_retry});
         return;
@@ -159,6 +167,7 @@
         finish(pending, no_such_queue{});
         return;
     }
+    pending->job = pending->call.path.substr(pending->queue->prefix.size());
     const auto& key = pending->call.key;
     const auto* const workspace = key ? pending->catalog->workspace_of(*key) : nullptr;
     if (workspace == nullptr && !pending->queue->open_to_all) {
@@ -166,7 +175,6 @@
         return;
     }
     pending->workspace = workspace == nullptr ? std::string{} : workspace->name;
-    pending->job = pending->call.path.substr(pending->queue->prefix.size());
     switch (pending->call.kind) {
     case call_kind::submit:
         submit(pending);
