--- a/src/planning/order.cpp
+++ b/src/planning/order.cpp
@@ -1,5 +1,7 @@
 #include "planning/order.hpp"
 
+#include <tuple>
+
 namespace poplarstile::planning
 {
 namespace
@@ -12,6 +14,14 @@
 
 } // namespace
 
+bool goes_before(const work_rank& one, const work_rank& other)
+{
+    const auto key = [](const work_rank& rank) {
+        return std::tuple{rank.overdue, rank.priority, rank.late, rank.accepted_ms};
+    };
+    return key(one) < key(other);
+}
+
 outlook outlook_of(const order_facts& facts)
 {
     const auto least_left = std::chrono::duration_cast<base::milliseconds>(
--- a/src/planning/order.hpp
+++ b/src/planning/order.hpp
@@ -2,7 +2,6 @@
 
 #include "base/time.hpp"
 
-#include <compare>
 #include <cstdint>
 
 namespace poplarstile::planning
@@ -41,10 +40,11 @@
     bool late = false;
     /// Older work first.
     std::int64_t accepted_ms = 0;
-
-    auto operator<=>(const work_rank&) const = default;
 };
 
+/// True when work of the one rank is considered before work of the other.
+[[nodiscard]] bool goes_before(const work_rank& one, const work_rank& other);
+
 [[nodiscard]] outlook outlook_of(const order_facts& facts);
 
 /// Load pattern: more urgent work in a burst than there is room for. Without looking ahead, each
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -52,8 +52,9 @@
     {
         std::vector<std::size_t> order(units_.size());
         std::iota(order.begin(), order.end(), std::size_t{0});
-        std::ranges::stable_sort(order, {},
-                                 [this](std::size_t index) { return units_[index].rank; });
+        std::ranges::stable_sort(order, [this](std::size_t one, std::size_t other) {
+            return goes_before(units_[one].rank, units_[other].rank);
+        });
         for (const auto index : order) {
             consider(index);
         }
--- a/tests/planning/order_test.cpp
+++ b/tests/planning/order_test.cpp
@@ -50,7 +50,7 @@
     const auto late = rank_of(urgent_at(seconds{4}), 1'000);
     const auto fresh = rank_of(urgent_at(seconds{0}), 5'000);
 
-    EXPECT_LT(fresh, late);
+    EXPECT_PRED2(goes_before, fresh, late);
 }
 
 TEST(order, LateUrgentWorkStillGoesBeforeLessUrgentWork)
@@ -59,7 +59,7 @@
     auto patient = urgent_at(seconds{0});
     patient.priority = 1;
 
-    EXPECT_LT(late, rank_of(patient, 900));
+    EXPECT_PRED2(goes_before, late, rank_of(patient, 900));
 }
 
 TEST(order, OverdueUrgentWorkWaitsForIdleRoom)
@@ -68,12 +68,13 @@
     auto patient = urgent_at(seconds{0});
     patient.priority = 2;
 
-    EXPECT_LT(rank_of(patient, 9'000), overdue);
+    EXPECT_PRED2(goes_before, rank_of(patient, 9'000), overdue);
 }
 
 TEST(order, OfEqualOutlookTheOlderGoesFirst)
 {
-    EXPECT_LT(rank_of(urgent_at(seconds{1}), 1'000), rank_of(urgent_at(seconds{0}), 2'000));
+    EXPECT_PRED2(goes_before, rank_of(urgent_at(seconds{1}), 1'000),
+                 rank_of(urgent_at(seconds{0}), 2'000));
 }
 
 } // namespace
