--- a/src/planning/placement.cpp
+++ b/src/planning/placement.cpp
@@ -81,25 +81,6 @@
     return fill(unit, fullest_first(unit, best->workers, site, kind), site, kind);
 }
 
-std::optional<std::vector<assignment>> place_anywhere(const work_unit& unit, site_view& site,
-                                                      room_kind kind)
-{
-    std::vector<std::size_t> members;
-    for (const auto& rack : site.racks_for(unit)) {
-        members.insert(members.end(), rack.workers.begin(), rack.workers.end());
-    }
-    if (slots_of_all(unit, members, site, kind) < static_cast<std::int64_t>(unit.tasks.size())) {
-        return std::nullopt;
-    }
-    members = fullest_first(unit, members, site, kind);
-    if (!unit.spec->data_rack.empty()) {
-        std::stable_partition(members.begin(), members.end(), [&](std::size_t index) {
-            return site.worker(index).facts->rack == unit.spec->data_rack;
-        });
-    }
-    return fill(unit, members, site, kind);
-}
-
 } // namespace
 
 namespace internal
@@ -131,6 +112,25 @@
 
 } // namespace internal
 
+std::optional<std::vector<assignment>> place_scattered(const work_unit& unit, site_view& site,
+                                                       room_kind kind)
+{
+    std::vector<std::size_t> members;
+    for (const auto& rack : site.racks_for(unit)) {
+        members.insert(members.end(), rack.workers.begin(), rack.workers.end());
+    }
+    if (slots_of_all(unit, members, site, kind) < static_cast<std::int64_t>(unit.tasks.size())) {
+        return std::nullopt;
+    }
+    members = fullest_first(unit, members, site, kind);
+    if (!unit.spec->data_rack.empty()) {
+        std::stable_partition(members.begin(), members.end(), [&](std::size_t index) {
+            return site.worker(index).facts->rack == unit.spec->data_rack;
+        });
+    }
+    return fill(unit, members, site, kind);
+}
+
 std::optional<std::vector<assignment>> place_whole(const work_unit& unit, site_view& site,
                                                    room_kind kind)
 {
@@ -141,7 +141,7 @@
     if (unit.spec->one_rack && internal::some_rack_holds(unit, site)) {
         return std::nullopt;
     }
-    return place_anywhere(unit, site, kind);
+    return place_scattered(unit, site, kind);
 }
 
 std::vector<assignment> place_each(const work_unit& unit, site_view& site, room_kind kind,
--- a/src/planning/placement.hpp
+++ b/src/planning/placement.hpp
@@ -22,6 +22,10 @@
 [[nodiscard]] std::optional<std::vector<assignment>> place_whole(const work_unit& unit,
                                                                  site_view& site, room_kind kind);
 
+/// As `place_whole`, on whatever racks there are: the work takes longer than in one rack.
+[[nodiscard]] std::optional<std::vector<assignment>>
+place_scattered(const work_unit& unit, site_view& site, room_kind kind);
+
 /// Places as many tasks of a unit as fit, one by one.
 [[nodiscard]] std::vector<assignment> place_each(const work_unit& unit, site_view& site,
                                                  room_kind kind, data_side side);
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -86,6 +86,10 @@
             start(index, unit, std::move(*placed));
             return;
         }
+        if (unit.rank.overdue) {
+            finish_somehow(index, unit);
+            return;
+        }
         if (auto placed = place_whole(unit, site_, room_kind::coming)) {
             reserve(index, unit, *placed);
             return;
@@ -95,6 +99,17 @@
         }
     }
 
+    /// Overdue work no longer waits for one rack: it would keep its caller waiting for ever.
+    /// Load pattern: half the room is free and no rack is.
+    void finish_somehow(std::size_t index, const work_unit& unit)
+    {
+        if (auto placed = place_scattered(unit, site_, room_kind::free)) {
+            start(index, unit, std::move(*placed));
+        } else {
+            failed_.push_back({&unit, true});
+        }
+    }
+
     void consider_tasks(std::size_t index, const work_unit& unit)
     {
         auto placed = place_each(unit, site_, room_kind::free, data_side::near);
--- a/src/settings/settings_reference.cpp
+++ b/src/settings/settings_reference.cpp
@@ -1,6 +1,7 @@
 #include "settings/settings_reference.hpp"
 
 #include "settings/internal/schema.hpp"
+#include "settings/internal/site_schema.hpp"
 
 #include <fmt/format.h>
 
@@ -78,6 +79,23 @@
     return rows;
 }
 
+/// The members on a platform with a row store.
+std::string site_page()
+{
+    std::string page = "\n# Settings on a platform with a row store\n\n"
+                       "Told by `\"backend\": \"row_store\"`. `seeds` is a list of peer addresses "
+                       "of VMs that may exist.\n\n"
+                       "| member | default | range | unit | meaning |\n"
+                       "| --- | --- | --- | --- | --- |\n";
+    using internal::members_of;
+    page += table_of("vm.", members_of(vm_identity{}));
+    page += table_of("listen.", members_of(site_listen_settings{}));
+    page += table_of("store.", members_of(site_store_settings{}));
+    page += table_of("bounds.", members_of(site_bound_settings{}));
+    page += table_of("limits.", members_of(site_limit_settings{}));
+    return page;
+}
+
 } // namespace
 
 std::string reference_page()
@@ -110,7 +128,7 @@
             "`times.max_deadline_ms`,\n`limits.max_connections_per_caller` at most "
             "`limits.max_caller_connections`, and\n`limits.max_queued_requests` at least "
             "`limits.max_connections_per_worker`.\n";
-    return page;
+    return page + site_page();
 }
 
 } // namespace poplarstile::settings
--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -1,6 +1,7 @@
 #include "settings/site_settings.hpp"
 
 #include "settings/internal/object_reader.hpp"
+#include "settings/internal/site_schema.hpp"
 
 #include <array>
 #include <fstream>
@@ -89,17 +90,17 @@
     if (member_name == "vm") {
         internal::read_object(internal::members_of(settings.vm), value, path, settings.vm, faults);
     } else if (member_name == "listen") {
-        internal::read_object(std::span<const member<site_listen_settings>>{listen_members}, value,
-                              path, settings.listen, faults);
+        internal::read_object(internal::members_of(settings.listen), value, path, settings.listen,
+                              faults);
     } else if (member_name == "store") {
-        internal::read_object(std::span<const member<site_store_settings>>{store_members}, value,
-                              path, settings.store, faults);
+        internal::read_object(internal::members_of(settings.store), value, path, settings.store,
+                              faults);
     } else if (member_name == "bounds") {
-        internal::read_object(std::span<const member<site_bound_settings>>{bound_members}, value,
-                              path, settings.bounds, faults);
+        internal::read_object(internal::members_of(settings.bounds), value, path, settings.bounds,
+                              faults);
     } else if (member_name == "limits") {
-        internal::read_object(std::span<const member<site_limit_settings>>{limit_members}, value,
-                              path, settings.limits, faults);
+        internal::read_object(internal::members_of(settings.limits), value, path, settings.limits,
+                              faults);
     } else if (member_name == "seeds") {
         read_seeds(value, settings.seeds, faults);
     } else if (member_name == "log_level" && value.is_string()) {
@@ -120,6 +121,31 @@
 
 } // namespace
 
+namespace internal
+{
+
+std::span<const member<site_listen_settings>> members_of(const site_listen_settings& /*owner*/)
+{
+    return listen_members;
+}
+
+std::span<const member<site_store_settings>> members_of(const site_store_settings& /*owner*/)
+{
+    return store_members;
+}
+
+std::span<const member<site_bound_settings>> members_of(const site_bound_settings& /*owner*/)
+{
+    return bound_members;
+}
+
+std::span<const member<site_limit_settings>> members_of(const site_limit_settings& /*owner*/)
+{
+    return limit_members;
+}
+
+} // namespace internal
+
 bool is_site_settings(std::string_view text)
 {
     const auto document = internal::json::parse(text, nullptr, false);
--- a/tests/planning/planner_test.cpp
+++ b/tests/planning/planner_test.cpp
@@ -190,6 +190,25 @@
     EXPECT_EQ(started(made), std::set{small}) << large;
 }
 
+TEST(planner, AnOverdueGangNoLongerWaitsForOneRack)
+{
+    // Seen in a day of our own (silent-store-and-takeover, LOST 1): most of the room was free, no
+    // rack had three empty workers, and a gang that was overdue waited for one until the end.
+    plan_fixture site;
+    for (const auto* const rack : {"r1", "r2"}) {
+        site.add_worker(rack);
+        site.occupy(site.add_worker(rack), 1);
+    }
+    auto& gang = site.add_spec(2, 8, true);
+    gang.one_rack = true;
+    const auto unit = site.add_unit(gang, in_time(1, 1));
+    EXPECT_TRUE(site.make().starts.empty());
+
+    site.units.at(unit).rank.overdue = true;
+
+    EXPECT_EQ(started(site.make()), std::set{unit});
+}
+
 TEST(planner, InABurstRoomGoesToWhatIsStillInTime)
 {
     plan_fixture site;
--- a/tests/poplarctl/commands_test.cpp
+++ b/tests/poplarctl/commands_test.cpp
@@ -4,6 +4,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <fstream>
 #include <sstream>
 
 namespace poplarstile::poplarctl
@@ -69,5 +70,18 @@
     EXPECT_THAT(messages.str(), testing::HasSubstr("127.0.0.1:2"));
 }
 
+TEST(settings_check, ReadsTheSettingsOfBothPlatforms)
+{
+    const auto path = testing::TempDir() + "site_settings.json";
+    std::ofstream{path} << R"({"backend":"row_store","vm":{"id":"vm-1"},"store":{}})";
+    std::ostringstream results;
+    std::ostringstream messages;
+
+    const auto code = run_settings_command({verb::settings_check, {path}}, {&results, &messages});
+
+    EXPECT_EQ(code, exit_code::refused);
+    EXPECT_THAT(messages.str(), testing::HasSubstr("store.address"));
+}
+
 } // namespace
 } // namespace poplarstile::poplarctl
