Bound the rest between plans

Cause (found on reading): a plan during which the VM stands still is measured by a clock that counts the suspension; after a freeze of 5 s the leader would have rested for 15 s.

--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -2,6 +2,7 @@
 
 #include "base/event_line.hpp"
 #include "control/plan_input.hpp"
+#include "planning/plan_pace.hpp"
 
 #include <algorithm>
 #include <map>
@@ -14,16 +15,11 @@
 {
 
 constexpr base::event_logger log{"plan"};
-/// Plans are made at most this often; what changes meanwhile goes into the next.
-constexpr base::milliseconds plan_interval{8};
 constexpr double milliseconds_per_second = 1'000.0;
 /// Distinct jobs that failed on a worker, without a success since, after which it gets no work.
 constexpr std::size_t failed_jobs_to_close = 2;
 /// After this time without further failures a suspected worker is tried again.
 constexpr base::milliseconds suspicion_time{8'000};
-/// Plans take at most one part in this many of the leader's time.
-/// Load pattern: hundreds of workers and waiting units on a VM with a part of a core.
-constexpr int plan_rest_factor = 3;
 
 /// Unix milliseconds that the objective of an occurrence counts from.
 std::int64_t began_ms(const batch::job& job, std::uint32_t occurrence)
@@ -40,8 +36,7 @@
     }
     plan_scheduled_ = true;
     const auto now = ports_.time->now();
-    const auto rest = std::max(plan_interval, last_plan_took_ * plan_rest_factor);
-    const auto due = std::max(last_plan_at_ + rest, now);
+    const auto due = std::max(last_plan_at_ + planning::rest_after(last_plan_took_), now);
     const auto delay = std::chrono::ceil<base::milliseconds>(due - now);
     ports_.time->after(delay, [this, alive = alive_] {
         if (*alive) {
