--- a/tests/poplarctl/explain_test.cpp
+++ b/tests/poplarctl/explain_test.cpp
@@ -31,6 +31,7 @@
 std::vector<std::string> events_of(const std::vector<log_line>& lines)
 {
     std::vector<std::string> events;
+    events.reserve(lines.size());
     for (const auto& line : lines) {
         events.push_back(line.at("event"));
     }
