Define once what doors and leader agree on of row keys; derive a plan's failed shape

Cause (found on reading the whole change): the suffix of a wish to cancel stood in the door and in the leader, which must agree on it; the first key after a row was written five times; failed_shape kept a flag that its unit's step says. Change: store/row_keys.hpp holds both; the flag is gone. Behaviour is the same. Ruled out for now: work_unit's attempts_left and failures are dead, but live in a header that most of control includes; reactor_client and http_client share the handling of finished transfers, told apart by who calls the handler.

--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -1,6 +1,7 @@
 #include "control/leader.hpp"
 
 #include "base/event_line.hpp"
+#include "store/row_keys.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,6 +12,8 @@
 namespace
 {
 
+using store::after_key;
+
 constexpr base::event_logger log{"leader"};
 constexpr base::milliseconds part_retry{150};
 constexpr std::uint32_t page_rows = 500;
@@ -21,12 +24,6 @@
 /// Load pattern: the store is away, or this leader is cut off and another has taken its place.
 constexpr base::milliseconds unconfirmed_limit{1'700};
 
-/// The first key after `key`.
-std::string after_key(const std::string& key)
-{
-    return key + '\0';
-}
-
 } // namespace
 
 void leader::lost(const store::lease_record& found)
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -1,6 +1,7 @@
 #include "control/leader.hpp"
 
 #include "base/event_line.hpp"
+#include "store/row_keys.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,22 +12,18 @@
 namespace
 {
 
+using store::after_key;
+using store::cancel_suffix;
+
 constexpr base::event_logger log{"leader"};
 constexpr base::milliseconds read_retry{150};
 constexpr base::milliseconds feed_wait{2'000};
 constexpr base::milliseconds feed_retry{100};
 constexpr std::uint32_t page_rows = 500;
-constexpr std::string_view cancel_suffix = ".cancel";
 /// Kept beyond the retention that callers were promised, for clocks and lags.
 constexpr base::milliseconds retention_slack{10'000};
 constexpr std::size_t rows_forgotten_at_once = 50;
 
-/// The first key after `key`.
-std::string after_key(const std::string& key)
-{
-    return key + '\0';
-}
-
 } // namespace
 
 store::row_id leader::jobs_row(std::size_t part, const std::string& key) const
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -1,6 +1,7 @@
 #include "control/leadership.hpp"
 
 #include "base/event_line.hpp"
+#include "store/row_keys.hpp"
 
 #include <xxhash.h>
 
@@ -150,7 +151,7 @@
 void leadership::read_lease(std::size_t part)
 {
     const auto lease = store::lease_row(options_.parts.name(part));
-    ports_.rows->read({lease.table, lease.part, lease.key, lease.key + '\0', 1},
+    ports_.rows->read({lease.table, lease.part, lease.key, store::after_key(lease.key), 1},
                       [this, part, alive = alive_](const store::read_reply& reply) {
                           if (*alive) {
                               take_lease_row(part, reply);
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -3,6 +3,7 @@
 #include "base/event_line.hpp"
 #include "door/internal/pending_call.hpp"
 #include "door/job_shape.hpp"
+#include "store/row_keys.hpp"
 
 #include <algorithm>
 #include <array>
@@ -20,7 +21,6 @@
 constexpr base::event_logger log{"door"};
 constexpr std::size_t job_id_length = 16;
 constexpr base::milliseconds retry_pause{80};
-constexpr std::string_view cancel_suffix = ".cancel";
 /// A submission without an answer may take effect seconds later, and its caller may come again.
 constexpr base::milliseconds doubt_time{30'000};
 
@@ -286,7 +286,7 @@
         return;
     }
     call->part = part;
-    const auto row = jobs_row(*part, call->job + std::string{cancel_suffix});
+    const auto row = jobs_row(*part, call->job + std::string{store::cancel_suffix});
     store::transaction insert;
     insert.expected.push_back({row, 0});
     insert.puts.push_back({row, "{}"});
--- a/src/door/door_queries.cpp
+++ b/src/door/door_queries.cpp
@@ -2,6 +2,7 @@
 
 #include "base/event_line.hpp"
 #include "door/internal/pending_call.hpp"
+#include "store/row_keys.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -67,29 +68,29 @@
         return;
     }
     const auto part = (options_.parts.home_of(call->job) + tried) % options_.parts.size();
-    ports_.rows->read({"jobs", options_.parts.name(part), call->job, call->job + '\0', 1},
-                      [this, call, tried, found = std::move(found),
-                       alive = alive_](const store::read_reply& reply) {
-                          if (!*alive) {
-                              return;
-                          }
-                          const auto away = ports_.rows->away(options_.parts.name(
-                              (options_.parts.home_of(call->job) + tried) % options_.parts.size()));
-                          if (reply.outcome != store::call_outcome::done && away) {
-                              finish(call, call_refused{call_refused::cause::store_away,
-                                                        retry_after_outage(*away)});
-                          } else if (reply.outcome != store::call_outcome::done) {
-                              // Without this part's word nobody can say that there is no such job.
-                              retry(
-                                  call,
-                                  [this, call, tried, found] { find_job_in(call, tried, found); },
-                                  call_unsettled{});
-                          } else if (reply.rows.empty()) {
-                              find_job_in(call, tried + 1, found);
-                          } else {
-                              found(&reply.rows.front());
-                          }
-                      });
+    ports_.rows->read(
+        {"jobs", options_.parts.name(part), call->job, store::after_key(call->job), 1},
+        [this, call, tried, found = std::move(found),
+         alive = alive_](const store::read_reply& reply) {
+            if (!*alive) {
+                return;
+            }
+            const auto away = ports_.rows->away(options_.parts.name(
+                (options_.parts.home_of(call->job) + tried) % options_.parts.size()));
+            if (reply.outcome != store::call_outcome::done && away) {
+                finish(call,
+                       call_refused{call_refused::cause::store_away, retry_after_outage(*away)});
+            } else if (reply.outcome != store::call_outcome::done) {
+                // Without this part's word nobody can say that there is no such job.
+                retry(
+                    call, [this, call, tried, found] { find_job_in(call, tried, found); },
+                    call_unsettled{});
+            } else if (reply.rows.empty()) {
+                find_job_in(call, tried + 1, found);
+            } else {
+                found(&reply.rows.front());
+            }
+        });
 }
 
 void door::show_row(const call_ptr& call, const store::row* row)
@@ -110,7 +111,7 @@
         return;
     }
     // Accepted and not over; whether a task has begun stands in the record of its runs.
-    ports_.rows->read({"runs", row->id.part, call->job, call->job + '\0', 1},
+    ports_.rows->read({"runs", row->id.part, call->job, store::after_key(call->job), 1},
                       [this, call, alive = alive_](const store::read_reply& reply) {
                           if (!*alive) {
                               return;
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -20,7 +20,6 @@
 /// What a unit asked for that found no room in this plan.
 struct failed_shape {
     const work_unit* unit = nullptr;
-    bool gang = false;
 
     /// True when `other` asks for no less in the same places, so that it finds no room either.
     [[nodiscard]] bool covers(const work_unit& other) const
@@ -29,7 +28,7 @@
         const auto& its = *other.spec;
         const bool same_places = *unit->service == *other.service &&
                                  mine.required_label == its.required_label &&
-                                 mine.one_rack == its.one_rack && gang == its.gang;
+                                 mine.one_rack == its.one_rack && mine.gang == its.gang;
         const bool same_claim =
             unit->guaranteed == other.guaranteed && unit->rank.priority == other.rank.priority &&
             unit->rank.late == other.rank.late && unit->rank.overdue == other.rank.overdue;
@@ -95,7 +94,7 @@
             return;
         }
         if (!reclaim(index, unit)) {
-            failed_.push_back({&unit, true});
+            failed_.push_back({&unit});
         }
     }
 
@@ -106,7 +105,7 @@
         if (auto placed = place_scattered(unit, site_, room_kind::free)) {
             start(index, unit, std::move(*placed));
         } else {
-            failed_.push_back({&unit, true});
+            failed_.push_back({&unit});
         }
     }
 
