Compare holder and start time when a lease row is taken for one's own

Cause: a VM whose try to take the lease met a conflict took the row found there for its own when only the start time in it was its own. Two VMs that had started in the same microsecond both led, under one fencing token.

Ruled out: two parts taken at one moment (both rows were of one part), equal tags in the epoch (the epoch was the other VM's, read from its row).

The tag that tells epochs of VMs apart has 16 bits in place of 10.

--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -87,7 +87,7 @@
     const auto& record = decoded.value();
     if (record.epoch > epoch_) {
         lost(record);
-    } else if (record.epoch == epoch_ && record.holder_born == lease_.holder_born) {
+    } else if (record.epoch == epoch_ && store::same_holder(record, lease_)) {
         // A try of ours took effect though its answer was lost.
         open_part(part, record, row.version);
         read_jobs(part, {});
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -18,7 +18,7 @@
 constexpr base::milliseconds tick_interval{100};
 constexpr base::milliseconds retry{200};
 /// The low bits of an epoch tell VMs apart.
-constexpr std::uint32_t epoch_tag_bits = 10;
+constexpr std::uint32_t epoch_tag_bits = 16;
 constexpr std::uint64_t epoch_tag_mask = (std::uint64_t{1} << epoch_tag_bits) - 1;
 /// Time in which the VM that a leaving leader has named takes the lease.
 constexpr base::milliseconds successor_head_start{300};
@@ -191,11 +191,10 @@
     round->record = record;
     round->part = part;
     round->version = row.version;
-    const bool own = record.holder == options_.self.vm;
-    if (own && record.holder_born == options_.self.born) {
+    if (is_own(record)) {
         // A try of ours took effect though its answer was lost.
         elected(record, part, row.version);
-    } else if (own) {
+    } else if (record.holder == options_.self.vm) {
         take_lease(part, row.version, record);
     } else {
         ask_others(round);
@@ -306,6 +305,11 @@
     });
 }
 
+bool leadership::is_own(const store::lease_record& record) const
+{
+    return record.holder == options_.self.vm && record.holder_born == options_.self.born;
+}
+
 std::uint64_t leadership::next_epoch(std::uint64_t found) const
 {
     // Two VMs that take different parts at the same moment must not share a fencing token.
@@ -335,8 +339,7 @@
         if (reply.outcome == store::call_outcome::conflict) {
             for (const auto& row : reply.current) {
                 const auto found = store::decode_lease(row.value);
-                if (row.id == lease && found.has_value() &&
-                    found.value().holder_born == options_.self.born) {
+                if (row.id == lease && found.has_value() && is_own(found.value())) {
                     elected(found.value(), part, row.version);
                     return;
                 }
--- a/src/control/leadership.hpp
+++ b/src/control/leadership.hpp
@@ -121,6 +121,8 @@
     void take_lease(std::size_t part, store::row_version version,
                     const store::lease_record& record);
     void elected(const store::lease_record& record, std::size_t part, store::row_version version);
+    /// True for a lease that this life of this VM wrote.
+    [[nodiscard]] bool is_own(const store::lease_record& record) const;
     [[nodiscard]] std::uint64_t next_epoch(std::uint64_t found) const;
     void try_again(base::milliseconds delay);
 
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -204,7 +204,7 @@
         return;
     }
     const auto& current = found.value();
-    const bool mine = current.epoch == record_.epoch && current.holder_born == record_.holder_born;
+    const bool mine = current.epoch == record_.epoch && same_holder(current, record_);
     const auto tried = std::ranges::find(attempts_, current.commit, &attempt::commit);
     if (!mine || tried == attempts_.end()) {
         lose(current);
--- a/src/store/lease_record.cpp
+++ b/src/store/lease_record.cpp
@@ -7,6 +7,11 @@
 namespace poplarstile::store
 {
 
+bool same_holder(const lease_record& one, const lease_record& other)
+{
+    return one.holder == other.holder && one.holder_born == other.holder_born;
+}
+
 row_id lease_row(std::string_view part)
 {
     return {"lease", std::string{part}, "leader"};
--- a/src/store/lease_record.hpp
+++ b/src/store/lease_record.hpp
@@ -26,6 +26,10 @@
     bool operator==(const lease_record&) const = default;
 };
 
+/// True when one life of one VM wrote both. Two VMs may have started at the same moment, so a start
+/// time alone tells none apart.
+[[nodiscard]] bool same_holder(const lease_record& one, const lease_record& other);
+
 /// Where the lease row stands. `part` is that of all rows which it protects.
 [[nodiscard]] row_id lease_row(std::string_view part);
 
--- /dev/null
+++ b/tests/control/leadership_test.cpp
@@ -0,0 +1,87 @@
+#include "control/leadership.hpp"
+
+#include "support/fake_store.hpp"
+#include "support/virtual_time.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+/// Who takes the lease row when several VMs reach for it at one moment.
+namespace poplarstile::tests
+{
+namespace
+{
+
+using base::milliseconds;
+
+class leadership_contest : public testing::Test
+{
+protected:
+    /// A VM that hears no other.
+    void start(const std::string& name, std::uint64_t born)
+    {
+        control::leadership_options options;
+        options.parts = store::part_map{"site", 4};
+        options.self = {name, born, "peer-of-" + name, "domain", 250};
+        rows_[name] = store_.port(name);
+        control::leadership_ports ports;
+        ports.rows = &rows_.at(name);
+        ports.peers = &peers_;
+        ports.time = &time_.timers();
+        ports.vms = [] { return std::vector<cluster::vm_entry>{}; };
+        ports.on_elected = [this, name](const store::lease_record& lease, std::size_t /*part*/,
+                                        store::row_version /*version*/) { elected_[name] = lease; };
+        ports.on_vm = [](const cluster::vm_entry& /*vm*/) {};
+        vms_[name] = std::make_unique<control::leadership>(std::move(ports), options);
+        vms_.at(name)->start();
+    }
+
+    virtual_time time_;
+    fake_store store_{time_};
+    std::map<std::string, store::row_store> rows_;
+    control::peer_port peers_{
+        [this](const auto& /*address*/, const auto& /*sent*/, milliseconds timeout,
+               const auto& reply) { time_.after(timeout, [reply] { reply(std::nullopt); }); }};
+    std::map<std::string, std::unique_ptr<control::leadership>> vms_;
+    std::map<std::string, store::lease_record> elected_;
+};
+
+// Lives are told apart by the time of their start, which two VMs can share.
+TEST_F(leadership_contest, VmsBornAtOneMomentElectOneLeader)
+{
+    constexpr std::uint64_t born = 1'796'389'545'754'335;
+
+    start("vm1", born);
+    start("vm2", born);
+    time_.run_for(milliseconds{500});
+
+    EXPECT_EQ(elected_.size(), 1U);
+}
+
+TEST_F(leadership_contest, VmsBornApartElectOneLeader)
+{
+    start("vm1", 1'000);
+    start("vm2", 2'000);
+    time_.run_for(milliseconds{500});
+
+    EXPECT_EQ(elected_.size(), 1U);
+}
+
+// The answer is lost, the write stands: the next look at the row finds the VM's own name.
+TEST_F(leadership_contest, AWriteWhoseAnswerWasLostElectsItsWriter)
+{
+    store_.decide = [](const std::string& /*vm*/, bool is_write) {
+        return is_write ? fake_store::fate::lose_answer : fake_store::fate::serve;
+    };
+
+    start("vm1", 1'000);
+    time_.run_for(milliseconds{3'000});
+
+    EXPECT_EQ(elected_.count("vm1"), 1U);
+}
+
+} // namespace
+} // namespace poplarstile::tests
--- a/tests/store/journal_test.cpp
+++ b/tests/store/journal_test.cpp
@@ -139,6 +139,20 @@
     EXPECT_TRUE(value_of("a").empty()) << "nothing is written under a lost lease";
 }
 
+TEST_F(journal, AnotherVmOfTheSameEpochAndBirthEndsIt)
+{
+    auto other = record;
+    other.holder = "other";
+    store.put(store::lease_row("p"), store::encode(other));
+
+    add("a", "1");
+    time.run_for(seconds{1});
+
+    ASSERT_TRUE(lost);
+    EXPECT_EQ(lost->holder, "other");
+    EXPECT_TRUE(value_of("a").empty());
+}
+
 TEST_F(journal, TheLeaseIsRenewedWithoutEntries)
 {
     const auto before = store.writes();
