Forbid a start at a worker's new life before its run goes elsewhere

Cause: a worker that starts anew under its id takes an order that was meant for its old life. The leader counted every run whose start had been accepted as over with the old life, and started it elsewhere beside the run that the new life had just taken.

Change: a run is over with its worker's life only if that life has listed it and its start was sent once; any other is stopped at the new life first, as starts without an answer were already.

--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -143,9 +143,10 @@
                                      {"runs", worker.runs.size()}});
     std::vector<std::string> over;
     for (auto& [task, run] : worker.runs) {
-        if (run.order == order_state::sent) {
-            // A late start could still reach the new life; the room stays taken until it is
-            // forbidden.
+        if (run.order != order_state::unsent && !belongs_to_present_life(run)) {
+            // The start may have reached the new life, or may still; the room stays taken until it
+            // is forbidden there.
+            run.order = order_state::sent;
             run.stopping = run.stopping == stop_reason::none ? stop_reason::moved : run.stopping;
             run.stop_taken = false;
         } else {
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -163,6 +163,7 @@
         }
         auto& run = found->second;
         run.adopted = false;
+        run.listed = true;
         if (run.order != order_state::taken) {
             run.order = order_state::taken;
             run.taken_at = now;
--- a/src/control/run_book.cpp
+++ b/src/control/run_book.cpp
@@ -12,4 +12,9 @@
     return names.at(static_cast<std::size_t>(why));
 }
 
+bool belongs_to_present_life(const live_run& run)
+{
+    return run.listed && run.sends <= 1;
+}
+
 } // namespace poplarstile::control
--- a/src/control/run_book.hpp
+++ b/src/control/run_book.hpp
@@ -60,6 +60,8 @@
     /// When the worker was first known to run it.
     base::time_point taken_at{};
     std::uint32_t sends = 0;
+    /// The worker's present life has listed it as running.
+    bool listed = false;
     bool start_under_way = false;
     stop_reason stopping = stop_reason::none;
     base::time_point stop_sent_at{};
@@ -71,6 +73,10 @@
     base::time_point percent_changed_at{};
 };
 
+/// True when the run began in the worker's present life and no order to start it can reach a later
+/// one: it is over as soon as that life is.
+[[nodiscard]] bool belongs_to_present_life(const live_run& run);
+
 /// One worker as the leader knows it.
 struct worker_state {
     fleet::worker_facts facts{};
