Add a soak of random faults on real processes, with a stand-in for the site

Change: site_standin puts the store and the workers of the unit tests behind real ports, by the wall clock; site_soak starts VMs, the stand-in and the fault proxy, and plays faults planned by a seed (links cut, silent, delayed, one way; VMs killed, paused, terminated, restarted in series; settings rewritten; store and worker calls refused, lost, late; parts and history gone; workers crashed, reborn, drained), while callers hand in, ask, repeat and cancel. Judged from outside: every accepted job ends, refused ones never start, nothing runs twice or after its known end, steps in order, attempts bounded, room kept, states never taken back, processes that end by themselves. The fake workers know gangs now, and a call that waits at a worker ends with the life that took it. A VM may tell the others an address to reach it at (listen.peers_advertised). Log lines name a start time "life".

The unused counts of failures in a plan's units went.

--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -118,7 +118,10 @@
     explicit parts(settings::site_settings site)
         : settings{std::move(site)}, time{make_timers(context)}
     {
-        self = {settings.vm.id, make_born(), settings.listen.peers, settings.vm.failure_domain,
+        const auto& listen_at = settings.listen;
+        const auto& reached_at =
+            listen_at.peers_advertised.empty() ? listen_at.peers : listen_at.peers_advertised;
+        self = {settings.vm.id, make_born(), reached_at, settings.vm.failure_domain,
                 processor_millis(settings.limits)};
     }
 
@@ -187,7 +190,7 @@
     BOOST_OUTCOME_TRYV(made->listen());
     log.info("started", {{"failure_domain", made->settings.vm.failure_domain},
                          {"peers_at", made->settings.listen.peers},
-                         {"born", made->self.born},
+                         {"life", made->self.born},
                          {"store", made->settings.store.address}});
     return std::unique_ptr<site_daemon>{new site_daemon{std::move(made)}};
 }
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -67,7 +67,7 @@
     }
     auto& known = vms_[vm.address];
     if (!vm.vm.empty() && (known.entry.vm != vm.vm || known.entry.born != vm.born)) {
-        log.info("vm_known", {{"peer", vm.vm}, {"address", vm.address}, {"born", vm.born}});
+        log.info("vm_known", {{"peer", vm.vm}, {"address", vm.address}, {"life", vm.born}});
         known.entry = vm;
         known.wants_snapshot = true;
         known.answered_at = ports_.time->now();
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -168,7 +168,6 @@
         const auto& task = step.tasks.at(index);
         if (task.phase == batch::task_phase::waiting) {
             unit.tasks.push_back(index);
-            unit.failures = std::max(unit.failures, task.failures);
         } else if (task.phase == batch::task_phase::placed) {
             const auto found = worker_index.find(task.worker.worker);
             if (found != worker_index.end()) {
@@ -179,7 +178,6 @@
     if (unit.tasks.empty() || (spec.gang && unit.tasks.size() != step.tasks.size())) {
         return;
     }
-    unit.failures = std::max(unit.failures, step.gang_failures);
     unit.present.assign(present.begin(), present.end());
     unit.work = batch::core_weight(spec.need) * static_cast<double>(unit.tasks.size()) *
                 static_cast<double>(spec.estimate.count()) / milliseconds_per_second;
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -98,7 +98,7 @@
     found->second->listed = false;
     found->second->unlisted_at = ports_.time->now();
     log.info("worker_unlisted", {{"worker", change.worker},
-                                 {"born", found->second->facts.life.born},
+                                 {"life", found->second->facts.life.born},
                                  {"runs", found->second->runs.size()}});
 }
 
@@ -125,7 +125,7 @@
     worker.listed = true;
     if (is_new || other_life || drains) {
         log.info("worker_listed", {{"worker", change.worker},
-                                   {"born", facts.life.born},
+                                   {"life", facts.life.born},
                                    {"service", facts.service},
                                    {"rack", facts.rack},
                                    {"draining", facts.draining}});
@@ -138,7 +138,7 @@
 void leader::end_life(worker_state& worker, std::string_view cause)
 {
     log.warning("worker_life_over", {{"worker", worker.facts.life.worker},
-                                     {"born", worker.facts.life.born},
+                                     {"life", worker.facts.life.born},
                                      {"cause", cause},
                                      {"runs", worker.runs.size()}});
     std::vector<std::string> over;
--- a/src/planning/plan_types.hpp
+++ b/src/planning/plan_types.hpp
@@ -37,10 +37,6 @@
     std::vector<std::uint32_t> tasks{};
     /// Within its workspace's guarantee, which may take room from all that is not.
     bool guaranteed = false;
-    /// Failures so far; work that has failed is kept from workers under suspicion.
-    std::uint32_t failures = 0;
-    /// Attempts that are left.
-    std::uint32_t attempts_left = 1;
     /// Tasks of this occurrence that are already on a worker, as (worker, count).
     std::vector<std::pair<std::size_t, std::uint32_t>> present{};
     work_rank rank{};
--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -37,6 +37,7 @@
     {"readiness", &site_listen_settings::readiness, required, 1, longest_text, "", endpoint, "address that the balancer asks whether this VM takes connections"},
     {"peers", &site_listen_settings::peers, required, 1, longest_text, "", endpoint, "address for the other VMs"},
     {"metrics", &site_listen_settings::metrics, required, 1, longest_text, "", endpoint, "address of the metrics"},
+    {"peers_advertised", &site_listen_settings::peers_advertised, optional, 0, longest_text, "", text_format::optional_endpoint, "address told to the other VMs where it is not `peers`"},
 });
 
 constexpr auto store_members = std::to_array<member<site_store_settings>>({
--- a/src/settings/site_settings.hpp
+++ b/src/settings/site_settings.hpp
@@ -18,6 +18,8 @@
     std::string readiness;
     std::string peers;
     std::string metrics;
+    /// Where the other VMs reach `peers`, if not at that address; empty for there.
+    std::string peers_advertised{};
 };
 
 struct site_store_settings {
--- a/src/store/lease_record.cpp
+++ b/src/store/lease_record.cpp
@@ -20,7 +20,7 @@
 std::string encode(const lease_record& record)
 {
     return nlohmann::json{{"holder", record.holder},
-                          {"born", record.holder_born},
+                          {"life", record.holder_born},
                           {"address", record.address},
                           {"epoch", record.epoch},
                           {"commit", record.commit}}
@@ -32,7 +32,7 @@
     try {
         const auto object = nlohmann::json::parse(text);
         return lease_record{
-            object.at("holder").get<std::string>(), object.at("born").get<std::uint64_t>(),
+            object.at("holder").get<std::string>(), object.at("life").get<std::uint64_t>(),
             object.at("address").get<std::string>(), object.at("epoch").get<std::uint64_t>(),
             object.at("commit").get<std::uint64_t>()};
     } catch (const std::exception& failure) {
--- /dev/null
+++ b/standins/site_standin/site_host.cpp
@@ -0,0 +1,376 @@
+#include "standins/site_standin/site_host.hpp"
+
+#include "platform/wire.hpp"
+#include "standins/site_standin/site_control.hpp"
+#include "standins/site_standin/store_wire.hpp"
+#include "standins/site_standin/worker_wire.hpp"
+#include "store/lease_record.hpp"
+
+#include <array>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace poplarstile::standins::site_standin
+{
+namespace
+{
+
+namespace wire = platform::wire;
+using store_fate = tests::fake_store::fate;
+using worker_fate = tests::fake_workers::fate;
+
+constexpr base::milliseconds tick_interval{1};
+constexpr base::milliseconds heartbeat{1'500};
+/// A silent worker's registration is removed after so long.
+constexpr base::milliseconds registration_timeout{4'500};
+constexpr base::milliseconds drain_time{3'000};
+
+template <class Fate>
+struct named_fate {
+    std::string_view name;
+    Fate fate;
+};
+constexpr std::array<named_fate<store_fate>, 5> store_fates{
+    {{"serve", store_fate::serve},
+     {"refuse", store_fate::refuse},
+     {"swallow", store_fate::swallow},
+     {"lose_answer", store_fate::lose_answer},
+     {"late", store_fate::late}}};
+constexpr std::array<named_fate<worker_fate>, 5> worker_fates{
+    {{"serve", worker_fate::serve},
+     {"unavailable", worker_fate::unavailable},
+     {"swallow", worker_fate::swallow},
+     {"lose_answer", worker_fate::lose_answer},
+     {"late", worker_fate::late}}};
+
+template <class Fates>
+auto find_fate(const Fates& fates, const std::string& name)
+{
+    const auto found =
+        std::ranges::find_if(fates, [&name](const auto& entry) { return entry.name == name; });
+    return found == fates.end() ? std::nullopt : std::optional{found->fate};
+}
+
+/// Sends an encoded answer; where there is none the caller hears nothing.
+template <class Reply>
+auto answer_with(const net::http_responder& responder)
+{
+    return [responder](const Reply& reply) {
+        if (auto response = encode_reply(reply)) {
+            responder.send(*std::move(response));
+        }
+    };
+}
+
+} // namespace
+
+site_host::site_host(const site_config& config)
+{
+    orders_ = workers_.orders();
+    connect_judge();
+    for (const auto& vm : config.vms) {
+        store_ports_[vm.name] = store_.port(vm.name);
+    }
+    for (const auto& worker : config.workers) {
+        auto& made = workers_.add(worker.id, worker.rack, worker.capacity);
+        made.facts.address = config.address + ":" + std::to_string(worker.port);
+        made.facts.labels = {"standard", worker.rack};
+        beat(worker.id);
+    }
+    set_configuration(config.configuration);
+}
+
+void site_host::connect_judge()
+{
+    workers_.on_start = [this](const fleet::start_order& order) { judge_.started(order); };
+    workers_.on_end = [this](const std::string& worker, const fleet::ended_task& ended) {
+        judge_.ended(worker, ended);
+    };
+    workers_.on_acknowledged = [this](const std::string& worker, const fleet::ended_task& ended) {
+        judge_.acknowledged(worker, ended);
+    };
+    workers_.on_no_lease = [this](const std::string& worker) { judge_.forgot_ends(worker); };
+    workers_.duration = [this](const std::string& task) {
+        const auto* const step = judge_.step_of(task);
+        return step == nullptr ? base::milliseconds{0} : step->work;
+    };
+    workers_.need = [this](const std::string& task) {
+        const auto* const step = judge_.step_of(task);
+        return step == nullptr ? batch::resources{} : step->need;
+    };
+    workers_.outcome = [this](const std::string& /*worker*/, const std::string& task) {
+        const auto* const step = judge_.step_of(task);
+        return step != nullptr && step->fails ? batch::run_end::failed : batch::run_end::done;
+    };
+    workers_.gang_size = [this](const std::string& task) {
+        const auto* const step = judge_.step_of(task);
+        return step != nullptr && step->gang ? step->tasks : 0U;
+    };
+    workers_.decide = [this](const std::string& worker, const std::string& /*order*/) {
+        const auto found = worker_faults_.find(worker);
+        return found == worker_faults_.end() ? worker_fate::serve : found->second;
+    };
+    store_.decide = [this](const std::string& vm, bool is_write) {
+        const auto found = store_faults_.find(vm);
+        const bool spared =
+            found == store_faults_.end() || (found->second.only_writes && !is_write);
+        return spared ? store_fate::serve : found->second.fate;
+    };
+}
+
+base::result<std::unique_ptr<site_host>> site_host::start(const site_config& config)
+{
+    std::unique_ptr<site_host> made{new site_host{config}};
+    BOOST_OUTCOME_TRYV(made->listen(config));
+    return made;
+}
+
+base::result<void> site_host::serve(const site_config& config, std::uint16_t port,
+                                    net::http_handler handler)
+{
+    net::http_server_options options;
+    options.address = config.address;
+    options.port = port;
+    options.context = &context_;
+    options.max_body_bytes = std::size_t{4} * 1024 * 1024;
+    BOOST_OUTCOME_TRY(server, net::http_server::start(options, std::move(handler)));
+    servers_.push_back(std::move(server));
+    return base::success();
+}
+
+base::result<void> site_host::listen(const site_config& config)
+{
+    for (const auto& vm : config.vms) {
+        BOOST_OUTCOME_TRYV(serve(
+            config, vm.store_port,
+            [this, vm](const net::http_request& request, const net::http_responder& responder) {
+                handle_store(vm, request, responder);
+            }));
+    }
+    for (const auto& worker : config.workers) {
+        BOOST_OUTCOME_TRYV(serve(config, worker.port,
+                                 [this, id = worker.id](const net::http_request& request,
+                                                        const net::http_responder& responder) {
+                                     handle_worker(id, request, responder);
+                                 }));
+    }
+    return serve(config, config.control_port,
+                 [this](const net::http_request& request, const net::http_responder& responder) {
+                     responder.send(handle_control(*this, request));
+                 });
+}
+
+void site_host::run()
+{
+    last_tick_ = std::chrono::steady_clock::now();
+    advance();
+    context_.run();
+}
+
+void site_host::stop()
+{
+    context_.stop();
+}
+
+void site_host::advance()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto passed = std::chrono::duration_cast<base::milliseconds>(now - last_tick_);
+    last_tick_ += passed;
+    time_.run_for(passed);
+    tick_.expires_after(tick_interval);
+    tick_.async_wait([this](const std::error_code& failure) {
+        if (!failure) {
+            advance();
+        }
+    });
+}
+
+void site_host::beat(const std::string& worker)
+{
+    publish(worker);
+    time_.after(heartbeat, [this, worker] { beat(worker); });
+}
+
+void site_host::publish(const std::string& worker)
+{
+    const auto& machine = workers_.at(worker);
+    if (machine.up && machine.listed) {
+        store_.put({wire::worker_table, {}, worker},
+                   encode_entry(machine.facts, ++sequences_[worker]));
+    }
+}
+
+void site_host::crash(const std::string& worker)
+{
+    auto& machine = workers_.at(worker);
+    machine.up = false;
+    machine.tasks.clear();
+    machine.ended.clear();
+    judge_.forgot_ends(worker);
+    const auto born = machine.facts.life.born;
+    time_.after(registration_timeout, [this, worker, born] {
+        const auto& later = workers_.at(worker);
+        if (!later.up && later.facts.life.born == born) {
+            store_.remove({wire::worker_table, {}, worker});
+        }
+    });
+}
+
+void site_host::come_back(const std::string& worker)
+{
+    judge_.forgot_ends(worker);
+    workers_.restart(worker);
+    auto& machine = workers_.at(worker);
+    machine.up = true;
+    machine.facts.draining = false;
+    machine.facts.remaining.reset();
+    sequences_[worker] = 0;
+    publish(worker);
+}
+
+void site_host::drain(const std::string& worker)
+{
+    auto& machine = workers_.at(worker);
+    machine.facts.draining = true;
+    machine.facts.remaining = drain_time;
+    publish(worker);
+    const auto born = machine.facts.life.born;
+    time_.after(drain_time, [this, worker, born] {
+        if (workers_.at(worker).facts.life.born == born && workers_.at(worker).up) {
+            crash(worker);
+            store_.remove({wire::worker_table, {}, worker});
+        }
+    });
+}
+
+std::string site_host::act_on_worker(const std::string& worker, const std::string& action)
+{
+    if (action == "crash") {
+        crash(worker);
+    } else if (action == "come_back") {
+        come_back(worker);
+    } else if (action == "drain") {
+        drain(worker);
+    } else if (const auto fate = find_fate(worker_fates, action)) {
+        worker_faults_[worker] = *fate;
+    } else {
+        return "unknown action";
+    }
+    return {};
+}
+
+std::string site_host::set_store_fate(const std::string& vm, const std::string& fate,
+                                      bool only_writes)
+{
+    const auto found = find_fate(store_fates, fate);
+    if (!found) {
+        return "unknown fate";
+    }
+    for (const auto& [name, port] : store_ports_) {
+        if (vm == "*" || vm == name) {
+            store_faults_[name] = {*found, only_writes};
+        }
+    }
+    return {};
+}
+
+void site_host::set_away_parts(std::set<std::string> parts)
+{
+    store_.away_parts = std::move(parts);
+}
+
+void site_host::forget_history()
+{
+    store_.forget_history();
+}
+
+void site_host::set_configuration(const std::string& document)
+{
+    store_.put({wire::operator_table, {}, wire::configuration_row}, document);
+}
+
+json site_host::report() const
+{
+    json violations = judge_.violations();
+    for (const auto& task : workers_.doubled()) {
+        violations.push_back(task + ": ran twice at the same time");
+    }
+    for (const auto& worker : workers_.overfull()) {
+        violations.push_back(worker + ": holds more than it has");
+    }
+    std::string leader;
+    for (const auto& row : store_.all(store::lease_row({}).table)) {
+        if (const auto record = store::decode_lease(row.value); record.has_value()) {
+            leader = record.value().holder;
+        }
+    }
+    return {{"violations", std::move(violations)}, {"starts", judge_.starts()},
+            {"done", judge_.done_tasks()},         {"leader", leader},
+            {"writes", store_.writes()},           {"looks", workers_.looks()}};
+}
+
+std::vector<store::row> site_host::rename_workers(const vm_config& vm,
+                                                  std::vector<store::row> rows) const
+{
+    for (auto& row : rows) {
+        const auto found = vm.worker_addresses.find(row.id.key);
+        if (row.id.table == wire::worker_table && found != vm.worker_addresses.end()) {
+            row.value = with_address(row.value, found->second);
+        }
+    }
+    return rows;
+}
+
+void site_host::handle_store(const vm_config& vm, const net::http_request& request,
+                             const net::http_responder& responder)
+{
+    const auto& port = store_ports_.at(vm.name);
+    if (request.path == wire::commit_path) {
+        auto made = decode_transaction(request.body);
+        if (!made) {
+            responder.send(json_response(400, json::object()));
+            return;
+        }
+        port.commit(*std::move(made), answer_with<store::commit_reply>(responder));
+    } else if (request.path == wire::read_path) {
+        port.read(decode_range(request), [this, vm, responder](store::read_reply reply) {
+            reply.rows = rename_workers(vm, std::move(reply.rows));
+            answer_with<store::read_reply>(responder)(reply);
+        });
+    } else if (request.path == wire::feed_path) {
+        port.follow(decode_feed_request(request), [this, vm, responder](store::feed_reply reply) {
+            for (auto& changed : reply.rows) {
+                changed.current = rename_workers(vm, {changed.current}).front();
+            }
+            answer_with<store::feed_reply>(responder)(reply);
+        });
+    } else {
+        responder.send(json_response(404, json::object()));
+    }
+}
+
+void site_host::handle_worker(const std::string& worker, const net::http_request& request,
+                              const net::http_responder& responder)
+{
+    if (is_for_another(worker, request)) {
+        responder.send(json_response(421, json::object()));
+        return;
+    }
+    const auto order = decode_order(worker, request);
+    if (!order) {
+        responder.send(json_response(400, json::object()));
+        return;
+    }
+    if (const auto* const start = std::get_if<fleet::start_order>(&*order)) {
+        orders_.start(*start, answer_with<fleet::order_reply>(responder));
+    } else if (const auto* const stop = std::get_if<fleet::stop_order>(&*order)) {
+        orders_.stop(*stop, answer_with<fleet::order_reply>(responder));
+    } else {
+        orders_.look(std::get<fleet::look_order>(*order),
+                     answer_with<fleet::look_reply>(responder));
+    }
+}
+
+} // namespace poplarstile::standins::site_standin
--- /dev/null
+++ b/standins/site_standin/site_host.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "base/result.hpp"
+#include "net/http_server.hpp"
+#include "standins/site_standin/site_config.hpp"
+#include "standins/site_standin/site_judge.hpp"
+#include "support/fake_store.hpp"
+#include "support/fake_workers.hpp"
+#include "support/virtual_time.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplarstile::standins::site_standin
+{
+
+/// Failed runs of a task after which it must not be started any more, as in the configuration.
+constexpr std::uint32_t max_attempts = 3;
+
+/// The store and the workers of a site behind real ports: the stand-ins of the unit tests, driven
+/// by the wall clock. All calls come from the thread that runs the host.
+class site_host
+{
+public:
+    /// Listens on every port of the settings. Error: `listen_failed`.
+    [[nodiscard]] static base::result<std::unique_ptr<site_host>> start(const site_config& config);
+
+    site_host(const site_host&) = delete;
+    site_host& operator=(const site_host&) = delete;
+
+    /// Serves until `stop`, which may be called from any thread.
+    void run();
+    void stop();
+
+    // Faults, see docs/STANDINS.md.
+    /// `vm` may be `*`; `only_writes` spares reads and feeds. Error text, empty for none.
+    [[nodiscard]] std::string set_store_fate(const std::string& vm, const std::string& fate,
+                                             bool only_writes);
+    void set_away_parts(std::set<std::string> parts);
+    void forget_history();
+    [[nodiscard]] std::string act_on_worker(const std::string& worker, const std::string& action);
+    void set_configuration(const std::string& document);
+
+    /// What was seen so far.
+    [[nodiscard]] json report() const;
+
+private:
+    struct store_faults {
+        tests::fake_store::fate fate = tests::fake_store::fate::serve;
+        bool only_writes = false;
+    };
+
+    explicit site_host(const site_config& config);
+    [[nodiscard]] base::result<void> listen(const site_config& config);
+    [[nodiscard]] base::result<void> serve(const site_config& config, std::uint16_t port,
+                                           net::http_handler handler);
+    void connect_judge();
+    void advance();
+    void beat(const std::string& worker);
+    void publish(const std::string& worker);
+    void crash(const std::string& worker);
+    void come_back(const std::string& worker);
+    void drain(const std::string& worker);
+    void handle_store(const vm_config& vm, const net::http_request& request,
+                      const net::http_responder& responder);
+    void handle_worker(const std::string& worker, const net::http_request& request,
+                       const net::http_responder& responder);
+    [[nodiscard]] std::vector<store::row> rename_workers(const vm_config& vm,
+                                                         std::vector<store::row> rows) const;
+
+    asio::io_context context_{1};
+    asio::steady_timer tick_{context_};
+    std::chrono::steady_clock::time_point last_tick_{};
+    tests::virtual_time time_{};
+    tests::fake_store store_{time_};
+    tests::fake_workers workers_{time_};
+    fleet::worker_orders orders_{};
+    site_judge judge_{max_attempts};
+    std::map<std::string, store::row_store> store_ports_{};
+    std::map<std::string, store_faults> store_faults_{};
+    std::map<std::string, tests::fake_workers::fate> worker_faults_{};
+    std::map<std::string, std::uint64_t> sequences_{};
+    std::vector<std::unique_ptr<net::http_server>> servers_{};
+};
+
+} // namespace poplarstile::standins::site_standin
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,120 @@
+#include "soak/soak_run.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <optional>
+
+ABSL_FLAG(std::string, seeds, "1", "seeds to play, such as 1,4 or 1-50");
+ABSL_FLAG(std::int64_t, seconds, 10, "how long callers and faults go on, for each seed");
+ABSL_FLAG(std::uint64_t, vms, 4, "entry VMs");
+ABSL_FLAG(std::uint64_t, workers, 8, "workers");
+ABSL_FLAG(std::uint64_t, callers, 8, "callers, each with one call at a time");
+ABSL_FLAG(std::string, folder, "", "where logs go; a folder of the build by default");
+ABSL_FLAG(std::string, regressions, "", "file with the seeds that ever failed; played first");
+
+namespace
+{
+
+using namespace poplarstile;
+
+struct seed_case {
+    std::uint64_t seed = 0;
+    std::int64_t seconds = 0;
+};
+
+/// Nothing when a part of the text is neither a number nor a range.
+std::optional<std::vector<seed_case>> parse_seeds(const std::string& text, std::int64_t seconds)
+{
+    std::vector<seed_case> cases;
+    for (const auto part : absl::StrSplit(text, ',')) {
+        const std::vector<std::string> ends = absl::StrSplit(part, '-');
+        std::uint64_t first = 0;
+        std::uint64_t last = 0;
+        if (!absl::SimpleAtoi(ends.front(), &first) || !absl::SimpleAtoi(ends.back(), &last)) {
+            return std::nullopt;
+        }
+        for (auto seed = first; seed <= last; ++seed) {
+            cases.push_back({seed, seconds});
+        }
+    }
+    return cases;
+}
+
+std::vector<seed_case> read_regressions(const std::string& path)
+{
+    std::vector<seed_case> cases;
+    const auto document = nlohmann::json::parse(std::ifstream{path}, nullptr, false);
+    for (const auto& entry : document) {
+        cases.push_back(
+            {entry.at("seed").get<std::uint64_t>(), entry.at("seconds").get<std::int64_t>()});
+    }
+    return cases;
+}
+
+/// Prints the result; true when every promise was kept.
+bool play_case(const seed_case& played)
+{
+    soak::run_options options;
+    options.seed = played.seed;
+    options.span = std::chrono::seconds{played.seconds};
+    options.shape = {absl::GetFlag(FLAGS_vms), absl::GetFlag(FLAGS_workers)};
+    options.callers = absl::GetFlag(FLAGS_callers);
+    const auto base_folder = absl::GetFlag(FLAGS_folder);
+    options.folder = fmt::format("{}/seed-{}-{}s",
+                                 base_folder.empty() ? POPLARSTILE_BINARY_DIR "/soak" : base_folder,
+                                 played.seed, played.seconds);
+    const auto result = soak::play(options);
+    if (!result.has_value()) {
+        std::cout << fmt::format("seed {}: not started: {}\n", played.seed,
+                                 base::describe(result.error()));
+        return false;
+    }
+    const auto& seen = result.value();
+    std::cout << fmt::format("seed {} ({} s): {} faults, {} jobs, {} accepted, {} refused, settled "
+                             "after {} ms, {} broken promises\n",
+                             played.seed, played.seconds, seen.faults, seen.jobs, seen.accepted,
+                             seen.refused, seen.settled_after.count(), seen.violations.size());
+    for (const auto& violation : seen.violations) {
+        std::cout << "  " << violation << "\n";
+    }
+    std::cout << std::flush;
+    if (seen.violations.empty()) {
+        std::filesystem::remove_all(options.folder);
+    } else {
+        std::cout << "  logs: " << options.folder << std::endl;
+    }
+    return seen.violations.empty();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("Plays random faults on a site of real processes.");
+    absl::ParseCommandLine(argc, argv);
+    const auto seeds = parse_seeds(absl::GetFlag(FLAGS_seeds), absl::GetFlag(FLAGS_seconds));
+    if (!seeds) {
+        std::cerr << "--seeds: expected numbers and ranges such as 1,4 or 1-50\n";
+        return EXIT_FAILURE;
+    }
+    std::vector<seed_case> cases;
+    if (const auto path = absl::GetFlag(FLAGS_regressions); !path.empty()) {
+        cases = read_regressions(path);
+    }
+    cases.insert(cases.end(), seeds->begin(), seeds->end());
+    bool kept = true;
+    for (const auto& played : cases) {
+        kept = play_case(played) && kept;
+    }
+    return kept ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,270 @@
+#include "soak/soak_callers.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace poplarstile::soak
+{
+namespace
+{
+
+using nlohmann::json;
+using standins::site_standin::step_script;
+
+constexpr int most_attempts = 6;
+constexpr int most_questions = 6;
+constexpr std::int64_t cpu_unit_milli = 500;
+constexpr base::milliseconds retry_pause{300};
+constexpr int shortest_pause_ms = 60;
+constexpr int longest_pause_ms = 300;
+/// What was acknowledged, and a state once shown, is shown everywhere within this time.
+constexpr base::milliseconds visible_after{3'000};
+
+int between(std::mt19937_64& random, int least, int most)
+{
+    return std::uniform_int_distribution{least, most}(random);
+}
+
+bool chance(std::mt19937_64& random, double share)
+{
+    return std::uniform_real_distribution{0.0, 1.0}(random) < share;
+}
+
+void pause(std::mt19937_64& random)
+{
+    std::this_thread::sleep_for(
+        base::milliseconds{between(random, shortest_pause_ms, longest_pause_ms)});
+}
+
+step_script make_step(std::mt19937_64& random, std::uint32_t number)
+{
+    step_script step;
+    step.tasks = static_cast<std::uint32_t>(between(random, 1, 5));
+    step.work = base::milliseconds{between(random, 50, 900)};
+    step.need = {between(random, 1, 4) * cpu_unit_milli, 256, 0};
+    if (chance(random, 0.3)) {
+        step.gang = true;
+        step.tasks = static_cast<std::uint32_t>(between(random, 2, 4));
+        step.need.accelerators = between(random, 1, 3);
+    }
+    step.fails = chance(random, 0.02);
+    if (number > 0) {
+        step.after = {number - 1};
+    }
+    return step;
+}
+
+json encode_step(const step_script& step)
+{
+    json object{{"count", step.tasks},
+                {"cpu", step.need.cpu_milli},
+                {"mem_mb", step.need.memory_mb},
+                {"estimate_ms", step.work.count()}};
+    if (step.need.accelerators > 0) {
+        object["gpu"] = step.need.accelerators;
+    }
+    if (step.gang) {
+        object["gang"] = true;
+    }
+    if (!step.after.empty()) {
+        object["after"] = step.after;
+    }
+    return object;
+}
+
+std::string encode_job(const job_script& script)
+{
+    json steps = json::array();
+    for (const auto& step : script.steps) {
+        steps.push_back(encode_step(step));
+    }
+    return json{{"spec", to_payload(script)}, {"steps", std::move(steps)}}.dump();
+}
+
+bool is_final(const std::string& state)
+{
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
+
+} // namespace
+
+bool job_note::can_be_done() const
+{
+    return std::ranges::none_of(script.steps, [](const auto& step) { return step.fails; });
+}
+
+std::uint64_t job_note::tasks() const
+{
+    std::uint64_t count = 0;
+    for (const auto& step : script.steps) {
+        count += step.tasks;
+    }
+    return count;
+}
+
+caller_crowd::caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers)
+    : site_{site}, seed_{seed}
+{
+    for (std::size_t index = 0; index < callers; ++index) {
+        threads_.emplace_back([this, index] { work(seed_ * 1'000 + index); });
+    }
+}
+
+caller_crowd::~caller_crowd()
+{
+    stop();
+}
+
+void caller_crowd::stop()
+{
+    stopping_ = true;
+    for (auto& thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+std::vector<std::string> caller_crowd::violations()
+{
+    const std::lock_guard lock{mutex_};
+    return violations_;
+}
+
+void caller_crowd::note(const std::string& violation)
+{
+    const std::lock_guard lock{mutex_};
+    violations_.push_back(violation);
+}
+
+const std::string& caller_crowd::any_vm(std::mt19937_64& random) const
+{
+    const auto last = static_cast<int>(site_.vms().size()) - 1;
+    return site_.vms().at(static_cast<std::size_t>(between(random, 0, last)));
+}
+
+std::string caller_crowd::path_of(const std::string& job)
+{
+    const std::lock_guard lock{mutex_};
+    return notes_.at(job).prefix + job;
+}
+
+void caller_crowd::work(std::uint64_t seed)
+{
+    std::mt19937_64 random{seed};
+    while (!stopping_) {
+        live_one_job(random);
+        pause(random);
+    }
+}
+
+job_note caller_crowd::make_job(std::mt19937_64& random)
+{
+    job_note job;
+    job.prefix = chance(random, 0.2) ? urgent_prefix : batch_prefix;
+    job.script.job = fmt::format("{:08x}{:08x}", seed_ & 0xffffffffU, next_job_++);
+    const auto steps = static_cast<std::uint32_t>(between(random, 1, 3));
+    for (std::uint32_t number = 0; number < steps; ++number) {
+        job.script.steps.push_back(make_step(random, number));
+    }
+    return job;
+}
+
+void caller_crowd::live_one_job(std::mt19937_64& random)
+{
+    auto job = make_job(random);
+    const auto id = job.script.job;
+    {
+        const std::lock_guard lock{mutex_};
+        notes_[id] = job;
+    }
+    const auto outcome = hand_in(random, job);
+    {
+        const std::lock_guard lock{mutex_};
+        auto& noted = notes_.at(id);
+        noted.accepted = outcome.accepted;
+        noted.refused = outcome.refused;
+        noted.accepted_at = std::chrono::steady_clock::now();
+    }
+    if (!outcome.accepted) {
+        return;
+    }
+    if (chance(random, 0.05)) {
+        // The same job once more, at any VM: it stays one job.
+        (void)site_.call(any_vm(random), "POST", path_of(id), encode_job(job.script));
+    }
+    if (chance(random, 0.06)) {
+        cancel(any_vm(random), id);
+        return;
+    }
+    for (int question = 0; question < most_questions && !stopping_; ++question) {
+        pause(random);
+        if (is_final(ask_state(any_vm(random), id))) {
+            return;
+        }
+    }
+}
+
+caller_crowd::attempt_outcome caller_crowd::hand_in(std::mt19937_64& random, const job_note& job)
+{
+    const auto body = encode_job(job.script);
+    bool refused = true;
+    for (int attempt = 0; attempt < most_attempts; ++attempt) {
+        const auto vm = any_vm(random);
+        const auto reply = site_.call(vm, "POST", job.prefix + job.script.job, body);
+        if (reply.ok()) {
+            return {true, false};
+        }
+        const bool answered = reply.outcome == net::delivery::answered;
+        if (answered && (reply.status == 429 || reply.status == 503)) {
+            return {false, refused};
+        }
+        if (answered && reply.status != 502 && reply.status != 504) {
+            note(fmt::format("{}: {} answered {} to a job in order", job.script.job, vm,
+                             reply.status));
+            return {false, refused};
+        }
+        refused = refused && reply.outcome == net::delivery::not_sent;
+        std::this_thread::sleep_for(retry_pause);
+    }
+    return {false, false};
+}
+
+void caller_crowd::cancel(const std::string& vm, const std::string& job)
+{
+    {
+        const std::lock_guard lock{mutex_};
+        notes_.at(job).cancelled = true;
+    }
+    (void)site_.call(vm, "DELETE", path_of(job));
+}
+
+std::string caller_crowd::ask_state(const std::string& vm, const std::string& job)
+{
+    const auto reply = site_.call(vm, "GET", path_of(job));
+    const std::lock_guard lock{mutex_};
+    auto& noted = notes_.at(job);
+    const auto known_for = std::chrono::steady_clock::now() - noted.accepted_at;
+    if (reply.status == 410 && noted.accepted && known_for > visible_after) {
+        violations_.push_back(fmt::format("{}: {} does not know it", job, vm));
+    }
+    if (!reply.ok()) {
+        return fmt::format("{}", reply.status);
+    }
+    const auto document = json::parse(reply.body, nullptr, false);
+    auto state = document.is_object() ? document.value("state", "") : std::string{};
+    const bool settled = is_final(noted.final_state) &&
+                         std::chrono::steady_clock::now() - noted.final_at > visible_after;
+    if (settled && state != noted.final_state) {
+        violations_.push_back(
+            fmt::format("{}: {} shows {} after {} was shown", job, vm, state, noted.final_state));
+    }
+    if (is_final(state) && noted.final_state.empty()) {
+        noted.final_state = state;
+        noted.final_at = std::chrono::steady_clock::now();
+    }
+    return state;
+}
+
+} // namespace poplarstile::soak
--- /dev/null
+++ b/tests/soak/soak_callers.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "soak/soak_site.hpp"
+#include "standins/site_standin/job_script.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace poplarstile::soak
+{
+
+using standins::site_standin::job_script;
+
+/// What a caller knows of one job.
+struct job_note {
+    job_script script{};
+    std::string prefix{};
+    std::chrono::steady_clock::time_point accepted_at{};
+    /// An attempt to hand it in was answered with success.
+    bool accepted = false;
+    /// Every attempt so far was refused.
+    bool refused = false;
+    /// A cancel was sent; the job may end either way.
+    bool cancelled = false;
+    /// The last final state that was shown; empty before.
+    std::string final_state{};
+    std::chrono::steady_clock::time_point final_at{};
+
+    [[nodiscard]] bool can_be_done() const;
+    [[nodiscard]] std::uint64_t tasks() const;
+};
+
+/// Callers that hand jobs in, ask for their states and cancel some, each on its own thread.
+class caller_crowd
+{
+public:
+    caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers);
+    /// Ends the callers.
+    ~caller_crowd();
+    caller_crowd(const caller_crowd&) = delete;
+    caller_crowd& operator=(const caller_crowd&) = delete;
+
+    /// Lets each caller finish what it is at.
+    void stop();
+
+    /// By job id; to be read after `stop`.
+    [[nodiscard]] const std::map<std::string, job_note>& notes() const
+    {
+        return notes_;
+    }
+    [[nodiscard]] std::vector<std::string> violations();
+
+    /// Asks `vm` for the job's state and holds it against what was shown before. The state, or the
+    /// status code where there is none.
+    std::string ask_state(const std::string& vm, const std::string& job);
+
+private:
+    struct attempt_outcome {
+        bool accepted = false;
+        bool refused = false;
+    };
+
+    void work(std::uint64_t seed);
+    void live_one_job(std::mt19937_64& random);
+    [[nodiscard]] job_note make_job(std::mt19937_64& random);
+    [[nodiscard]] attempt_outcome hand_in(std::mt19937_64& random, const job_note& job);
+    void cancel(const std::string& vm, const std::string& job);
+    void note(const std::string& violation);
+    [[nodiscard]] std::string path_of(const std::string& job);
+    [[nodiscard]] const std::string& any_vm(std::mt19937_64& random) const;
+
+    soak_site& site_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<std::uint64_t> next_job_ = 1;
+    std::uint64_t seed_;
+    std::mutex mutex_;
+    std::map<std::string, job_note> notes_;
+    std::vector<std::string> violations_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace poplarstile::soak
--- /dev/null
+++ b/tests/soak/soak_faults.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "soak/soak_site.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplarstile::soak
+{
+
+enum class fault_kind : std::uint8_t {
+    vm_killed,
+    vm_paused,
+    vm_terminated,
+    rolling_restart,
+    power_lost,
+    settings_changed,
+    store_link,
+    worker_link,
+    peer_link,
+    caller_link,
+    store_calls,
+    store_part,
+    store_history,
+    worker_crashed,
+    worker_reborn,
+    worker_drained,
+    worker_calls,
+};
+
+[[nodiscard]] std::string_view name_of(fault_kind kind);
+
+/// Stands for the VM that leads when the fault begins.
+constexpr std::string_view leading_vm = "@leader";
+constexpr std::string_view every_vm = "*";
+
+struct planned_fault {
+    base::milliseconds at{0};
+    base::milliseconds lasts{0};
+    fault_kind kind = fault_kind::vm_killed;
+    /// A VM's name, `leading_vm` or `every_vm`.
+    std::string vm{};
+    /// Empty where the fault is none of a worker's.
+    std::string worker{};
+    /// What a link, the store or a worker does meanwhile, by its name on the control ports.
+    std::string variant{};
+    base::milliseconds delay{0};
+};
+
+/// Faults of a run, in order of time, until `span`; the same seed gives the same plan. They come
+/// in series and overlap.
+[[nodiscard]] std::vector<planned_fault> plan_faults(std::uint64_t seed,
+                                                     std::span<const std::string> vms,
+                                                     std::span<const std::string> workers,
+                                                     base::milliseconds span);
+
+/// One line for the journal of a run.
+[[nodiscard]] std::string describe(const planned_fault& fault);
+
+} // namespace poplarstile::soak
--- /dev/null
+++ b/tests/soak/soak_faults_test.cpp
@@ -0,0 +1,78 @@
+#include "soak/soak_faults.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace
+{
+
+using namespace poplarstile;
+using soak::fault_kind;
+
+const std::vector<std::string> vms{"vm1", "vm2"};
+const std::vector<std::string> workers{"w1", "w2"};
+constexpr base::milliseconds span{20'000};
+
+TEST(plan_faults, same_seed_gives_the_same_plan)
+{
+    const auto first = soak::plan_faults(7, vms, workers, span);
+    const auto second = soak::plan_faults(7, vms, workers, span);
+
+    ASSERT_EQ(first.size(), second.size());
+    for (std::size_t index = 0; index < first.size(); ++index) {
+        EXPECT_EQ(describe(first.at(index)), describe(second.at(index)));
+    }
+}
+
+TEST(plan_faults, seeds_differ)
+{
+    const auto first = soak::plan_faults(7, vms, workers, span);
+    const auto second = soak::plan_faults(8, vms, workers, span);
+
+    EXPECT_NE(describe(first.front()), describe(second.front()));
+}
+
+TEST(plan_faults, faults_come_in_order_within_the_span_and_overlap)
+{
+    const auto faults = soak::plan_faults(3, vms, workers, span);
+    bool overlap = false;
+
+    for (std::size_t index = 1; index < faults.size(); ++index) {
+        const auto& before = faults.at(index - 1);
+        EXPECT_GE(faults.at(index).at, before.at);
+        overlap = overlap || faults.at(index).at < before.at + before.lasts;
+    }
+
+    EXPECT_LT(faults.back().at, span);
+    EXPECT_TRUE(overlap);
+}
+
+TEST(plan_faults, every_kind_comes_over_some_seeds)
+{
+    std::set<fault_kind> seen;
+
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        for (const auto& fault : soak::plan_faults(seed, vms, workers, span)) {
+            seen.insert(fault.kind);
+        }
+    }
+
+    EXPECT_TRUE(seen.contains(fault_kind::power_lost));
+    EXPECT_TRUE(seen.contains(fault_kind::worker_calls));
+    EXPECT_EQ(seen.size(), 17U);
+}
+
+TEST(plan_faults, faults_of_workers_name_one)
+{
+    for (const auto& fault : soak::plan_faults(5, vms, workers, span)) {
+        const bool of_worker =
+            fault.kind == fault_kind::worker_crashed || fault.kind == fault_kind::worker_calls;
+        if (of_worker) {
+            EXPECT_THAT(workers, testing::Contains(fault.worker));
+        }
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/soak/soak_run.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/result.hpp"
+#include "soak/soak_site.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace poplarstile::soak
+{
+
+struct run_options {
+    std::uint64_t seed = 1;
+    base::milliseconds span{10'000};
+    site_shape shape{};
+    std::size_t callers = 8;
+    /// Logs and settings of the run go here.
+    std::string folder{};
+};
+
+struct run_result {
+    /// Broken promises, one a line; empty for none.
+    std::vector<std::string> violations{};
+    std::size_t faults = 0;
+    std::size_t jobs = 0;
+    std::size_t accepted = 0;
+    std::size_t refused = 0;
+    /// From the end of the faults until every accepted job had ended.
+    base::milliseconds settled_after{0};
+};
+
+/// Plays one seed: callers and faults for the span, then all faults end and what was accepted has
+/// to end too. Error: the site did not start.
+[[nodiscard]] base::result<run_result> play(const run_options& options);
+
+} // namespace poplarstile::soak
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -256,13 +257,16 @@
                     handler(reply);
                     return;
                 }
-                for (const auto& change : changes_) {
-                    if (change.current.id.table == asked.table &&
-                        change.current.version > asked.after) {
-                        reply.rows.push_back(change);
-                    }
-                }
+                const auto first = std::ranges::upper_bound(
+                    changes_, asked.after, {},
+                    [](const store::changed_row& change) { return change.current.version; });
+                std::copy_if(first, changes_.end(), std::back_inserter(reply.rows),
+                             [&asked](const store::changed_row& change) {
+                                 return change.current.id.table == asked.table;
+                             });
                 if (reply.rows.empty() && time_.now() - since < asked.wait) {
+                    // What has been looked through is not looked through again.
+                    asked.after = std::max(asked.after, version_);
                     poll_feed(std::move(asked), std::move(handler), since);
                     return;
                 }
--- a/tests/support/fake_workers.hpp
+++ b/tests/support/fake_workers.hpp
@@ -47,7 +47,8 @@
         base::time_point started{};
         base::time_point ends{};
         std::string checkpoint{};
-        std::string gang{};
+        /// False for a gang's member that waits for the others.
+        bool working = true;
     };
 
     struct machine {
@@ -76,7 +77,25 @@
             return batch::run_end::done;
         };
 
+    /// How many tasks work only together with this one, itself included; 0 for a task of its own.
+    std::function<std::uint32_t(const std::string& task)> gang_size =
+        [](const std::string& /*task*/) { return 0U; };
+
+    /// Told of each start that is carried out, of each end, and of each end that is dropped because
+    /// it was acknowledged.
+    std::function<void(const fleet::start_order& order)> on_start =
+        [](const fleet::start_order& /*order*/) {};
+    std::function<void(const std::string& worker, const fleet::ended_task& ended)> on_end =
+        [](const std::string& /*worker*/, const fleet::ended_task& /*ended*/) {};
+    std::function<void(const std::string& worker, const fleet::ended_task& ended)> on_acknowledged =
+        [](const std::string& /*worker*/, const fleet::ended_task& /*ended*/) {};
+
+    /// Told again and again while a worker is without a lease.
+    std::function<void(const std::string& worker)> on_no_lease = [](const std::string& /*worker*/) {
+    };
+
     base::milliseconds latency{1};
+    base::milliseconds gang_wait{3'000};
     base::milliseconds late_by{4'000};
     base::milliseconds call_timeout{600};
     base::milliseconds longest_lease{6'000};
@@ -275,7 +294,13 @@
             unanswered();
             return;
         case fate::late:
-            time_.after(late_by, [carry_out] { (void)carry_out(); });
+            // What a life was told is forgotten with it.
+            time_.after(late_by, [this, id, born = worker.facts.life.born, carry_out] {
+                const auto& later = machines_.at(id);
+                if (later.up && later.facts.life.born == born) {
+                    (void)carry_out();
+                }
+            });
             unanswered();
             return;
         }
@@ -324,8 +349,10 @@
             reply.outcome = fleet::order_outcome::outdated;
             return reply;
         }
+        on_start(order);
         judge_start(order.to.life.worker, task);
-        worker.tasks[task] = {order.run, time_.now(), time_.now() + duration(task), {}, {}};
+        const bool alone = gang_size(task) == 0;
+        worker.tasks[task] = {order.run, time_.now(), time_.now() + duration(task), {}, alone};
         starts_.push_back({order.to.life.worker, task, order.run, order.checkpoint, time_.now()});
         reply.outcome = fleet::order_outcome::accepted;
         return reply;
@@ -380,6 +407,7 @@
         auto& least = worker.forbidden[task];
         least = std::max(least, run);
         worker.ended.push_back({++worker.last_end, *batch::parse_task_id(task), run, how, {}});
+        on_end(id, worker.ended.back());
         if (how == batch::run_end::done) {
             ++done_[task];
         }
@@ -396,11 +424,15 @@
             return;
         }
         const auto until = time_.now() + order.wait;
-        // The lease is extended at once, the answer waits for an end.
-        time_.after(latency, [this, order = std::move(order), reply = std::move(reply), until] {
-            (void)listing(order);
-            answer_look(order, reply, until);
-        });
+        // The lease is extended and ends are forgotten at once, the answer waits for an end.
+        time_.after(latency,
+                    [this, order = std::move(order), reply = std::move(reply), until]() mutable {
+                        (void)listing(order);
+                        order.acknowledged = 0;
+                        order.lease_until.reset();
+                        order.to.life.born = machines_.at(order.to.life.worker).facts.life.born;
+                        answer_look(order, reply, until);
+                    });
     }
 
     void answer_look(const fleet::look_order& order,
@@ -408,7 +440,9 @@
     {
         constexpr base::milliseconds step{2};
         const auto& worker = machines_.at(order.to.life.worker);
-        const bool lost = !worker.up || !worker.answers;
+        // A call that waits ends with the life that took it.
+        const bool same_life = worker.facts.life.born == order.to.life.born;
+        const bool lost = !worker.up || !worker.answers || !same_life;
         if (lost) {
             time_.after(call_timeout, [reply] { reply({}); });
         } else if (!worker.ended.empty() || time_.now() >= until) {
@@ -432,8 +466,12 @@
         if (order.lease_until) {
             extend(worker, *order.lease_until);
         }
-        std::erase_if(worker.ended, [&order](const fleet::ended_task& end) {
-            return end.number <= order.acknowledged;
+        std::erase_if(worker.ended, [&](const fleet::ended_task& end) {
+            const bool known = end.number <= order.acknowledged;
+            if (known) {
+                on_acknowledged(order.to.life.worker, end);
+            }
+            return known;
         });
         reply.outcome = fleet::order_outcome::accepted;
         for (const auto& [task, run] : worker.tasks) {
@@ -443,17 +481,21 @@
         return reply;
     }
 
-    /// Ends what is over and what no lease holds any more.
+    /// Ends what is over and what no lease holds any more. A gang's members end at one time.
     void sweep()
     {
         constexpr base::milliseconds step{1};
+        settle_gangs();
         for (auto& [id, worker] : machines_) {
             std::vector<std::pair<std::string, batch::run_end>> over;
-            const bool lapsed = !worker.tasks.empty() && clock_of(worker) >= worker.lease_until;
+            const bool lapsed = clock_of(worker) >= worker.lease_until;
+            if (lapsed) {
+                on_no_lease(id);
+            }
             for (const auto& [task, run] : worker.tasks) {
                 if (lapsed) {
                     over.emplace_back(task, batch::run_end::lapsed);
-                } else if (time_.now() >= run.ends) {
+                } else if (run.working && time_.now() >= run.ends) {
                     over.emplace_back(task, outcome(id, task));
                 }
             }
@@ -464,6 +506,44 @@
         time_.after(step, [this] { sweep(); });
     }
 
+    struct gang_member {
+        std::string worker;
+        std::string task;
+    };
+
+    /// Lets gangs work whose members are all there, and ends those that lost one.
+    void settle_gangs()
+    {
+        std::map<std::pair<std::string, std::uint32_t>, std::vector<gang_member>> gangs;
+        for (const auto& [id, worker] : machines_) {
+            for (const auto& [task, run] : worker.tasks) {
+                if (worker.up && gang_size(task) > 0) {
+                    gangs[{task.substr(0, task.rfind('.')), run.run}].push_back({id, task});
+                }
+            }
+        }
+        for (const auto& [name, members] : gangs) {
+            settle_gang(members);
+        }
+    }
+
+    void settle_gang(const std::vector<gang_member>& members)
+    {
+        const bool whole = members.size() == gang_size(members.front().task);
+        const auto ends = time_.now() + duration(members.front().task);
+        for (const auto& member : members) {
+            auto& run = machines_.at(member.worker).tasks.at(member.task);
+            if (whole && !run.working) {
+                run.working = true;
+                run.ends = ends;
+            } else if (!whole && run.working) {
+                end(member.worker, member.task, batch::run_end::broken);
+            } else if (!whole && time_.now() - run.started > gang_wait) {
+                end(member.worker, member.task, batch::run_end::alone);
+            }
+        }
+    }
+
     virtual_time& time_;
     std::map<std::string, machine> machines_{};
     std::map<std::string, store::row_version> changed_{};
