Never let the library resend a call to a worker

Cause: on a kept connection that breaks before the answer libcurl sends the request again by itself. A look that waited at a worker's old life was so sent to the new one under the same id, with the old life's count of known ends; the new life forgot its first ends, which nobody had seen. The runs were then missing from both lists, counted as lost and done again.

Ruled out: the leader's own count (reset with the life; worker_rebirth.EndsOfTheNewLifeAreNotAcknowledgedUnseen passes on the virtual clock), a late look in the proxy (no link of these workers was delayed), the stand-in's answer to a look of a life that is over (it gives none; closing that connection is what made the library resend).

Change: http_call::once takes away the library's means to rewind the body; all calls to workers set it. Others are resent as before: a commit is safe by its conditions.

--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -25,6 +25,10 @@
     /// Opens a connection for this call alone and closes it afterwards. A completed handshake is a
     /// proof of life that an idle connection cannot give, and the library never resends on it.
     bool fresh_connection = false;
+    /// Never sent a second time by the library: on a kept connection that breaks before the answer
+    /// the call is lost, since another process may serve the address by then. For calls with a
+    /// body.
+    bool once = false;
     /// What the bytes are for, in the client's account; a string literal.
     std::string_view purpose = "work";
     std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
--- a/src/net/internal/exchange.cpp
+++ b/src/net/internal/exchange.cpp
@@ -83,8 +83,11 @@
                          static_cast<curl_off_t>(current.call.body.size()));
         curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_body);
         curl_easy_setopt(easy, CURLOPT_READDATA, &current);
-        curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, seek_body);
-        curl_easy_setopt(easy, CURLOPT_SEEKDATA, &current);
+        // The library resends only a body that it can rewind.
+        if (!current.call.once) {
+            curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, seek_body);
+            curl_easy_setopt(easy, CURLOPT_SEEKDATA, &current);
+        }
     }
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, current.call.method.c_str());
 }
--- a/tests/control/worker_rebirth_test.cpp
+++ b/tests/control/worker_rebirth_test.cpp
@@ -64,5 +64,25 @@
     EXPECT_TRUE(site.workers.doubled().empty());
 }
 
+// Ends are numbered from 1 in each life, and a look that the old life was sent may reach the new
+// one: what it acknowledges there has not been seen by anybody.
+TEST_F(worker_rebirth, EndsOfTheNewLifeAreNotAcknowledgedUnseen)
+{
+    site.workers.duration = [](const std::string& /*task*/) { return milliseconds{300}; };
+    site.submit(make_job(job, 12, small_task));
+    ASSERT_EQ(site.await_end(job), batch::job_status::completed);
+    const std::string second = "0000000000000002";
+    site.submit(make_job(second, 12, small_task));
+    site.time.run_for(milliseconds{200});
+
+    site.workers.restart("w1");
+    site.workers.restart("w2");
+
+    EXPECT_EQ(site.await_end(second), batch::job_status::completed);
+    for (const auto& [task, times] : site.workers.done()) {
+        EXPECT_EQ(times, 1) << task;
+    }
+}
+
 } // namespace
 } // namespace poplarstile::tests
--- a/tests/platform/worker_wire_test.cpp
+++ b/tests/platform/worker_wire_test.cpp
@@ -115,5 +115,17 @@
     EXPECT_EQ(reply.unreadable, 4U);
 }
 
+// A worker that starts anew answers at the same address: a look meant for its old life would make
+// it forget ends that nobody has seen.
+TEST(worker_call, IsNeverResentToWhoeverServesTheAddressByThen)
+{
+    const fleet::worker_address to{{"w1", 7}, "10.0.0.1:80"};
+
+    const auto call = internal::make_call(to, "/path", "{}", base::milliseconds{500});
+
+    EXPECT_TRUE(call.once);
+    EXPECT_EQ(call.timeout, base::milliseconds{500});
+}
+
 } // namespace
 } // namespace poplarstile::platform
