--- a/tests/platform/store_wire_test.cpp
+++ b/tests/platform/store_wire_test.cpp
@@ -152,6 +152,26 @@
 }
 
 /// Names of calls, members and tables that only the adapter may know.
+TEST(store_client, MembersOfOtherTypesCountAsAbsent)
+{
+    canned_store store;
+    store.answer(200, R"({"rows":[{"table":"t","part":"p","key":"k","value":"e30=","ver":7,
+                          "removed":1}],"ver":9,"truncated":"yes"})");
+    store::feed_reply changes;
+    store::read_reply read;
+
+    store.rows.follow({"t", 1, base::milliseconds{0}},
+                      [&changes](const store::feed_reply& reply) { changes = reply; });
+    store.rows.read({"t", "p", {}, {}, 0},
+                    [&read](const store::read_reply& reply) { read = reply; });
+    store.time.run_for(base::milliseconds{2'000});
+
+    ASSERT_EQ(changes.rows.size(), 1U);
+    EXPECT_FALSE(changes.rows.front().removed);
+    EXPECT_EQ(read.outcome, store::call_outcome::done);
+    EXPECT_FALSE(read.truncated);
+}
+
 TEST(platform_folder, IsTheOnlyPlaceThatKnowsThePlatformsNames)
 {
     const std::regex names{
--- a/tests/platform/worker_wire_test.cpp
+++ b/tests/platform/worker_wire_test.cpp
@@ -127,5 +127,12 @@
     EXPECT_EQ(call.timeout, base::milliseconds{500});
 }
 
+TEST(worker_answer, AReasonOfAnotherTypeIsNoReason)
+{
+    const auto reply = internal::decode_order(answered(409, R"({"clock_ms":5,"reason":1})"));
+
+    EXPECT_EQ(reply.outcome, fleet::order_outcome::malformed);
+}
+
 } // namespace
 } // namespace poplarstile::platform
