Doubt what an earlier leader told of open jobs

Cause: a VM keeps the states that leaders' beats told. When it came to lead itself, it declared these complete with its first own loads; a job that a predecessor had called pending and another had ended meanwhile stayed pending there for good, since its own leader had nothing more to tell of it.

Ruled out: a lost end (job_ended is durable, the row is final), the callers' check (3 s, as promised; the states never changed).

Change: job_views::take_open_jobs. What the leader does not list is over if it knows all parts, else doubtful: it counts as accepted, its state is read from the store. A leading VM takes its own leader's list on taking over, and again when the parts become whole.

--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -159,6 +159,7 @@
     }
     vacant_ = false;
     yielding_ = false;
+    views_taken_whole_.reset();
     successor_.clear();
     elected_at_ = ports_.time->now();
     leader_->start();
@@ -191,7 +192,7 @@
     const auto now = ports_.time->now();
     if (leader_) {
         if (leader_->active()) {
-            ports_.views->set_loads(leader_->loads(), leader_->knows_all_parts());
+            show_own_views();
         }
         beat_all(true);
         yield_to_stronger();
@@ -201,6 +202,16 @@
     }
 }
 
+void cluster_node::show_own_views()
+{
+    const bool whole = leader_->knows_all_parts();
+    if (views_taken_whole_ != whole) {
+        ports_.views->take_open_jobs(leader_->views(), whole);
+        views_taken_whole_ = whole;
+    }
+    ports_.views->set_loads(leader_->loads(), whole);
+}
+
 void cluster_node::ask_configuration(const std::string& address)
 {
     if (asking_configuration_ || address.empty()) {
--- a/src/control/cluster_node.hpp
+++ b/src/control/cluster_node.hpp
@@ -110,6 +110,8 @@
                           std::map<std::string, cluster::job_view> carried, bool snapshot,
                           const std::optional<cluster::message>& answer);
     void tick();
+    /// Keeps this VM's views as its own leader knows them.
+    void show_own_views();
     void tick_later();
     void ask_configuration(const std::string& address);
     [[nodiscard]] cluster::leader_beat make_beat(neighbour& to);
@@ -138,6 +140,8 @@
     std::string successor_{};
     bool left_ = false;
     bool yielding_ = false;
+    /// Whether the leader knew all parts when its open jobs were last handed to the views whole.
+    std::optional<bool> views_taken_whole_{};
     base::time_point elected_at_{};
     bool beat_scheduled_ = false;
     bool asking_configuration_ = false;
--- a/src/door/job_views.cpp
+++ b/src/door/job_views.cpp
@@ -19,6 +19,7 @@
         return;
     }
     views_.insert_or_assign(view.job, view);
+    doubtful_.erase(view.job);
     if (batch::is_final(view.status)) {
         keep_final(view.job);
     }
@@ -43,9 +44,7 @@
     sequence_ = beat.sequence;
     whole_ = !beat.partial;
     if (beat.snapshot) {
-        if (whole_) {
-            forget_open_jobs_except(beat.changes);
-        }
+        take_open_jobs(beat.changes, whole_);
         complete_ = true;
     } else if (!next) {
         complete_ = false;
@@ -58,15 +57,27 @@
     return complete_;
 }
 
-void job_views::forget_open_jobs_except(const std::vector<cluster::job_view>& kept)
+void job_views::take_open_jobs(const std::vector<cluster::job_view>& open, bool whole)
 {
     std::unordered_set<std::string_view> names;
-    for (const auto& view : kept) {
+    for (const auto& view : open) {
         names.insert(view.job);
     }
-    std::erase_if(views_, [&names](const auto& entry) {
-        return !batch::is_final(entry.second.status) && !names.contains(entry.first);
-    });
+    doubtful_.clear();
+    for (const auto& [job, view] : views_) {
+        if (!batch::is_final(view.status) && !names.contains(job)) {
+            doubtful_.insert(job);
+        }
+    }
+    if (whole) {
+        for (const auto& job : doubtful_) {
+            views_.erase(job);
+        }
+        doubtful_.clear();
+    }
+    for (const auto& view : open) {
+        note(view);
+    }
 }
 
 void job_views::set_loads(std::vector<cluster::queue_load> loads, bool whole)
@@ -93,7 +104,8 @@
     if (found == views_.end()) {
         return std::nullopt;
     }
-    if (!batch::is_final(found->second.status) && !fresh()) {
+    const bool current = fresh() && !doubtful_.contains(found->first);
+    if (!batch::is_final(found->second.status) && !current) {
         return std::nullopt;
     }
     return found->second;
--- a/src/door/job_views.hpp
+++ b/src/door/job_views.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 /// The callers' side of every VM: takes jobs, shows their state, cancels them, turns work away.
@@ -29,6 +30,10 @@
     /// A beat; `false` asks for a snapshot because something was missed.
     bool hear(const cluster::leader_beat& beat);
 
+    /// All jobs that the leader knows and that are not over. What else counted as open was told by
+    /// an earlier leader: it has ended if this one knows all parts (`whole`), else it is doubtful.
+    void take_open_jobs(const std::vector<cluster::job_view>& open, bool whole);
+
     /// What the leader itself knows, on its own VM.
     void set_loads(std::vector<cluster::queue_load> loads, bool whole);
 
@@ -51,12 +56,13 @@
 
 private:
     void keep_final(const std::string& job);
-    void forget_open_jobs_except(const std::vector<cluster::job_view>& kept);
 
     const base::timers& time_;
     base::milliseconds fresh_for_;
     std::size_t most_final_;
     std::unordered_map<std::string, cluster::job_view> views_{};
+    /// Open ones of which only an earlier leader told.
+    std::unordered_set<std::string> doubtful_{};
     /// Final ones, oldest first.
     std::deque<std::string> final_{};
     std::vector<cluster::queue_load> loads_{};
