--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -112,8 +113,14 @@
         cases = read_regressions(path);
     }
     cases.insert(cases.end(), seeds->begin(), seeds->end());
+    // The processes of the run end with it.
+    std::signal(SIGTERM, [](int /*number*/) { soak::request_stop(); });
+    std::signal(SIGINT, [](int /*number*/) { soak::request_stop(); });
     bool kept = true;
     for (const auto& played : cases) {
+        if (soak::stop_requested()) {
+            return EXIT_FAILURE;
+        }
         kept = play_case(played) && kept;
     }
     return kept ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -27,6 +28,8 @@
 constexpr base::milliseconds finish_bound{14'000};
 constexpr base::milliseconds poll_interval{100};
 
+std::atomic<bool> stopping = false;
+
 /// Begins and ends faults on time. Those that take a while have threads of their own.
 class fault_player
 {
@@ -45,6 +48,9 @@
         const auto started = clock::now();
         for (const auto& fault : faults) {
             run_ends_until(started + fault.at);
+            if (stopping) {
+                return;
+            }
             begin(fault);
         }
         run_ends_until(started + span);
@@ -364,6 +370,16 @@
 
 } // namespace
 
+void request_stop()
+{
+    stopping = true;
+}
+
+bool stop_requested()
+{
+    return stopping;
+}
+
 base::result<run_result> play(const run_options& options)
 {
     std::filesystem::remove_all(options.folder);
@@ -380,6 +396,10 @@
     callers.stop();
     site->leave_open_connections();
     append(result.violations, player.violations());
+    if (stopping) {
+        result.violations.emplace_back("stopped before its end");
+        return result;
+    }
     if (!site->await_ready(ready_bound)) {
         result.violations.emplace_back("not every VM takes calls after the faults");
     }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -30,6 +30,10 @@
     base::milliseconds settled_after{0};
 };
 
+/// Makes the run under way end early, with its processes; may be called from a signal handler.
+void request_stop();
+[[nodiscard]] bool stop_requested();
+
 /// Plays one seed: callers and faults for the span, then all faults end and what was accepted has
 /// to end too. Error: the site did not start.
 [[nodiscard]] base::result<run_result> play(const run_options& options);
