Follow from a part's reading on, also when a poll is under way

Cause: a part that comes back is read; what is handed in meanwhile is told by the feed before the part is adopted, and dropped. The leader then sets the feed's position back to the version of the reading, but a poll that was under way answered afterwards and set it forward again, past those rows. The jobs were accepted and never known to any leader of that life.

Ruled out: the fence for reborn workers (no order was ever sent), the doubtful views (the job was not known to the leader at all), a lost row (the door read it).

Change: a poll that was asked for from further on than the position now is does not move the position. Test, failing before: leader_takeover.JobsHandedInWhileAPartIsBeingReadAreNotMissed.

--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -38,35 +38,40 @@
 
 void leader::follow_jobs()
 {
-    ports_.rows->follow({"jobs", jobs_version_, feed_wait},
-                        [this, alive = alive_](const store::feed_reply& reply) {
-                            if (!*alive || lost_) {
-                                return;
-                            }
-                            if (reply.outcome == store::call_outcome::done) {
-                                for (const auto& changed : reply.rows) {
-                                    if (!changed.removed) {
-                                        hear_row(changed.current);
-                                    }
-                                }
-                                jobs_version_ = std::max(jobs_version_, reply.version);
-                                follow_jobs();
-                                return;
-                            }
-                            if (reply.outcome == store::call_outcome::expired) {
-                                log.warning("job_history_gone", {{"after", jobs_version_}});
-                                jobs_version_ = 0;
-                                for (std::size_t part = 0; part < parts_.size(); ++part) {
-                                    reread_jobs(part, {});
-                                }
-                                return;
-                            }
-                            ports_.time->after(feed_retry, [this, alive] {
-                                if (*alive) {
-                                    follow_jobs();
-                                }
-                            });
-                        });
+    ports_.rows->follow(
+        {"jobs", jobs_version_, feed_wait},
+        [this, asked = jobs_version_, alive = alive_](const store::feed_reply& reply) {
+            if (!*alive || lost_) {
+                return;
+            }
+            if (reply.outcome == store::call_outcome::done) {
+                for (const auto& changed : reply.rows) {
+                    if (!changed.removed) {
+                        hear_row(changed.current);
+                    }
+                }
+                // Set back meanwhile, for a part that was read: what lies between
+                // is asked for again.
+                if (jobs_version_ >= asked) {
+                    jobs_version_ = std::max(jobs_version_, reply.version);
+                }
+                follow_jobs();
+                return;
+            }
+            if (reply.outcome == store::call_outcome::expired) {
+                log.warning("job_history_gone", {{"after", jobs_version_}});
+                jobs_version_ = 0;
+                for (std::size_t part = 0; part < parts_.size(); ++part) {
+                    reread_jobs(part, {});
+                }
+                return;
+            }
+            ports_.time->after(feed_retry, [this, alive] {
+                if (*alive) {
+                    follow_jobs();
+                }
+            });
+        });
 }
 
 void leader::reread_jobs(std::size_t part, const std::string& from)
--- a/tests/control/leader_takeover_test.cpp
+++ b/tests/control/leader_takeover_test.cpp
@@ -222,6 +222,30 @@
     expect_sound();
 }
 
+TEST_F(leader_takeover, JobsHandedInWhileAPartIsBeingReadAreNotMissed)
+{
+    // Seen in a hunted day (aacru-greens-grown, silent-store-and-takeover): jobs accepted between
+    // the reading of a part and its adoption were told by the feed too early, and the feed then
+    // went on from behind them.
+    ASSERT_NO_FATAL_FAILURE(lead_without_some_parts());
+    ASSERT_NE(site.leading_vm(), nullptr);
+    constexpr int jobs_before = 8;
+    constexpr int jobs_while_reading = 160;
+
+    site.store.latency = milliseconds{200};
+    site.store.away_parts.clear();
+    for (int number = 1; number <= jobs_while_reading; ++number) {
+        jobs.push_back(fmt::format("{:016x}", jobs_before + number));
+        site.submit(make_job(jobs.back(), 1, small_task));
+        site.time.run_for(milliseconds{25});
+    }
+
+    for (const auto& job : jobs) {
+        EXPECT_EQ(site.await_end(job), batch::job_status::completed) << job;
+    }
+    expect_sound();
+}
+
 TEST_F(leader_takeover, ASubmissionThatComesTwiceStaysOneJobWhileItsPartIsAway)
 {
     // Seen in a played day: the home of an accepted job was away, its submission came once more,
