Acknowledge nothing while an answer's clock speaks of another life

Cause: between a worker's rebirth and the news of it a look carries the old life's count of known ends. A new life that has taken a start and ended it by then forgets that end unseen.

Ruled out: the library's resending (off since before), the leader's own count (reset once the birth is known).

Change: note_clock.

Test, failing before (12 tasks done twice): worker_rebirth.AnEndBeforeTheNewsOfTheRebirthIsNotForgotten.

--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -158,6 +158,8 @@
     }
     worker.clock = {};
     worker.acknowledged = 0;
+    worker.newest_clock = 0;
+    worker.life_doubtful = false;
     worker.seen = 0;
     worker.unstored_ends.clear();
     worker.deferred_ends.clear();
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -56,7 +56,7 @@
     fleet::look_order order;
     order.to = {worker.facts.life, worker.facts.address};
     order.token = epoch_;
-    order.acknowledged = worker.acknowledged;
+    order.acknowledged = worker.life_doubtful ? 0 : worker.acknowledged;
     // A silent worker's lease is left to run out, so that its end is known.
     if (worker.silent_looks == 0) {
         order.lease_until = lease_for(worker, now);
@@ -128,7 +128,9 @@
     }
     if (reply.worker_ms) {
         worker.clock.observe(*reply.worker_ms, sent, now);
+        worker.newest_clock = std::max(worker.newest_clock, *reply.worker_ms);
     }
+    worker.life_doubtful = false;
     const bool first = !worker.fenced;
     worker.fenced = true;
     worker.answered_at = now;
--- a/src/control/run_book.cpp
+++ b/src/control/run_book.cpp
@@ -1,5 +1,6 @@
 #include "control/run_book.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace poplarstile::control
@@ -17,4 +18,10 @@
     return run.listed && run.sends <= 1;
 }
 
+void note_clock(worker_state& worker, std::int64_t worker_ms)
+{
+    worker.life_doubtful = worker.life_doubtful || worker_ms < worker.newest_clock;
+    worker.newest_clock = std::max(worker.newest_clock, worker_ms);
+}
+
 } // namespace poplarstile::control
--- a/src/control/run_book.hpp
+++ b/src/control/run_book.hpp
@@ -77,6 +77,11 @@
 /// one: it is over as soon as that life is.
 [[nodiscard]] bool belongs_to_present_life(const live_run& run);
 
+struct worker_state;
+
+/// Takes note of the clock in a worker's answer.
+void note_clock(worker_state& worker, std::int64_t worker_ms);
+
 /// One worker as the leader knows it.
 struct worker_state {
     fleet::worker_facts facts{};
@@ -89,6 +94,11 @@
     std::map<std::string, live_run> runs{};
     /// Ends up to this number are durable.
     std::uint64_t acknowledged = 0;
+    /// Latest clock in an answer of this life.
+    std::int64_t newest_clock = 0;
+    /// An answer showed an earlier clock: it was overtaken, or another life gave it. Until a look
+    /// tells, nothing is acknowledged, since ends are numbered anew in each life.
+    bool life_doubtful = false;
     /// Ends up to this number have been taken in.
     std::uint64_t seen = 0;
     std::uint32_t looks_under_way = 0;
--- a/tests/control/worker_rebirth_test.cpp
+++ b/tests/control/worker_rebirth_test.cpp
@@ -84,5 +84,33 @@
     }
 }
 
+// The news of the rebirth comes late: the new life takes a start, ends it, and is then asked with
+// the old life's count of known ends. Its clock in the answer to the start gives it away.
+TEST_F(worker_rebirth, AnEndBeforeTheNewsOfTheRebirthIsNotForgotten)
+{
+    site.workers.duration = [](const std::string& /*task*/) { return milliseconds{30}; };
+    site.submit(make_job(job, 12, small_task));
+    ASSERT_EQ(site.await_end(job), batch::job_status::completed);
+    site.time.run_for(milliseconds{300});
+    for (const auto* const id : {"w1", "w2"}) {
+        auto& worker = site.workers.at(id);
+        worker.facts.life.born += 1'000;
+        worker.born_at = site.time.now();
+        worker.token = 0;
+        worker.lease_until = 0;
+        worker.forbidden.clear();
+        worker.ended.clear();
+        worker.last_end = 0;
+    }
+
+    const std::string second = "0000000000000002";
+    site.submit(make_job(second, 4, small_task));
+
+    EXPECT_EQ(site.await_end(second), batch::job_status::completed);
+    for (const auto& [task, times] : site.workers.done()) {
+        EXPECT_EQ(times, 1) << task;
+    }
+}
+
 } // namespace
 } // namespace poplarstile::tests
