Keep a wish to cancel until the job's end is stored

Cause: a wish to cancel may stand in another part than its job when the job's part is away. close_job removed it there at once, beside a write of the end that waited for its own part. A leader deposed in between left an open job without the wish, and its successor ran it on.

Ruled out: the feed's position (the row was gone, a second reading at 42.99 s did not find it either), the fence for reborn workers.

Change: the removal in other parts follows the durable end. Test, failing before: leader_takeover.AWishToCancelOutlivesALeaderThatCouldNotStoreTheEnd.

--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -311,11 +311,9 @@
                                                                accepted.workspace, store_ms})});
     written.writes.push_back({runs_row(part, id), std::nullopt});
     for (const auto cancel_part : entry.cancel_parts) {
-        const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
         if (cancel_part == part) {
+            const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
             written.writes.push_back({row, std::nullopt});
-        } else if (parts_.at(cancel_part).journal) {
-            parts_.at(cancel_part).journal->add({{{row, std::nullopt}}, {}});
         }
     }
     written.on_durable = [this, id, part, status, store_ms] {
@@ -323,6 +321,13 @@
         if (found == jobs_.end()) {
             return;
         }
+        // Not before: a successor that finds the job open has to find the wish as well.
+        for (const auto cancel_part : found->second.cancel_parts) {
+            if (cancel_part != part && parts_.at(cancel_part).journal) {
+                const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
+                parts_.at(cancel_part).journal->add({{{row, std::nullopt}}, {}});
+            }
+        }
         const auto& ended = found->second.state.accepted();
         log.info("job_ended", {{"job", id},
                                {"status", batch::name_of(status)},
--- a/tests/control/leader_takeover_test.cpp
+++ b/tests/control/leader_takeover_test.cpp
@@ -246,6 +246,31 @@
     expect_sound();
 }
 
+TEST_F(leader_takeover, AWishToCancelOutlivesALeaderThatCouldNotStoreTheEnd)
+{
+    // Seen in a hunted day (estenopo): the wish stood in another part than its job. The leader
+    // removed it there, was deposed before the job's end was stored, and its successor ran the job
+    // on.
+    auto* const first = site.await_leader();
+    ASSERT_NE(first, nullptr);
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{60}; };
+    const std::string id{"0000000000000001"};
+    site.submit(make_job(id, 2, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 2; }, seconds{2}));
+    site.time.run_for(milliseconds{400});
+    const auto other = (site.parts.home_of(id) + 1) % site.parts.size();
+
+    site.store.away_parts = {site.part_of(id)};
+    site.store.put({"jobs", site.parts.name(other), id + ".cancel"}, "{}");
+    site.time.run_for(milliseconds{1'500});
+    site.stop(first->name);
+    site.time.run_for(seconds{1});
+    site.store.away_parts.clear();
+
+    EXPECT_EQ(site.await_end(id), batch::job_status::cancelled);
+    EXPECT_EQ(site.workers.starts().size(), 2U);
+}
+
 TEST_F(leader_takeover, ASubmissionThatComesTwiceStaysOneJobWhileItsPartIsAway)
 {
     // Seen in a played day: the home of an accepted job was away, its submission came once more,
