--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -212,6 +212,8 @@
     void take_row(std::size_t part, const store::row& seen);
     void add_job(batch::submission accepted, std::size_t part);
     void drop_duplicate(std::size_t part, const std::string& id);
+    /// Removes the stored wish to cancel a job from a part, if that part is open.
+    void remove_cancel(const std::string& id, std::size_t part);
     void cancel_job(const std::string& id, std::size_t part);
     void mark_dirty(const std::string& id);
     void flush_soon();
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -186,16 +186,21 @@
     }
 }
 
+void leader::remove_cancel(const std::string& id, std::size_t part)
+{
+    if (parts_.at(part).journal) {
+        const auto row = jobs_row(part, id + std::string{cancel_suffix});
+        parts_.at(part).journal->add({{{row, std::nullopt}}, {}});
+    }
+}
+
 void leader::cancel_job(const std::string& id, std::size_t part)
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
         if (ended_ids_.contains(id)) {
             // Nothing is left to cancel; the wish goes too.
-            if (parts_.at(part).journal) {
-                const auto row = jobs_row(part, id + std::string{cancel_suffix});
-                parts_.at(part).journal->add({{{row, std::nullopt}}, {}});
-            }
+            remove_cancel(id, part);
         } else {
             early_cancels_[id].insert(part);
         }
@@ -323,9 +328,8 @@
         }
         // Not before: a successor that finds the job open has to find the wish as well.
         for (const auto cancel_part : found->second.cancel_parts) {
-            if (cancel_part != part && parts_.at(cancel_part).journal) {
-                const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
-                parts_.at(cancel_part).journal->add({{{row, std::nullopt}}, {}});
+            if (cancel_part != part) {
+                remove_cancel(id, cancel_part);
             }
         }
         const auto& ended = found->second.state.accepted();
--- a/tests/control/worker_rebirth_test.cpp
+++ b/tests/control/worker_rebirth_test.cpp
@@ -93,14 +93,7 @@
     ASSERT_EQ(site.await_end(job), batch::job_status::completed);
     site.time.run_for(milliseconds{300});
     for (const auto* const id : {"w1", "w2"}) {
-        auto& worker = site.workers.at(id);
-        worker.facts.life.born += 1'000;
-        worker.born_at = site.time.now();
-        worker.token = 0;
-        worker.lease_until = 0;
-        worker.forbidden.clear();
-        worker.ended.clear();
-        worker.last_end = 0;
+        site.workers.restart_untold(id);
     }
 
     const std::string second = "0000000000000002";
--- a/tests/support/fake_workers.hpp
+++ b/tests/support/fake_workers.hpp
@@ -128,6 +128,13 @@
 
     /// Everything on it is gone; it comes back as another life under the same id.
     void restart(const std::string& id)
+    {
+        restart_untold(id);
+        change(id);
+    }
+
+    /// The same, before its registration tells of it.
+    void restart_untold(const std::string& id)
     {
         auto& worker = machines_.at(id);
         worker.facts.life.born += 1'000;
@@ -138,7 +145,6 @@
         worker.forbidden.clear();
         worker.ended.clear();
         worker.last_end = 0;
-        change(id);
     }
 
     void set_listed(const std::string& id, bool listed)
