Log the stored end of a job, each removed row and what an answer rests on

The end of a job was logged without its stored time, removals as a count without ids, and neither an acceptance nor a "no such job" said what it rested on.

Change, logs and counters only: job_ended has the part, the stored end time and the store's clock when the end was durable; job_row_removed is written for each removed row with its cause, both times and the epoch; part_adopted counts ended jobs and those without a time; answered has the basis of an acceptance; job_not_found names each part read with the store's version.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -91,6 +91,10 @@
     std::uint64_t commits = 0;
     std::uint64_t commit_retries = 0;
     std::uint64_t commit_backlog = 0;
+    /// Ends of jobs that were stored while the store's clock was not known.
+    std::uint64_t ends_without_time = 0;
+    std::uint64_t expired_rows_removed = 0;
+    std::uint64_t duplicate_rows_removed = 0;
 };
 
 /// The scheduler on the VM that holds the lease. Each term of a VM as leader has its own object.
@@ -148,6 +152,11 @@
     [[nodiscard]] std::vector<cluster::job_view> views() const;
     [[nodiscard]] std::vector<cluster::queue_load> loads() const;
     [[nodiscard]] leader_counters counters() const;
+    /// Number of jobs that have ended and whose rows are still stored.
+    [[nodiscard]] std::size_t ended_jobs() const
+    {
+        return ended_.size();
+    }
     /// Number of jobs that have not ended.
     [[nodiscard]] std::size_t open_jobs() const
     {
@@ -179,6 +188,14 @@
         base::time_point known_since{};
     };
 
+    /// An ended job whose row is still stored.
+    struct ended_job {
+        std::string id{};
+        std::size_t part = 0;
+        /// Time of its end on the store's clock.
+        std::int64_t store_ms = 0;
+    };
+
     enum class part_phase : std::uint8_t { acquiring, reading, active };
 
     /// This leader's state of one part of the store.
@@ -227,6 +244,7 @@
     void close_job(const std::string& id, job_entry& entry);
     void publish_status(const std::string& id, job_entry& entry, batch::job_status status);
     void remove_expired_jobs();
+    void remove_expired_row(const ended_job& expired);
     [[nodiscard]] store::row_id jobs_row(std::size_t part, const std::string& key) const;
     [[nodiscard]] store::row_id runs_row(std::size_t part, const std::string& key) const;
 
@@ -315,13 +333,6 @@
     std::unordered_map<std::string, job_entry> jobs_{};
     std::set<std::string> dirty_{};
 
-    /// An ended job whose row is still stored.
-    struct ended_job {
-        std::string id{};
-        std::size_t part = 0;
-        /// Time of its end on the store's clock.
-        std::int64_t store_ms = 0;
-    };
     /// Oldest first.
     std::deque<ended_job> ended_{};
     std::set<std::string> ended_ids_{};
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -281,8 +281,13 @@
         }
         publish_status(id, entry, entry.state.status());
     }
-    log.info("part_adopted",
-             {{"store_part", options_.parts.name(part)}, {"placed_tasks", adopted}});
+    const auto ended = std::ranges::count(ended_, part, &ended_job::part);
+    const auto without_time = std::ranges::count_if(
+        ended_, [part](const ended_job& job) { return job.part == part && job.store_ms == 0; });
+    log.info("part_adopted", {{"store_part", options_.parts.name(part)},
+                              {"placed_tasks", adopted},
+                              {"ended_jobs", ended},
+                              {"ended_without_time", without_time}});
 }
 
 } // namespace poplarstile::control
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -156,7 +156,14 @@
     }
     log.warning("duplicate_dropped", {{"job", id}, {"store_part", options_.parts.name(part)}});
     if (parts_.at(part).journal) {
-        parts_.at(part).journal->add({{{jobs_row(part, id), std::nullopt}}, {}});
+        parts_.at(part).journal->add({{{jobs_row(part, id), std::nullopt}}, [this, id, part] {
+                                          ++counters_.duplicate_rows_removed;
+                                          log.info("job_row_removed",
+                                                   {{"job", id},
+                                                    {"cause", "duplicate"},
+                                                    {"store_part", options_.parts.name(part)},
+                                                    {"epoch", epoch_}});
+                                      }});
     }
 }
 
@@ -338,7 +345,11 @@
                                {"status", batch::name_of(status)},
                                {"queue", ended.policy.queue},
                                {"age_ms", ports_.time->unix_ms() - ended.accepted_ms},
-                               {"objective_ms", found->second.state.objective().count()}});
+                               {"objective_ms", found->second.state.objective().count()},
+                               {"store_part", options_.parts.name(part)},
+                               {"ended_store_ms", store_ms},
+                               {"store_ms", parts_.at(part).journal->store_ms()}});
+        counters_.ends_without_time += store_ms == 0 ? 1 : 0;
         report_span(leader_span::job_until_end, age_of(found->second.state));
         publish_status(id, found->second, status);
         jobs_.erase(found);
@@ -357,6 +368,21 @@
     }
 }
 
+void leader::remove_expired_row(const ended_job& expired)
+{
+    auto& journal = *parts_.at(expired.part).journal;
+    const auto store_ms = journal.store_ms();
+    journal.add({{{jobs_row(expired.part, expired.id), std::nullopt}}, [this, expired, store_ms] {
+                     ++counters_.expired_rows_removed;
+                     log.info("job_row_removed", {{"job", expired.id},
+                                                  {"cause", "expired"},
+                                                  {"store_part", options_.parts.name(expired.part)},
+                                                  {"ended_store_ms", expired.store_ms},
+                                                  {"store_ms", store_ms},
+                                                  {"epoch", epoch_}});
+                 }});
+}
+
 void leader::remove_expired_jobs()
 {
     const auto retention = options_.status_retention + retention_slack;
@@ -367,7 +393,7 @@
         if (!journal || journal->store_ms() - oldest.store_ms <= retention.count()) {
             break;
         }
-        journal->add({{{jobs_row(oldest.part, oldest.id), std::nullopt}}, {}});
+        remove_expired_row(oldest);
         ended_ids_.erase(oldest.id);
         ended_.pop_front();
         ++removed_rows;
--- a/src/frontend/api_frontend.cpp
+++ b/src/frontend/api_frontend.cpp
@@ -174,6 +174,7 @@
     }
     if (ports_.views->knows(call->job)) {
         // A repeated submission of a job that was accepted before.
+        call->basis = "known";
         finish(call, job_accepted{});
         return;
     }
@@ -235,10 +236,12 @@
             {jobs_row(*call->part, call->job), call->encoded_submission, reply.version});
         ports_.views->note(
             {call->job, call->queue->policy.queue, call->workspace, batch::job_status::pending});
+        call->basis = "stored";
         finish(call, job_accepted{});
         return;
     case store::call_outcome::conflict:
         // The job is already stored, by an earlier attempt of this call or by an earlier call.
+        call->basis = "already_stored";
         finish(call, job_accepted{});
         return;
     case store::call_outcome::refused:
@@ -353,6 +356,7 @@
          {"status", shown != nullptr ? batch::name_of(shown->status) : std::string_view{}},
          {"queue", call->queue != nullptr ? call->queue->policy.queue : std::string{}},
          {"workspace", call->workspace},
+         {"basis", call->basis},
          {"configuration", call->catalog ? call->catalog->version() : 0},
          {"configuration_age_ms", age == base::milliseconds::max() ? -1 : age.count()},
          {"store_tries", call->attempts},
--- a/src/frontend/api_frontend_queries.cpp
+++ b/src/frontend/api_frontend_queries.cpp
@@ -4,6 +4,8 @@
 #include "frontend/internal/pending_call.hpp"
 #include "store/row_keys.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -64,19 +66,20 @@
                                std::function<void(const store::row*)> found)
 {
     if (parts_tried == options_.parts.size()) {
+        log.info("job_not_found", {{"job", call->job}, {"read", call->empty_parts}});
         found(nullptr);
         return;
     }
     const auto part = (options_.parts.home_of(call->job) + parts_tried) % options_.parts.size();
+    const auto& part_name = options_.parts.name(part);
     ports_.rows->read(
-        {"jobs", options_.parts.name(part), call->job, store::after_key(call->job), 1},
-        [this, call, parts_tried, found = std::move(found),
+        {"jobs", part_name, call->job, store::after_key(call->job), 1},
+        [this, call, parts_tried, part_name, found = std::move(found),
          alive = alive_](const store::read_reply& reply) {
             if (!*alive) {
                 return;
             }
-            const auto outage = ports_.rows->away(options_.parts.name(
-                (options_.parts.home_of(call->job) + parts_tried) % options_.parts.size()));
+            const auto outage = ports_.rows->away(part_name);
             if (reply.outcome != store::call_outcome::done && outage) {
                 finish(call,
                        call_refused{call_refused::cause::store_away, retry_after_outage(*outage)});
@@ -87,6 +90,8 @@
                     [this, call, parts_tried, found] { find_job_in(call, parts_tried, found); },
                     call_outcome_unknown{});
             } else if (reply.rows.empty()) {
+                call->empty_parts += fmt::format("{}{}@{}", call->empty_parts.empty() ? "" : " ",
+                                                 part_name, reply.version);
                 find_job_in(call, parts_tried + 1, found);
             } else {
                 found(&reply.rows.front());
--- a/src/frontend/internal/pending_call.hpp
+++ b/src/frontend/internal/pending_call.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <string_view>
 
 /// Definitions shared by the API frontend's source files.
 namespace poplarstile::frontend
@@ -41,6 +42,10 @@
     bool in_doubt = false;
     /// The part of the store that the last attempt was sent to.
     std::optional<std::size_t> part{};
+    /// What an acceptance rests on, for the log: `stored`, `already_stored` or `known`.
+    std::string_view basis{};
+    /// The parts in which the job's row was not found, as `PART@VERSION`, for the log.
+    std::string empty_parts{};
 };
 
 } // namespace poplarstile::frontend
