--- /dev/null
+++ b/tests/control/ended_job_retention_test.cpp
@@ -0,0 +1,171 @@
+#include "support/site_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+/// The stored state of an ended job is kept for the time promised to callers, and not much longer,
+/// whatever happens to leaders and parts of the store when the job ends.
+namespace poplarstile::tests
+{
+namespace
+{
+
+using base::milliseconds;
+using std::chrono::seconds;
+
+constexpr batch::resources worker_capacity{32'000, 65'536, 8};
+constexpr batch::resources small_task{2'000, 4'000, 1};
+/// The leader may keep a row for this long after its time is over.
+constexpr seconds removal_bound{20};
+
+class ended_job_retention : public testing::Test
+{
+protected:
+    ended_job_retention()
+    {
+        site.workers.add("w1", "r1-1", worker_capacity);
+        site.workers.add("w2", "r1-1", worker_capacity);
+        site.workers.need = [](const std::string& /*task*/) { return small_task; };
+        site.workers.duration = [](const std::string& /*task*/) { return milliseconds{2'500}; };
+    }
+
+    void start_vms()
+    {
+        for (const auto* const name : {"vm1", "vm2", "vm3"}) {
+            site.start(name);
+        }
+        ASSERT_NE(site.await_leader(), nullptr);
+    }
+
+    void replace_leader()
+    {
+        auto* const leader = site.leading_vm();
+        ASSERT_NE(leader, nullptr);
+        const auto name = leader->name;
+        site.stop(name);
+        ASSERT_NE(site.await_leader(), nullptr);
+        site.start(name);
+    }
+
+    [[nodiscard]] bool is_stored(const std::string& id) const
+    {
+        return site.store.find({"jobs", site.part_of(id), id}).has_value();
+    }
+
+    /// Expects that the row of a job that has just ended stands for its time and goes soon after.
+    void expect_kept_for_its_time(const std::string& id)
+    {
+        const auto ended = site.time.now();
+        site.time.run_until([&] { return !is_stored(id); }, site.leading.status_retention);
+        EXPECT_TRUE(is_stored(id))
+            << id << " was removed " << base::milliseconds_between(ended, site.time.now())
+            << " ms after its end";
+        EXPECT_TRUE(site.time.run_until([&] { return !is_stored(id); }, removal_bound))
+            << id << " was not removed after its time";
+    }
+
+    /// Two jobs of one part, the smaller id first.
+    [[nodiscard]] std::pair<std::string, std::string> two_jobs_of_one_part() const
+    {
+        const auto first = fmt::format("{:016x}", 1);
+        for (int number = 2;; ++number) {
+            const auto second = fmt::format("{:016x}", number);
+            if (site.part_of(second) == site.part_of(first)) {
+                return {first, second};
+            }
+        }
+    }
+
+    site_fixture site;
+};
+
+TEST_F(ended_job_retention, AnEndStoredRightAfterATakeoverIsKeptForItsTime)
+{
+    start_vms();
+    const std::string id{"0000000000000001"};
+    site.submit(make_job(id, 3, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 3; }, seconds{2}));
+    site.time.run_for(milliseconds{1'500});
+
+    replace_leader();
+
+    ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+    expect_kept_for_its_time(id);
+}
+
+TEST_F(ended_job_retention, AnEndThatWaitsOutAnOutageOfItsPartIsKeptForItsTime)
+{
+    start_vms();
+    const std::string id{"0000000000000001"};
+    site.submit(make_job(id, 3, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 3; }, seconds{2}));
+
+    site.store.away_parts = {site.part_of(id)};
+    site.time.run_for(seconds{60});
+    site.store.away_parts.clear();
+
+    ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+    expect_kept_for_its_time(id);
+}
+
+TEST_F(ended_job_retention, AnEndStoredWithoutATimeIsKeptForItsTime)
+{
+    const std::string id{"0000000000000001"};
+    site.store.put(
+        {"jobs", site.part_of(id), id},
+        batch::encode(batch::finished_job{batch::job_status::completed, "queue", "workspace", 0}));
+
+    start_vms();
+    site.time.run_for(seconds{40});
+    replace_leader();
+
+    site.time.run_for(seconds{75});
+    EXPECT_TRUE(is_stored(id)) << "no leader knows that its time is over";
+    EXPECT_TRUE(site.time.run_until([&] { return !is_stored(id); }, seconds{30}))
+        << "each leader counts its time anew";
+}
+
+TEST_F(ended_job_retention, AnEarlyEndIsRemovedThoughALaterOneIsReadFirst)
+{
+    start_vms();
+    const auto [late, early] = two_jobs_of_one_part();
+    site.submit(make_job(early, 1, small_task));
+    ASSERT_EQ(site.await_end(early), batch::job_status::completed);
+    const auto ended = site.time.now();
+    site.time.run_for(seconds{60});
+    site.submit(make_job(late, 1, small_task));
+    ASSERT_EQ(site.await_end(late), batch::job_status::completed);
+
+    replace_leader();
+
+    const auto kept_until = ended + site.leading.status_retention + removal_bound;
+    site.time.run_for(std::chrono::duration_cast<milliseconds>(kept_until - site.time.now()));
+    EXPECT_FALSE(is_stored(early));
+    EXPECT_TRUE(is_stored(late));
+}
+
+TEST_F(ended_job_retention, JobsThatEndWhileLeadersChangeAreKeptForTheirTime)
+{
+    start_vms();
+    constexpr int jobs = 16;
+    std::map<std::string, base::time_point> ended;
+    for (int number = 1; number <= jobs; ++number) {
+        const auto id = fmt::format("{:016x}", number);
+        site.submit(make_job(id, 2, small_task));
+        site.time.run_for(milliseconds{1'500 + number * 97});
+        replace_leader();
+        ASSERT_EQ(site.await_end(id), batch::job_status::completed) << id;
+        ended[id] = site.time.now();
+    }
+
+    for (const auto& [id, at] : ended) {
+        const auto kept_until = at + site.leading.status_retention;
+        const auto left = std::chrono::duration_cast<milliseconds>(kept_until - site.time.now());
+        site.time.run_until([&, job = id] { return !is_stored(job); }, left);
+        EXPECT_TRUE(is_stored(id)) << id;
+    }
+    site.time.run_for(removal_bound);
+    EXPECT_TRUE(site.store.all("jobs").empty());
+}
+
+} // namespace
+} // namespace poplarstile::tests
