Keep an ended job for its time when its end is stored right after a takeover

The first commit after a takeover that closed a job stored the time 0, and its row was removed as soon as the store's clock passed 130 s. Class of fault: a value that means unknown used as a time.

Change: a time on the store's clock has its own type, base::store_time, that compares with no other clock, and where it may be unknown it is an optional. What a VM knows of that clock is one object, store_clock_reading, noted from every reply of the leader's store calls before its handler runs, so from the reading of a part at the latest. An end without a time, or a clock that is not known, never removes a row. The stored form is unchanged: 0 stands for unknown and is decoded once.

Why it works: a part's jobs are known only from replies that tell the clock, so no end can be stored before the clock is known; and where it were, the row stays.

--- a/src/base/time.hpp
+++ b/src/base/time.hpp
@@ -2,8 +2,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
-/// The two clocks of the project. Decisions take their time as an argument and never read a clock.
+/// The clocks of the project. Decisions take their time as an argument and never read a clock.
 namespace poplarstile::base
 {
 
@@ -27,4 +28,28 @@
         .count();
 }
 
+/// The steady clock of the store. No VM can read it: the store's replies tell it. Its times compare
+/// with each other only, which the type ensures; a time that is not known is an empty optional.
+struct store_clock {
+    using duration = milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<store_clock>;
+    static constexpr bool is_steady = true;
+};
+
+using store_time = store_clock::time_point;
+
+/// The time as it is stored and logged: milliseconds since the clock's start, 0 when not known.
+[[nodiscard]] inline std::int64_t to_stored_ms(const std::optional<store_time>& time)
+{
+    return time ? time->time_since_epoch().count() : 0;
+}
+
+/// The reverse of `to_stored_ms`.
+[[nodiscard]] inline std::optional<store_time> from_stored_ms(std::int64_t stored)
+{
+    return stored > 0 ? std::optional{store_time{milliseconds{stored}}} : std::nullopt;
+}
+
 } // namespace poplarstile::base
--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -108,7 +108,7 @@
     finished.status = static_cast<job_status>(status);
     finished.queue = object.at("q").get<std::string>();
     finished.workspace = object.at("ws").get<std::string>();
-    finished.ended_store_ms = object.at("at").get<std::int64_t>();
+    finished.ended_at = base::from_stored_ms(object.value("at", std::int64_t{0}));
     return finished;
 }
 
@@ -250,7 +250,7 @@
     return json{{"end", static_cast<std::uint8_t>(finished.status)},
                 {"q", finished.queue},
                 {"ws", finished.workspace},
-                {"at", finished.ended_store_ms}}
+                {"at", base::to_stored_ms(finished.ended_at)}}
         .dump();
 }
 
--- a/src/batch/job_codec.hpp
+++ b/src/batch/job_codec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.hpp"
+#include "base/time.hpp"
 #include "batch/job.hpp"
 
 #include <cstdint>
@@ -20,8 +21,8 @@
     job_status status = job_status::completed;
     std::string queue{};
     std::string workspace{};
-    /// Time of the end by the store's clock, in milliseconds; decides when the row may be deleted.
-    std::int64_t ended_store_ms = 0;
+    /// Time of the end; decides when the row may be deleted. Empty when it is not known.
+    std::optional<base::store_time> ended_at{};
 };
 
 /// Content of a row of the jobs table: a job that has not ended, or one that has.
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -12,6 +12,7 @@
 #include "planning/planner.hpp"
 #include "store/journal.hpp"
 #include "store/part_map.hpp"
+#include "store/store_clock_reading.hpp"
 
 #include <array>
 #include <cstdint>
@@ -192,8 +193,8 @@
     struct ended_job {
         std::string id{};
         std::size_t part = 0;
-        /// Time of its end on the store's clock.
-        std::int64_t store_ms = 0;
+        /// Time of its end; empty when it is not known.
+        std::optional<base::store_time> at{};
     };
 
     enum class part_phase : std::uint8_t { acquiring, reading, active };
@@ -315,6 +316,9 @@
 
     leader_ports ports_;
     leader_options options_;
+    std::shared_ptr<store::store_clock_reading> store_clock_;
+    /// The store of `ports_`, whose replies are noted in `store_clock_`.
+    store::row_store rows_;
     std::uint64_t epoch_;
     store::lease_record lease_;
     std::size_t first_part_;
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -58,12 +58,12 @@
 void leader::acquire_part(std::size_t part)
 {
     const auto lease = store::lease_row(options_.parts.name(part));
-    ports_.rows->read({lease.table, lease.part, lease.key, after_key(lease.key), 1},
-                      [this, part, alive = alive_](const store::read_reply& reply) {
-                          if (*alive && !lost_) {
-                              acquire_part_lease(part, reply);
-                          }
-                      });
+    rows_.read({lease.table, lease.part, lease.key, after_key(lease.key), 1},
+               [this, part, alive = alive_](const store::read_reply& reply) {
+                   if (*alive && !lost_) {
+                       acquire_part_lease(part, reply);
+                   }
+               });
 }
 
 void leader::acquire_part_lease(std::size_t part, const store::read_reply& reply)
@@ -104,20 +104,20 @@
     store::transaction acquisition;
     acquisition.expected.push_back({lease, version});
     acquisition.puts.push_back({lease, store::encode(record)});
-    ports_.rows->commit(std::move(acquisition),
-                        [this, part, record, alive = alive_](const store::commit_reply& reply) {
-                            if (!*alive || lost_) {
-                                return;
-                            }
-                            if (reply.outcome == store::call_outcome::done) {
-                                open_part(part, record, reply.version);
-                                read_jobs(part, {});
-                            } else if (reply.outcome == store::call_outcome::conflict) {
-                                acquire_part(part);
-                            } else {
-                                part_failed(part, [this, part] { acquire_part(part); });
-                            }
-                        });
+    rows_.commit(std::move(acquisition),
+                 [this, part, record, alive = alive_](const store::commit_reply& reply) {
+                     if (!*alive || lost_) {
+                         return;
+                     }
+                     if (reply.outcome == store::call_outcome::done) {
+                         open_part(part, record, reply.version);
+                         read_jobs(part, {});
+                     } else if (reply.outcome == store::call_outcome::conflict) {
+                         acquire_part(part);
+                     } else {
+                         part_failed(part, [this, part] { acquire_part(part); });
+                     }
+                 });
 }
 
 void leader::open_part(std::size_t part, store::lease_record lease, store::row_version version)
@@ -129,55 +129,55 @@
     auto& opened = parts_.at(part);
     opened.phase = part_phase::reading;
     opened.journal = std::make_unique<store::journal>(
-        *ports_.rows, *ports_.time, options, std::move(lease), version, std::move(handlers));
+        rows_, *ports_.time, options, std::move(lease), version, std::move(handlers));
 }
 
 void leader::read_jobs(std::size_t part, const std::string& from)
 {
-    ports_.rows->read({"jobs", options_.parts.name(part), from, {}, page_rows},
-                      [this, part, from, alive = alive_](const store::read_reply& reply) {
-                          if (!*alive || lost_) {
-                              return;
-                          }
-                          if (reply.outcome != store::call_outcome::done) {
-                              part_failed(part, [this, part, from] { read_jobs(part, from); });
-                              return;
-                          }
-                          if (from.empty()) {
-                              // The feed is followed from here; applying a row twice is harmless.
-                              parts_.at(part).read_version = reply.version;
-                          }
-                          for (const auto& job_row : reply.rows) {
-                              apply_row(part, job_row);
-                          }
-                          if (reply.truncated && !reply.rows.empty()) {
-                              read_jobs(part, after_key(reply.rows.back().id.key));
-                          } else {
-                              read_runs(part, {});
-                          }
-                      });
+    rows_.read({"jobs", options_.parts.name(part), from, {}, page_rows},
+               [this, part, from, alive = alive_](const store::read_reply& reply) {
+                   if (!*alive || lost_) {
+                       return;
+                   }
+                   if (reply.outcome != store::call_outcome::done) {
+                       part_failed(part, [this, part, from] { read_jobs(part, from); });
+                       return;
+                   }
+                   if (from.empty()) {
+                       // The feed is followed from here; applying a row twice is harmless.
+                       parts_.at(part).read_version = reply.version;
+                   }
+                   for (const auto& job_row : reply.rows) {
+                       apply_row(part, job_row);
+                   }
+                   if (reply.truncated && !reply.rows.empty()) {
+                       read_jobs(part, after_key(reply.rows.back().id.key));
+                   } else {
+                       read_runs(part, {});
+                   }
+               });
 }
 
 void leader::read_runs(std::size_t part, const std::string& from)
 {
-    ports_.rows->read({"runs", options_.parts.name(part), from, {}, page_rows},
-                      [this, part, from, alive = alive_](const store::read_reply& reply) {
-                          if (!*alive || lost_) {
-                              return;
-                          }
-                          if (reply.outcome != store::call_outcome::done) {
-                              part_failed(part, [this, part, from] { read_runs(part, from); });
-                              return;
-                          }
-                          for (const auto& stored : reply.rows) {
-                              restore_run_row(part, stored);
-                          }
-                          if (reply.truncated && !reply.rows.empty()) {
-                              read_runs(part, after_key(reply.rows.back().id.key));
-                          } else {
-                              part_read(part);
-                          }
-                      });
+    rows_.read({"runs", options_.parts.name(part), from, {}, page_rows},
+               [this, part, from, alive = alive_](const store::read_reply& reply) {
+                   if (!*alive || lost_) {
+                       return;
+                   }
+                   if (reply.outcome != store::call_outcome::done) {
+                       part_failed(part, [this, part, from] { read_runs(part, from); });
+                       return;
+                   }
+                   for (const auto& stored : reply.rows) {
+                       restore_run_row(part, stored);
+                   }
+                   if (reply.truncated && !reply.rows.empty()) {
+                       read_runs(part, after_key(reply.rows.back().id.key));
+                   } else {
+                       part_read(part);
+                   }
+               });
 }
 
 void leader::restore_run_row(std::size_t part, const store::row& stored)
@@ -283,7 +283,7 @@
     }
     const auto ended = std::ranges::count(ended_, part, &ended_job::part);
     const auto without_time = std::ranges::count_if(
-        ended_, [part](const ended_job& job) { return job.part == part && job.store_ms == 0; });
+        ended_, [part](const ended_job& job) { return job.part == part && !job.at; });
     log.info("part_adopted", {{"store_part", options_.parts.name(part)},
                               {"placed_tasks", adopted},
                               {"ended_jobs", ended},
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -38,7 +38,7 @@
 
 void leader::follow_jobs()
 {
-    ports_.rows->follow(
+    rows_.follow(
         {"jobs", jobs_version_, feed_wait},
         [this, requested_version = jobs_version_, alive = alive_](const store::feed_reply& reply) {
             if (!*alive || lost_) {
@@ -79,33 +79,33 @@
     if (parts_.at(part).phase != part_phase::active) {
         return;
     }
-    ports_.rows->read({"jobs", options_.parts.name(part), from, {}, page_rows},
-                      [this, part, from, alive = alive_](const store::read_reply& reply) {
-                          if (!*alive || lost_) {
-                              return;
-                          }
-                          if (reply.outcome != store::call_outcome::done) {
-                              ports_.time->after(read_retry, [this, part, from, alive] {
-                                  if (*alive) {
-                                      reread_jobs(part, from);
-                                  }
-                              });
-                              return;
-                          }
-                          for (const auto& seen : reply.rows) {
-                              apply_row(part, seen);
-                          }
-                          if (reply.truncated && !reply.rows.empty()) {
-                              reread_jobs(part, after_key(reply.rows.back().id.key));
-                              return;
-                          }
-                          if (jobs_version_ == 0) {
-                              // The first part that is reread sets the version from which the
-                              // feed is followed; the others are read as they reply.
-                              jobs_version_ = reply.version;
-                              follow_jobs();
-                          }
-                      });
+    rows_.read({"jobs", options_.parts.name(part), from, {}, page_rows},
+               [this, part, from, alive = alive_](const store::read_reply& reply) {
+                   if (!*alive || lost_) {
+                       return;
+                   }
+                   if (reply.outcome != store::call_outcome::done) {
+                       ports_.time->after(read_retry, [this, part, from, alive] {
+                           if (*alive) {
+                               reread_jobs(part, from);
+                           }
+                       });
+                       return;
+                   }
+                   for (const auto& seen : reply.rows) {
+                       apply_row(part, seen);
+                   }
+                   if (reply.truncated && !reply.rows.empty()) {
+                       reread_jobs(part, after_key(reply.rows.back().id.key));
+                       return;
+                   }
+                   if (jobs_version_ == 0) {
+                       // The first part that is reread sets the version from which the
+                       // feed is followed; the others are read as they reply.
+                       jobs_version_ = reply.version;
+                       follow_jobs();
+                   }
+               });
 }
 
 void leader::receive_row(const store::row& seen)
@@ -135,7 +135,7 @@
     }
     if (auto* const finished = std::get_if<batch::finished_job>(&decoded.value())) {
         if (ended_ids_.insert(seen.id.key).second) {
-            ended_.push_back({seen.id.key, part, finished->ended_store_ms});
+            ended_.push_back({seen.id.key, part, finished->ended_at});
         }
         return;
     }
@@ -316,11 +316,11 @@
     const auto& accepted = entry.state.accepted();
     const auto part = entry.part;
     auto& journal = *parts_.at(part).journal;
-    const auto store_ms = journal.store_ms();
+    const auto ended_at = store_clock_->estimate(ports_.time->now());
     store::journal_entry written;
     written.writes.push_back(
         {jobs_row(part, id), batch::encode(batch::finished_job{status, accepted.policy.queue,
-                                                               accepted.workspace, store_ms})});
+                                                               accepted.workspace, ended_at})});
     written.writes.push_back({runs_row(part, id), std::nullopt});
     for (const auto cancel_part : entry.cancel_parts) {
         if (cancel_part == part) {
@@ -328,7 +328,7 @@
             written.writes.push_back({row, std::nullopt});
         }
     }
-    written.on_durable = [this, id, part, status, store_ms] {
+    written.on_durable = [this, id, part, status, ended_at] {
         const auto found = jobs_.find(id);
         if (found == jobs_.end()) {
             return;
@@ -347,13 +347,13 @@
                                {"age_ms", ports_.time->unix_ms() - ended.accepted_ms},
                                {"objective_ms", found->second.state.objective().count()},
                                {"store_part", options_.parts.name(part)},
-                               {"ended_store_ms", store_ms},
-                               {"store_ms", parts_.at(part).journal->store_ms()}});
-        counters_.ends_without_time += store_ms == 0 ? 1 : 0;
+                               {"ended_store_ms", base::to_stored_ms(ended_at)},
+                               {"store_ms", base::to_stored_ms(store_clock_->newest())}});
+        counters_.ends_without_time += ended_at ? 0 : 1;
         report_span(leader_span::job_until_end, age_of(found->second.state));
         publish_status(id, found->second, status);
         jobs_.erase(found);
-        ended_.push_back({id, part, store_ms});
+        ended_.push_back({id, part, ended_at});
         ended_ids_.insert(id);
     };
     journal.add(std::move(written));
@@ -371,15 +371,16 @@
 void leader::remove_expired_row(const ended_job& expired)
 {
     auto& journal = *parts_.at(expired.part).journal;
-    const auto store_ms = journal.store_ms();
-    journal.add({{{jobs_row(expired.part, expired.id), std::nullopt}}, [this, expired, store_ms] {
+    const auto now = store_clock_->newest();
+    journal.add({{{jobs_row(expired.part, expired.id), std::nullopt}}, [this, expired, now] {
                      ++counters_.expired_rows_removed;
-                     log.info("job_row_removed", {{"job", expired.id},
-                                                  {"cause", "expired"},
-                                                  {"store_part", options_.parts.name(expired.part)},
-                                                  {"ended_store_ms", expired.store_ms},
-                                                  {"store_ms", store_ms},
-                                                  {"epoch", epoch_}});
+                     log.info("job_row_removed",
+                              {{"job", expired.id},
+                               {"cause", "expired"},
+                               {"store_part", options_.parts.name(expired.part)},
+                               {"ended_store_ms", base::to_stored_ms(expired.at)},
+                               {"store_ms", base::to_stored_ms(now)},
+                               {"epoch", epoch_}});
                  }});
 }
 
@@ -389,8 +390,8 @@
     std::size_t removed_rows = 0;
     while (!ended_.empty() && removed_rows < max_rows_removed_at_once) {
         const auto& oldest = ended_.front();
-        const auto& journal = parts_.at(oldest.part).journal;
-        if (!journal || journal->store_ms() - oldest.store_ms <= retention.count()) {
+        const auto now = store_clock_->newest();
+        if (!now || !oldest.at || *now - *oldest.at <= retention) {
             break;
         }
         remove_expired_row(oldest);
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -135,7 +135,6 @@
 void journal::receive(std::uint64_t commit, const commit_reply& reply)
 {
     under_way_ = false;
-    store_ms_ = std::max(store_ms_, reply.store_ms);
     switch (reply.outcome) {
     case call_outcome::done:
         applied(commit, reply.version);
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -90,11 +90,6 @@
     {
         return counters_;
     }
-    /// The store's clock at the newest answer, in milliseconds.
-    [[nodiscard]] std::int64_t store_ms() const
-    {
-        return store_ms_;
-    }
 
 private:
     /// One try: its commit number and how many entries from the front it carries.
@@ -132,7 +127,6 @@
     base::milliseconds retry_delay_{};
     base::time_point confirmed_at_{};
     base::time_point last_sent_{};
-    std::int64_t store_ms_ = 0;
     journal_counters counters_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/store/row_store.hpp
+++ b/src/store/row_store.hpp
@@ -81,8 +81,8 @@
     row_version version = 0;
     /// On a conflict, the expected rows as they are; rows that don't exist have version 0.
     std::vector<row> current{};
-    /// The store's steady clock, in milliseconds; 0 when it wasn't told.
-    std::int64_t store_ms = 0;
+    /// The store's clock when it replied; empty when the reply doesn't tell it.
+    std::optional<base::store_time> store_now{};
 };
 
 /// Rows of a table and part from `from` (included) to `to` (excluded); empty bounds are open.
@@ -102,7 +102,7 @@
     bool truncated = false;
     /// Newest version of the store at the moment of the read.
     row_version version = 0;
-    std::int64_t store_ms = 0;
+    std::optional<base::store_time> store_now{};
 };
 
 struct changed_row {
@@ -116,7 +116,7 @@
     std::vector<changed_row> rows{};
     /// Where to go on.
     row_version version = 0;
-    std::int64_t store_ms = 0;
+    std::optional<base::store_time> store_now{};
 };
 
 struct feed_request {
--- a/standins/site_standin/store_wire.cpp
+++ b/standins/site_standin/store_wire.cpp
@@ -107,9 +107,10 @@
         rows.push_back(encode_row(row));
     }
     const bool applied = reply.outcome == call_outcome::done;
-    return json_response(applied ? 200 : 412, {{wire::rows, std::move(rows)},
-                                               {wire::version, reply.version},
-                                               {wire::store_clock, reply.store_ms}});
+    return json_response(applied ? 200 : 412,
+                         {{wire::rows, std::move(rows)},
+                          {wire::version, reply.version},
+                          {wire::store_clock, base::to_stored_ms(reply.store_now)}});
 }
 
 std::optional<net::http_response> encode_reply(const store::read_reply& reply)
@@ -124,7 +125,7 @@
     return json_response(200, {{wire::rows, std::move(rows)},
                                {wire::truncated, reply.truncated},
                                {wire::version, reply.version},
-                               {wire::store_clock, reply.store_ms}});
+                               {wire::store_clock, base::to_stored_ms(reply.store_now)}});
 }
 
 std::optional<net::http_response> encode_reply(const store::feed_reply& reply)
@@ -142,7 +143,7 @@
     }
     return json_response(200, {{wire::rows, std::move(rows)},
                                {wire::version, reply.version},
-                               {wire::store_clock, reply.store_ms}});
+                               {wire::store_clock, base::to_stored_ms(reply.store_now)}});
 }
 
 } // namespace poplarstile::standins::site_standin
--- a/tests/batch/job_test.cpp
+++ b/tests/batch/job_test.cpp
@@ -190,13 +190,14 @@
 
 TEST(job_codec, AFinishedJobSurvivesARoundTrip)
 {
+    const base::store_time ended_at{base::milliseconds{99}};
     const auto row =
-        decode_job_row(encode(finished_job{job_status::cancelled, "renders", "shop", 99}));
+        decode_job_row(encode(finished_job{job_status::cancelled, "renders", "shop", ended_at}));
 
     ASSERT_TRUE(row.has_value());
     const auto& read = std::get<finished_job>(row.value());
     EXPECT_EQ(read.status, job_status::cancelled);
-    EXPECT_EQ(read.ended_store_ms, 99);
+    EXPECT_EQ(read.ended_at, ended_at);
 }
 
 TEST(job_codec, RunsSurviveARoundTrip)
--- a/tests/control/ended_job_retention_test.cpp
+++ b/tests/control/ended_job_retention_test.cpp
@@ -110,9 +110,9 @@
 TEST_F(ended_job_retention, AnEndStoredWithoutATimeIsKeptForItsTime)
 {
     const std::string id{"0000000000000001"};
-    site.store.put(
-        {"jobs", site.part_of(id), id},
-        batch::encode(batch::finished_job{batch::job_status::completed, "queue", "workspace", 0}));
+    site.store.put({"jobs", site.part_of(id), id},
+                   batch::encode(batch::finished_job{batch::job_status::completed, "queue",
+                                                     "workspace", std::nullopt}));
 
     start_vms();
     site.time.run_for(seconds{40});
--- a/tests/platform/store_wire_test.cpp
+++ b/tests/platform/store_wire_test.cpp
@@ -76,7 +76,7 @@
 
     EXPECT_EQ(reply.outcome, store::call_outcome::done);
     EXPECT_EQ(reply.version, 9U);
-    EXPECT_EQ(reply.store_ms, 50);
+    EXPECT_EQ(reply.store_now, base::store_time{base::milliseconds{50}});
     ASSERT_FALSE(store.calls.empty());
     const auto body = nlohmann::json::parse(store.calls.front().body);
     EXPECT_EQ(body["expected"][0]["ver"], 7);
--- a/tests/support/fake_store.hpp
+++ b/tests/support/fake_store.hpp
@@ -116,6 +116,11 @@
     }
 
 private:
+    [[nodiscard]] base::store_time clock_now() const
+    {
+        return base::store_time{base::milliseconds{time_.now_ms()}};
+    }
+
     struct stored {
         std::string value;
         store::row_version version = 0;
@@ -130,7 +135,7 @@
     store::commit_reply apply(const store::transaction& sent)
     {
         store::commit_reply reply;
-        reply.store_ms = time_.now_ms();
+        reply.store_now = clock_now();
         const bool holds = std::ranges::all_of(sent.expected, [this](const auto& condition) {
             return version_of(condition.id) == condition.version;
         });
@@ -211,7 +216,7 @@
             store::read_reply reply;
             reply.outcome = store::call_outcome::done;
             reply.version = version_;
-            reply.store_ms = time_.now_ms();
+            reply.store_now = clock_now();
             for (const auto& [id, row] : rows_) {
                 const bool inside = id.table == range.table && id.part == range.part &&
                                     id.key >= range.from && (range.to.empty() || id.key < range.to);
@@ -250,7 +255,7 @@
         time_.after(
             step, [this, asked = std::move(asked), handler = std::move(handler), since]() mutable {
                 store::feed_reply reply;
-                reply.store_ms = time_.now_ms();
+                reply.store_now = clock_now();
                 reply.version = version_;
                 if (asked.after < forgotten_) {
                     reply.outcome = store::call_outcome::expired;
