Stamp the end of a job with the time of the try that stores it

What callers could see: 410 for an ended job up to the length of an outage too early. An end that waits out an outage of its part is stored with the time before the outage, and the row is removed 130 s after that. Class of fault: a stale value used as a time; no test lived through an outage and a retention.

Removing, writing and making a value are the alternatives of a variant.

Why it works: the applied try was sent within seconds of being applied, and the leader keeps the time of the newest try, which is that of the applied one or later.

--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -156,14 +156,14 @@
     }
     log.warning("duplicate_dropped", {{"job", id}, {"store_part", options_.parts.name(part)}});
     if (parts_.at(part).journal) {
-        parts_.at(part).journal->add({{{jobs_row(part, id), std::nullopt}}, [this, id, part] {
-                                          ++counters_.duplicate_rows_removed;
-                                          log.info("job_row_removed",
-                                                   {{"job", id},
-                                                    {"cause", "duplicate"},
-                                                    {"store_part", options_.parts.name(part)},
-                                                    {"epoch", epoch_}});
-                                      }});
+        parts_.at(part).journal->add(
+            {{{jobs_row(part, id), store::row_removal{}}}, [this, id, part] {
+                 ++counters_.duplicate_rows_removed;
+                 log.info("job_row_removed", {{"job", id},
+                                              {"cause", "duplicate"},
+                                              {"store_part", options_.parts.name(part)},
+                                              {"epoch", epoch_}});
+             }});
     }
 }
 
@@ -197,7 +197,7 @@
 {
     if (parts_.at(part).journal) {
         const auto row = jobs_row(part, id + std::string{cancel_suffix});
-        parts_.at(part).journal->add({{{row, std::nullopt}}, {}});
+        parts_.at(part).journal->add({{{row, store::row_removal{}}}, {}});
     }
 }
 
@@ -316,16 +316,23 @@
     const auto& accepted = entry.state.accepted();
     const auto part = entry.part;
     auto& journal = *parts_.at(part).journal;
-    const auto ended_at = store_clock_->estimate(ports_.time->now());
+    // The time of the newest try, which is the time of the stored one or later.
+    const auto ended_at = std::make_shared<std::optional<base::store_time>>();
     store::journal_entry written;
     written.writes.push_back(
-        {jobs_row(part, id), batch::encode(batch::finished_job{status, accepted.policy.queue,
-                                                               accepted.workspace, ended_at})});
-    written.writes.push_back({runs_row(part, id), std::nullopt});
+        {jobs_row(part, id),
+         [this, ended_at,
+          finished = batch::finished_job{status, accepted.policy.queue, accepted.workspace, {}}] {
+             *ended_at = store_clock_->estimate(ports_.time->now());
+             auto stamped = finished;
+             stamped.ended_at = *ended_at;
+             return batch::encode(stamped);
+         }});
+    written.writes.push_back({runs_row(part, id), store::row_removal{}});
     for (const auto cancel_part : entry.cancel_parts) {
         if (cancel_part == part) {
             const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
-            written.writes.push_back({row, std::nullopt});
+            written.writes.push_back({row, store::row_removal{}});
         }
     }
     written.on_durable = [this, id, part, status, ended_at] {
@@ -347,13 +354,13 @@
                                {"age_ms", ports_.time->unix_ms() - ended.accepted_ms},
                                {"objective_ms", found->second.state.objective().count()},
                                {"store_part", options_.parts.name(part)},
-                               {"ended_store_ms", base::to_stored_ms(ended_at)},
+                               {"ended_store_ms", base::to_stored_ms(*ended_at)},
                                {"store_ms", base::to_stored_ms(store_clock_->newest())}});
-        counters_.ends_without_time += ended_at ? 0 : 1;
+        counters_.ends_without_time += *ended_at ? 0 : 1;
         report_span(leader_span::job_until_end, age_of(found->second.state));
         publish_status(id, found->second, status);
         jobs_.erase(found);
-        ended_.push_back({id, part, ended_at});
+        ended_.push_back({id, part, *ended_at});
         ended_ids_.insert(id);
     };
     journal.add(std::move(written));
@@ -372,16 +379,16 @@
 {
     auto& journal = *parts_.at(expired.part).journal;
     const auto now = store_clock_->newest();
-    journal.add({{{jobs_row(expired.part, expired.id), std::nullopt}}, [this, expired, now] {
-                     ++counters_.expired_rows_removed;
-                     log.info("job_row_removed",
-                              {{"job", expired.id},
-                               {"cause", "expired"},
-                               {"store_part", options_.parts.name(expired.part)},
-                               {"ended_store_ms", base::to_stored_ms(expired.at)},
-                               {"store_ms", base::to_stored_ms(now)},
-                               {"epoch", epoch_}});
-                 }});
+    journal.add(
+        {{{jobs_row(expired.part, expired.id), store::row_removal{}}}, [this, expired, now] {
+             ++counters_.expired_rows_removed;
+             log.info("job_row_removed", {{"job", expired.id},
+                                          {"cause", "expired"},
+                                          {"store_part", options_.parts.name(expired.part)},
+                                          {"ended_store_ms", base::to_stored_ms(expired.at)},
+                                          {"store_ms", base::to_stored_ms(now)},
+                                          {"epoch", epoch_}});
+         }});
 }
 
 void leader::remove_expired_jobs()
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -12,11 +12,46 @@
 /// The lease row stands once among the expectations and once among the puts.
 constexpr std::size_t lease_entries = 2;
 
+/// Bytes that a change sends.
+struct change_size {
+    std::size_t operator()(const row_removal& /*removal*/) const
+    {
+        return 0;
+    }
+    std::size_t operator()(const std::string& value) const
+    {
+        return value.size();
+    }
+    std::size_t operator()(const value_maker& make) const
+    {
+        return make().size();
+    }
+};
+
+/// Adds a change of a row to a transaction.
+struct change_writer {
+    const row_id& id;
+    transaction& made;
+
+    void operator()(const row_removal& /*removal*/) const
+    {
+        made.removes.push_back(id);
+    }
+    void operator()(const std::string& value) const
+    {
+        made.puts.push_back({id, value});
+    }
+    void operator()(const value_maker& make) const
+    {
+        made.puts.push_back({id, make()});
+    }
+};
+
 std::size_t bytes_of(const journal_entry& entry)
 {
     std::size_t bytes = 0;
     for (const auto& write : entry.writes) {
-        bytes += write.id.key.size() + (write.value ? write.value->size() : 0);
+        bytes += write.id.key.size() + std::visit(change_size{}, write.change);
     }
     return bytes;
 }
@@ -123,11 +158,7 @@
         }
     }
     for (const auto& [id, write] : newest) {
-        if (write->value) {
-            made.puts.push_back({id, *write->value});
-        } else {
-            made.removes.push_back(id);
-        }
+        std::visit(change_writer{id, made}, write->change);
     }
     return made;
 }
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -10,15 +10,26 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace poplarstile::store
 {
 
-/// One row to be written or, without a value, removed.
+/// The row is removed.
+struct row_removal {
+};
+
+/// Makes the row's value anew for each try, so that a time in it is that of the try.
+using value_maker = std::function<std::string()>;
+
+/// What happens to a row: removed, or written with a value.
+using row_change = std::variant<row_removal, std::string, value_maker>;
+
+/// One row to be written or removed.
 struct journal_write {
     row_id id{};
-    std::optional<std::string> value{};
+    row_change change{};
 };
 
 /// Rows that become durable together.
--- a/tests/store/journal_test.cpp
+++ b/tests/store/journal_test.cpp
@@ -199,5 +199,19 @@
     EXPECT_FALSE(store::decode_lease("").has_value());
 }
 
+TEST_F(journal, AValueThatIsMadeAnewIsThatOfTheTryThatIsStored)
+{
+    // Guards against an end of a job that waits out an outage and is stored with the time before.
+    store.away_parts = {"p"};
+    made->add({{{{"t", "p", "a"}, [this] { return std::to_string(time.now_ms()); }}}, {}});
+    time.run_for(seconds{60});
+    const auto outage_ended_ms = time.now_ms();
+    store.away_parts.clear();
+    time.run_for(seconds{1});
+
+    ASSERT_NE(value_of("a"), "");
+    EXPECT_GE(std::stoll(value_of("a")), outage_ended_ms);
+}
+
 } // namespace
 } // namespace poplarstile::tests
