Remove ended jobs in the order of their ends

What operators could see: rows of ended jobs that outlive their time without bound. Cause: the queue of ended jobs was in the order of loading, which after a takeover is that of the ids in each part, and only its front was looked at. A late end in front held back all others.

Change: ended_jobs, a module of its own, keeps the jobs of each part by their ends; a job without a known end is never taken. Removal goes part by part and leaves out a part that does not answer. The code that stores ends and removes rows has a file of its own, leader_ends.cpp.

Before: ended_job_retention.AnEarlyEndIsRemovedThoughALaterOneIsReadFirst fails.

--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -54,7 +54,7 @@
         count("poplarstile_ends_without_time_total", counted.ends_without_time);
         count("poplarstile_expired_rows_removed_total", counted.expired_rows_removed);
         count("poplarstile_duplicate_rows_removed_total", counted.duplicate_rows_removed);
-        own.set_gauge("poplarstile_ended_jobs", static_cast<double>(leading.ended_jobs()));
+        own.set_gauge("poplarstile_ended_jobs", static_cast<double>(leading.stored_ends()));
         own.set_gauge("poplarstile_open_jobs", static_cast<double>(leading.open_jobs()));
         own.set_gauge("poplarstile_known_workers", static_cast<double>(leading.known_workers()));
         own.set_gauge("poplarstile_commit_backlog", static_cast<double>(counted.commit_backlog));
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -5,6 +5,7 @@
 #include "batch/job_codec.hpp"
 #include "catalog/catalog.hpp"
 #include "cluster/job_view.hpp"
+#include "control/ended_jobs.hpp"
 #include "control/plan_input.hpp"
 #include "control/worker_state.hpp"
 #include "fleet/worker_directory.hpp"
@@ -16,7 +17,6 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -154,7 +154,7 @@
     [[nodiscard]] std::vector<cluster::queue_load> loads() const;
     [[nodiscard]] leader_counters counters() const;
     /// Number of jobs that have ended and whose rows are still stored.
-    [[nodiscard]] std::size_t ended_jobs() const
+    [[nodiscard]] std::size_t stored_ends() const
     {
         return ended_.size();
     }
@@ -189,14 +189,6 @@
         base::time_point known_since{};
     };
 
-    /// An ended job whose row is still stored.
-    struct ended_job {
-        std::string id{};
-        std::size_t part = 0;
-        /// Time of its end; empty when it is not known.
-        std::optional<base::store_time> at{};
-    };
-
     enum class part_phase : std::uint8_t { acquiring, reading, active };
 
     /// This leader's state of one part of the store.
@@ -242,13 +234,15 @@
     /// Calls `done` once everything added to the journals so far is durable.
     void when_durable(const std::function<void()>& done);
     void write_job(const std::string& id, job_entry& entry);
-    void close_job(const std::string& id, job_entry& entry);
     void publish_status(const std::string& id, job_entry& entry, batch::job_status status);
-    void remove_expired_jobs();
-    void remove_expired_row(const ended_job& expired);
     [[nodiscard]] store::row_id jobs_row(std::size_t part, const std::string& key) const;
     [[nodiscard]] store::row_id runs_row(std::size_t part, const std::string& key) const;
 
+    // Ends of jobs and the removal of their rows (leader_ends.cpp).
+    void close_job(const std::string& id, job_entry& entry);
+    void remove_expired_jobs();
+    void remove_expired_row(const ended_job& expired);
+
     // Workers, polls and ends of runs (leader_registrations.cpp, leader_workers.cpp).
     void read_workers();
     void follow_workers();
@@ -337,9 +331,7 @@
     std::unordered_map<std::string, job_entry> jobs_{};
     std::set<std::string> dirty_{};
 
-    /// Oldest first.
-    std::deque<ended_job> ended_{};
-    std::set<std::string> ended_ids_{};
+    ended_jobs ended_{};
     /// Cancel requests that were read before their jobs, with the parts that hold them.
     std::map<std::string, std::set<std::size_t>> early_cancels_{};
     /// Called once all changes made so far are durable.
--- /dev/null
+++ b/src/control/leader_ends.cpp
@@ -0,0 +1,116 @@
+#include "control/leader.hpp"
+
+#include "base/event_line.hpp"
+#include "store/row_keys.hpp"
+
+#include <memory>
+#include <utility>
+
+/// Stores the ends of jobs, and removes the rows of ended jobs when their time is over.
+namespace poplarstile::control
+{
+namespace
+{
+
+using store::cancel_suffix;
+
+constexpr base::event_logger log{"leader"};
+/// Added to the retention promised to callers, to cover clock differences and delays.
+constexpr base::milliseconds retention_slack{10'000};
+/// Rows of one part that are removed in one tick.
+constexpr std::size_t max_rows_removed_at_once = 20;
+
+} // namespace
+
+void leader::close_job(const std::string& id, job_entry& entry)
+{
+    entry.closing = true;
+    const auto status = entry.state.status();
+    const auto& accepted = entry.state.accepted();
+    const auto part = entry.part;
+    auto& journal = *parts_.at(part).journal;
+    // The time of the newest try, which is the time of the stored one or later.
+    const auto ended_at = std::make_shared<std::optional<base::store_time>>();
+    store::journal_entry written;
+    written.writes.push_back(
+        {jobs_row(part, id),
+         [this, ended_at,
+          finished = batch::finished_job{status, accepted.policy.queue, accepted.workspace, {}}] {
+             *ended_at = store_clock_->estimate(ports_.time->now());
+             auto stamped = finished;
+             stamped.ended_at = *ended_at;
+             return batch::encode(stamped);
+         }});
+    written.writes.push_back({runs_row(part, id), store::row_removal{}});
+    for (const auto cancel_part : entry.cancel_parts) {
+        if (cancel_part == part) {
+            const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
+            written.writes.push_back({row, store::row_removal{}});
+        }
+    }
+    written.on_durable = [this, id, part, status, ended_at] {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end()) {
+            return;
+        }
+        // Only once the end is durable: a successor that finds the job open must find the cancel
+        // row as well.
+        for (const auto cancel_part : found->second.cancel_parts) {
+            if (cancel_part != part) {
+                remove_cancel(id, cancel_part);
+            }
+        }
+        const auto& ended = found->second.state.accepted();
+        log.info("job_ended", {{"job", id},
+                               {"status", batch::name_of(status)},
+                               {"queue", ended.policy.queue},
+                               {"age_ms", ports_.time->unix_ms() - ended.accepted_ms},
+                               {"objective_ms", found->second.state.objective().count()},
+                               {"store_part", options_.parts.name(part)},
+                               {"ended_store_ms", base::to_stored_ms(*ended_at)},
+                               {"store_ms", base::to_stored_ms(store_clock_->newest())}});
+        counters_.ends_without_time += *ended_at ? 0 : 1;
+        report_span(leader_span::job_until_end, age_of(found->second.state));
+        publish_status(id, found->second, status);
+        jobs_.erase(found);
+        ended_.add({id, part, *ended_at});
+    };
+    journal.add(std::move(written));
+}
+
+void leader::remove_expired_row(const ended_job& expired)
+{
+    auto& journal = *parts_.at(expired.part).journal;
+    const auto now = store_clock_->newest();
+    journal.add(
+        {{{jobs_row(expired.part, expired.id), store::row_removal{}}}, [this, expired, now] {
+             ++counters_.expired_rows_removed;
+             log.info("job_row_removed", {{"job", expired.id},
+                                          {"cause", "expired"},
+                                          {"store_part", options_.parts.name(expired.part)},
+                                          {"ended_store_ms", base::to_stored_ms(expired.at)},
+                                          {"store_ms", base::to_stored_ms(now)},
+                                          {"epoch", epoch_}});
+         }});
+}
+
+void leader::remove_expired_jobs()
+{
+    const auto now = store_clock_->newest();
+    if (!now) {
+        return;
+    }
+    const auto limit = *now - (options_.status_retention + retention_slack);
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        // A part that does not answer would only collect removals.
+        if (!part_answers(part)) {
+            continue;
+        }
+        for (const auto& expired :
+             ended_.take_ended_before(part, limit, max_rows_removed_at_once)) {
+            remove_expired_row(expired);
+        }
+    }
+}
+
+} // namespace poplarstile::control
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -281,13 +281,10 @@
         }
         publish_status(id, entry, entry.state.status());
     }
-    const auto ended = std::ranges::count(ended_, part, &ended_job::part);
-    const auto without_time = std::ranges::count_if(
-        ended_, [part](const ended_job& job) { return job.part == part && !job.at; });
     log.info("part_adopted", {{"store_part", options_.parts.name(part)},
                               {"placed_tasks", adopted},
-                              {"ended_jobs", ended},
-                              {"ended_without_time", without_time}});
+                              {"ended_jobs", ended_.count_in(part)},
+                              {"ended_without_time", ended_.count_without_end(part)}});
 }
 
 } // namespace poplarstile::control
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -20,9 +20,6 @@
 constexpr base::milliseconds feed_wait{2'000};
 constexpr base::milliseconds feed_retry{100};
 constexpr std::uint32_t page_rows = 500;
-/// Added to the retention promised to callers, to cover clock differences and delays.
-constexpr base::milliseconds retention_slack{10'000};
-constexpr std::size_t max_rows_removed_at_once = 50;
 
 } // namespace
 
@@ -134,12 +131,10 @@
         return;
     }
     if (auto* const finished = std::get_if<batch::finished_job>(&decoded.value())) {
-        if (ended_ids_.insert(seen.id.key).second) {
-            ended_.push_back({seen.id.key, part, finished->ended_at});
-        }
+        ended_.add({seen.id.key, part, finished->ended_at});
         return;
     }
-    if (existing != jobs_.end() || ended_ids_.contains(seen.id.key)) {
+    if (existing != jobs_.end() || ended_.contains(seen.id.key)) {
         drop_duplicate(part, seen.id.key);
         return;
     }
@@ -149,8 +144,7 @@
 void leader::drop_duplicate(std::size_t part, const std::string& id)
 {
     // The same submission was stored in two parts because a reply was lost. It stays one job.
-    const auto ended = std::ranges::find(ended_, id, &ended_job::id);
-    if (ended != ended_.end() && ended->part == part) {
+    if (ended_.part_of(id) == part) {
         // A late notification of the job row as it was before the job ended.
         return;
     }
@@ -205,7 +199,7 @@
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
-        if (ended_ids_.contains(id)) {
+        if (ended_.contains(id)) {
             // The job has ended, so its cancel row is removed as well.
             remove_cancel(id, part);
         } else {
@@ -309,63 +303,6 @@
     parts_.at(entry.part).journal->add(std::move(written));
 }
 
-void leader::close_job(const std::string& id, job_entry& entry)
-{
-    entry.closing = true;
-    const auto status = entry.state.status();
-    const auto& accepted = entry.state.accepted();
-    const auto part = entry.part;
-    auto& journal = *parts_.at(part).journal;
-    // The time of the newest try, which is the time of the stored one or later.
-    const auto ended_at = std::make_shared<std::optional<base::store_time>>();
-    store::journal_entry written;
-    written.writes.push_back(
-        {jobs_row(part, id),
-         [this, ended_at,
-          finished = batch::finished_job{status, accepted.policy.queue, accepted.workspace, {}}] {
-             *ended_at = store_clock_->estimate(ports_.time->now());
-             auto stamped = finished;
-             stamped.ended_at = *ended_at;
-             return batch::encode(stamped);
-         }});
-    written.writes.push_back({runs_row(part, id), store::row_removal{}});
-    for (const auto cancel_part : entry.cancel_parts) {
-        if (cancel_part == part) {
-            const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
-            written.writes.push_back({row, store::row_removal{}});
-        }
-    }
-    written.on_durable = [this, id, part, status, ended_at] {
-        const auto found = jobs_.find(id);
-        if (found == jobs_.end()) {
-            return;
-        }
-        // Only once the end is durable: a successor that finds the job open must find the cancel
-        // row as well.
-        for (const auto cancel_part : found->second.cancel_parts) {
-            if (cancel_part != part) {
-                remove_cancel(id, cancel_part);
-            }
-        }
-        const auto& ended = found->second.state.accepted();
-        log.info("job_ended", {{"job", id},
-                               {"status", batch::name_of(status)},
-                               {"queue", ended.policy.queue},
-                               {"age_ms", ports_.time->unix_ms() - ended.accepted_ms},
-                               {"objective_ms", found->second.state.objective().count()},
-                               {"store_part", options_.parts.name(part)},
-                               {"ended_store_ms", base::to_stored_ms(*ended_at)},
-                               {"store_ms", base::to_stored_ms(store_clock_->newest())}});
-        counters_.ends_without_time += *ended_at ? 0 : 1;
-        report_span(leader_span::job_until_end, age_of(found->second.state));
-        publish_status(id, found->second, status);
-        jobs_.erase(found);
-        ended_.push_back({id, part, *ended_at});
-        ended_ids_.insert(id);
-    };
-    journal.add(std::move(written));
-}
-
 void leader::publish_status(const std::string& id, job_entry& entry, batch::job_status status)
 {
     entry.published_status = status;
@@ -375,40 +312,4 @@
     }
 }
 
-void leader::remove_expired_row(const ended_job& expired)
-{
-    auto& journal = *parts_.at(expired.part).journal;
-    const auto now = store_clock_->newest();
-    journal.add(
-        {{{jobs_row(expired.part, expired.id), store::row_removal{}}}, [this, expired, now] {
-             ++counters_.expired_rows_removed;
-             log.info("job_row_removed", {{"job", expired.id},
-                                          {"cause", "expired"},
-                                          {"store_part", options_.parts.name(expired.part)},
-                                          {"ended_store_ms", base::to_stored_ms(expired.at)},
-                                          {"store_ms", base::to_stored_ms(now)},
-                                          {"epoch", epoch_}});
-         }});
-}
-
-void leader::remove_expired_jobs()
-{
-    const auto retention = options_.status_retention + retention_slack;
-    std::size_t removed_rows = 0;
-    while (!ended_.empty() && removed_rows < max_rows_removed_at_once) {
-        const auto& oldest = ended_.front();
-        const auto now = store_clock_->newest();
-        if (!now || !oldest.at || *now - *oldest.at <= retention) {
-            break;
-        }
-        remove_expired_row(oldest);
-        ended_ids_.erase(oldest.id);
-        ended_.pop_front();
-        ++removed_rows;
-    }
-    if (removed_rows > 0) {
-        log.info("old_jobs_forgotten", {{"count", removed_rows}});
-    }
-}
-
 } // namespace poplarstile::control
