Give ended jobs that are stored without a time one when they are read

With the unknown time respected they would instead stay for ever.

Change: a leader that reads an ended job without a time, or with one that the store's clock has not reached, stores the row again with the present as its end, under its lease and once (end_time_stored_anew in the log). The row goes when the retention is over from then on; a successor reads the time and does not count anew.

Before: ended_job_retention.AnEndStoredWithoutATimeIsKeptForItsTime fails, the row goes at 130 s of the store's clock. After: it passes; control_test 34 pass.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -240,6 +240,15 @@
 
     // Ends of jobs and the removal of their rows (leader_ends.cpp).
     void close_job(const std::string& id, job_entry& entry);
+    /// The change of a job's row to that of an ended job, with the time of the try that stores it.
+    /// `ended_at` is set to the time of the newest try.
+    [[nodiscard]] store::journal_write
+    end_write(const std::string& id, std::size_t part, batch::finished_job finished,
+              std::shared_ptr<std::optional<base::store_time>> ended_at) const;
+    void add_ended_job(std::size_t part, const std::string& id, batch::finished_job finished);
+    /// Stores the row of an ended job again, with the present as the time of its end.
+    void store_end_time(std::size_t part, const std::string& id,
+                        const batch::finished_job& finished);
     void remove_expired_jobs();
     void remove_expired_row(const ended_job& expired);
 
--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -29,18 +29,10 @@
     const auto& accepted = entry.state.accepted();
     const auto part = entry.part;
     auto& journal = *parts_.at(part).journal;
-    // The time of the newest try, which is the time of the stored one or later.
     const auto ended_at = std::make_shared<std::optional<base::store_time>>();
     store::journal_entry written;
     written.writes.push_back(
-        {jobs_row(part, id),
-         [this, ended_at,
-          finished = batch::finished_job{status, accepted.policy.queue, accepted.workspace, {}}] {
-             *ended_at = store_clock_->estimate(ports_.time->now());
-             auto stamped = finished;
-             stamped.ended_at = *ended_at;
-             return batch::encode(stamped);
-         }});
+        end_write(id, part, {status, accepted.policy.queue, accepted.workspace, {}}, ended_at));
     written.writes.push_back({runs_row(part, id), store::row_removal{}});
     for (const auto cancel_part : entry.cancel_parts) {
         if (cancel_part == part) {
@@ -78,6 +70,47 @@
     journal.add(std::move(written));
 }
 
+store::journal_write
+leader::end_write(const std::string& id, std::size_t part, batch::finished_job finished,
+                  std::shared_ptr<std::optional<base::store_time>> ended_at) const
+{
+    return {jobs_row(part, id),
+            [this, finished = std::move(finished), ended_at = std::move(ended_at)] {
+                *ended_at = store_clock_->estimate(ports_.time->now());
+                auto stamped = finished;
+                stamped.ended_at = *ended_at;
+                return batch::encode(stamped);
+            }};
+}
+
+void leader::add_ended_job(std::size_t part, const std::string& id, batch::finished_job finished)
+{
+    const auto now = store_clock_->newest();
+    if (finished.ended_at && now && *finished.ended_at > *now + retention_slack) {
+        // Not a time of this clock.
+        finished.ended_at.reset();
+    }
+    if (ended_.add({id, part, finished.ended_at}) && !finished.ended_at) {
+        store_end_time(part, id, finished);
+    }
+}
+
+void leader::store_end_time(std::size_t part, const std::string& id,
+                            const batch::finished_job& finished)
+{
+    const auto ended_at = std::make_shared<std::optional<base::store_time>>();
+    store::journal_entry written;
+    written.writes.push_back(end_write(id, part, finished, ended_at));
+    written.on_durable = [this, id, part, ended_at] {
+        log.warning("end_time_stored_anew", {{"job", id},
+                                             {"store_part", options_.parts.name(part)},
+                                             {"ended_store_ms", base::to_stored_ms(*ended_at)},
+                                             {"epoch", epoch_}});
+        ended_.set_end(id, *ended_at);
+    };
+    parts_.at(part).journal->add(std::move(written));
+}
+
 void leader::remove_expired_row(const ended_job& expired)
 {
     auto& journal = *parts_.at(expired.part).journal;
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -131,7 +131,7 @@
         return;
     }
     if (auto* const finished = std::get_if<batch::finished_job>(&decoded.value())) {
-        ended_.add({seen.id.key, part, finished->ended_at});
+        add_ended_job(part, seen.id.key, *finished);
         return;
     }
     if (existing != jobs_.end() || ended_.contains(seen.id.key)) {
