--- a/tests/control/ended_job_retention_test.cpp
+++ b/tests/control/ended_job_retention_test.cpp
@@ -143,6 +143,29 @@
     EXPECT_TRUE(is_stored(late));
 }
 
+TEST_F(ended_job_retention, ADuplicateInAPartThatWasAwayForLongDoesNotRunAgain)
+{
+    // A submission was stored in two parts because a reply was lost. The leader never saw one of
+    // them, and removed the row of the other when its time was over.
+    start_vms();
+    const std::string id{"0000000000000001"};
+    const auto other = site.parts.name((site.parts.home_of(id) + 1) % site.parts.size());
+    auto duplicate = make_job(id, 1, small_task);
+    site.store.away_parts = {other};
+    replace_leader();
+    site.store.put({"jobs", other, id}, batch::encode(duplicate));
+    site.submit(duplicate);
+    ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+    site.time.run_for(site.leading.status_retention + removal_bound);
+
+    site.store.away_parts.clear();
+    site.time.run_for(seconds{20});
+
+    EXPECT_EQ(site.workers.starts().size(), 1U);
+    EXPECT_EQ(site.ended_as(id), std::nullopt) << "the rows go once all parts have been read";
+    EXPECT_FALSE(site.store.find({"jobs", other, id}));
+}
+
 TEST_F(ended_job_retention, JobsThatEndWhileLeadersChangeAreKeptForTheirTime)
 {
     start_vms();
