Settle two messages of clang-tidy in the new files

clang-tidy over the changed and dependent files: a shared pointer that was copied only to be read, and a test's vector without its capacity.

--- a/src/store/store_clock_reading.cpp
+++ b/src/store/store_clock_reading.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 row_store with_clock_reading(const row_store& rows, const base::timers& time,
-                             std::shared_ptr<store_clock_reading> reading)
+                             const std::shared_ptr<store_clock_reading>& reading)
 {
     row_store noting;
     noting.commit = noting_call(rows.commit, time, reading);
--- a/src/store/store_clock_reading.hpp
+++ b/src/store/store_clock_reading.hpp
@@ -34,6 +34,6 @@
 
 /// The same store; each reply is noted in `reading` before its handler is called.
 [[nodiscard]] row_store with_clock_reading(const row_store& rows, const base::timers& time,
-                                           std::shared_ptr<store_clock_reading> reading);
+                                           const std::shared_ptr<store_clock_reading>& reading);
 
 } // namespace poplarstile::store
--- a/tests/control/ended_jobs_test.cpp
+++ b/tests/control/ended_jobs_test.cpp
@@ -13,6 +13,7 @@
 std::vector<std::string> ids_of(const std::vector<ended_job>& jobs)
 {
     std::vector<std::string> ids;
+    ids.reserve(jobs.size());
     for (const auto& job : jobs) {
         ids.push_back(job.id);
     }
