Store the end of a job again when the store applied it late

What callers could see: 410 for an ended job too early, after an outage in which the store holds calls back and applies them at its end. Cause: the stored time is that of the try that is applied, and a try may be applied long after it was sent. Class of fault: a stale value used as a time.

Change: when an end is durable, the leader compares the time at which the applied try was sent with the store's clock in the reply; more than 2 s apart, it stores the row again with the present. The time in memory is that of the applied try as well, so the row and the leader agree. close_job is split: what is written, and what follows once it is durable. The counter of ends without a time becomes that of times stored anew.

What is left: a leader that loses its lease before it learns of the late end leaves the old time in the row.

Before: ended_job_retention.AnEndThatTheStoreAppliesLateIsKeptForItsTime fails with "removed 100194 ms after its end".

--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -51,7 +51,7 @@
         count("poplarstile_unusable_registrations_total", counted.unreadable_workers);
         count("poplarstile_commits_total", counted.commits);
         count("poplarstile_commit_retries_total", counted.commit_retries);
-        count("poplarstile_ends_without_time_total", counted.ends_without_time);
+        count("poplarstile_end_times_stored_anew_total", counted.end_times_stored_anew);
         count("poplarstile_expired_rows_removed_total", counted.expired_rows_removed);
         count("poplarstile_duplicate_rows_removed_total", counted.duplicate_rows_removed);
         own.set_gauge("poplarstile_ended_jobs", static_cast<double>(leading.stored_ends()));
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -92,8 +92,8 @@
     std::uint64_t commits = 0;
     std::uint64_t commit_retries = 0;
     std::uint64_t commit_backlog = 0;
-    /// Ends of jobs that were stored while the store's clock was not known.
-    std::uint64_t ends_without_time = 0;
+    /// Ended jobs whose time was not known and was stored anew.
+    std::uint64_t end_times_stored_anew = 0;
     std::uint64_t expired_rows_removed = 0;
     std::uint64_t duplicate_rows_removed = 0;
 };
@@ -240,13 +240,15 @@
 
     // Ends of jobs and the removal of their rows (leader_ends.cpp).
     void close_job(const std::string& id, job_entry& entry);
+    void publish_end(std::size_t part, const std::string& id, batch::finished_job finished);
     /// The change of a job's row to that of an ended job, with the time of the try that stores it.
-    /// `ended_at` is set to the time of the newest try.
-    [[nodiscard]] store::journal_write
-    end_write(const std::string& id, std::size_t part, batch::finished_job finished,
-              std::shared_ptr<std::optional<base::store_time>> ended_at) const;
+    [[nodiscard]] store::journal_write end_write(std::size_t part, const std::string& id,
+                                                 batch::finished_job finished) const;
+    /// The time that the newest durable end of a part was stored with; empty when that is not known
+    /// or too long ago.
+    [[nodiscard]] std::optional<base::store_time> stored_end(std::size_t part) const;
+    /// Notes an ended job, and stores its end anew when its time is not known.
     void add_ended_job(std::size_t part, const std::string& id, batch::finished_job finished);
-    /// Stores the row of an ended job again, with the present as the time of its end.
     void store_end_time(std::size_t part, const std::string& id,
                         const batch::finished_job& finished);
     void remove_expired_jobs();
--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -3,7 +3,7 @@
 #include "base/event_line.hpp"
 #include "store/row_keys.hpp"
 
-#include <memory>
+#include <optional>
 #include <utility>
 
 /// Stores the ends of jobs, and removes the rows of ended jobs when their time is over.
@@ -17,6 +17,8 @@
 constexpr base::event_logger log{"leader"};
 /// Added to the retention promised to callers, to cover clock differences and delays.
 constexpr base::milliseconds retention_slack{10'000};
+/// An end whose try was applied later than this after it was sent is stored again with a new time.
+constexpr base::milliseconds max_end_age{2'000};
 /// Rows of one part that are removed in one tick.
 constexpr std::size_t max_rows_removed_at_once = 20;
 
@@ -25,64 +27,68 @@
 void leader::close_job(const std::string& id, job_entry& entry)
 {
     entry.closing = true;
-    const auto status = entry.state.status();
     const auto& accepted = entry.state.accepted();
     const auto part = entry.part;
-    auto& journal = *parts_.at(part).journal;
-    const auto ended_at = std::make_shared<std::optional<base::store_time>>();
+    const batch::finished_job finished{
+        entry.state.status(), accepted.policy.queue, accepted.workspace, {}};
     store::journal_entry written;
-    written.writes.push_back(
-        end_write(id, part, {status, accepted.policy.queue, accepted.workspace, {}}, ended_at));
+    written.writes.push_back(end_write(part, id, finished));
     written.writes.push_back({runs_row(part, id), store::row_removal{}});
+    if (entry.cancel_parts.contains(part)) {
+        const auto row = jobs_row(part, id + std::string{cancel_suffix});
+        written.writes.push_back({row, store::row_removal{}});
+    }
+    written.on_durable = [this, id, part, finished] { publish_end(part, id, finished); };
+    parts_.at(part).journal->add(std::move(written));
+}
+
+void leader::publish_end(std::size_t part, const std::string& id, batch::finished_job finished)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return;
+    }
+    auto& entry = found->second;
+    // Only once the end is durable: a successor that finds the job open must find the cancel row
+    // as well.
     for (const auto cancel_part : entry.cancel_parts) {
-        if (cancel_part == part) {
-            const auto row = jobs_row(cancel_part, id + std::string{cancel_suffix});
-            written.writes.push_back({row, store::row_removal{}});
+        if (cancel_part != part) {
+            remove_cancel(id, cancel_part);
         }
     }
-    written.on_durable = [this, id, part, status, ended_at] {
-        const auto found = jobs_.find(id);
-        if (found == jobs_.end()) {
-            return;
-        }
-        // Only once the end is durable: a successor that finds the job open must find the cancel
-        // row as well.
-        for (const auto cancel_part : found->second.cancel_parts) {
-            if (cancel_part != part) {
-                remove_cancel(id, cancel_part);
-            }
-        }
-        const auto& ended = found->second.state.accepted();
-        log.info("job_ended", {{"job", id},
-                               {"status", batch::name_of(status)},
-                               {"queue", ended.policy.queue},
-                               {"age_ms", ports_.time->unix_ms() - ended.accepted_ms},
-                               {"objective_ms", found->second.state.objective().count()},
-                               {"store_part", options_.parts.name(part)},
-                               {"ended_store_ms", base::to_stored_ms(*ended_at)},
-                               {"store_ms", base::to_stored_ms(store_clock_->newest())}});
-        counters_.ends_without_time += *ended_at ? 0 : 1;
-        report_span(leader_span::job_until_end, age_of(found->second.state));
-        publish_status(id, found->second, status);
-        jobs_.erase(found);
-        ended_.add({id, part, *ended_at});
-    };
-    journal.add(std::move(written));
+    finished.ended_at = stored_end(part);
+    log.info("job_ended", {{"job", id},
+                           {"status", batch::name_of(finished.status)},
+                           {"queue", finished.queue},
+                           {"age_ms", ports_.time->unix_ms() - entry.state.accepted().accepted_ms},
+                           {"objective_ms", entry.state.objective().count()},
+                           {"store_part", options_.parts.name(part)},
+                           {"ended_store_ms", base::to_stored_ms(finished.ended_at)},
+                           {"store_ms", base::to_stored_ms(store_clock_->newest())}});
+    report_span(leader_span::job_until_end, age_of(entry.state));
+    publish_status(id, entry, finished.status);
+    jobs_.erase(found);
+    add_ended_job(part, id, std::move(finished));
 }
 
-store::journal_write
-leader::end_write(const std::string& id, std::size_t part, batch::finished_job finished,
-                  std::shared_ptr<std::optional<base::store_time>> ended_at) const
+store::journal_write leader::end_write(std::size_t part, const std::string& id,
+                                       batch::finished_job finished) const
 {
-    return {jobs_row(part, id),
-            [this, finished = std::move(finished), ended_at = std::move(ended_at)] {
-                *ended_at = store_clock_->estimate(ports_.time->now());
+    return {jobs_row(part, id), [this, finished = std::move(finished)] {
                 auto stamped = finished;
-                stamped.ended_at = *ended_at;
+                stamped.ended_at = store_clock_->estimate(ports_.time->now());
                 return batch::encode(stamped);
             }};
 }
 
+std::optional<base::store_time> leader::stored_end(std::size_t part) const
+{
+    const auto sent_at = store_clock_->estimate(parts_.at(part).journal->confirmed_at());
+    const auto now = store_clock_->newest();
+    const bool applied_late = sent_at && now && *now - *sent_at > max_end_age;
+    return applied_late ? std::nullopt : sent_at;
+}
+
 void leader::add_ended_job(std::size_t part, const std::string& id, batch::finished_job finished)
 {
     const auto now = store_clock_->newest();
@@ -98,15 +104,16 @@
 void leader::store_end_time(std::size_t part, const std::string& id,
                             const batch::finished_job& finished)
 {
-    const auto ended_at = std::make_shared<std::optional<base::store_time>>();
+    ++counters_.end_times_stored_anew;
     store::journal_entry written;
-    written.writes.push_back(end_write(id, part, finished, ended_at));
-    written.on_durable = [this, id, part, ended_at] {
+    written.writes.push_back(end_write(part, id, finished));
+    written.on_durable = [this, id, part] {
+        const auto ended_at = stored_end(part);
         log.warning("end_time_stored_anew", {{"job", id},
                                              {"store_part", options_.parts.name(part)},
-                                             {"ended_store_ms", base::to_stored_ms(*ended_at)},
+                                             {"ended_store_ms", base::to_stored_ms(ended_at)},
                                              {"epoch", epoch_}});
-        ended_.set_end(id, *ended_at);
+        ended_.set_end(id, ended_at);
     };
     parts_.at(part).journal->add(std::move(written));
 }
--- a/tests/control/ended_job_retention_test.cpp
+++ b/tests/control/ended_job_retention_test.cpp
@@ -107,6 +107,25 @@
     expect_kept_for_its_time(id);
 }
 
+TEST_F(ended_job_retention, AnEndThatTheStoreAppliesLateIsKeptForItsTime)
+{
+    // The store holds all writes back from the moment the job is done, and applies the first of
+    // them half a minute later.
+    start_vms();
+    const std::string id{"0000000000000001"};
+    site.submit(make_job(id, 1, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 1; }, seconds{2}));
+    const auto held_until = site.time.now() + seconds{33};
+    site.store.late_by = seconds{30};
+    site.store.decide = [this, held_until](const std::string& /*vm*/, bool write) {
+        const bool held = write && !site.workers.done().empty() && site.time.now() < held_until;
+        return held ? fake_store::fate::late : fake_store::fate::serve;
+    };
+
+    ASSERT_EQ(site.await_end(id, seconds{60}), batch::job_status::completed);
+    expect_kept_for_its_time(id);
+}
+
 TEST_F(ended_job_retention, AnEndStoredWithoutATimeIsKeptForItsTime)
 {
     const std::string id{"0000000000000001"};
