Take no reply of the store without its rows for an empty range or a conflict

What callers could see: 410 for a stored job, or a 2xx for a job that isn't stored. Cause: a read that was answered without rows counted as an empty range, an entry that is no object was skipped, and a conflict without its rows counted as a row that exists. Class of fault: what a reply does not tell taken for a value.

--- a/tests/platform/store_wire_test.cpp
+++ b/tests/platform/store_wire_test.cpp
@@ -51,6 +51,15 @@
         return got;
     }
 
+    store::read_reply read()
+    {
+        store::read_reply got;
+        rows.read({"jobs", "p", "k", {}, 1},
+                  [&got](const store::read_reply& reply) { got = reply; });
+        time.run_for(base::milliseconds{2'000});
+        return got;
+    }
+
     tests::virtual_time time{};
     store::link_reply next{};
     std::vector<store::link_call> calls{};
@@ -98,6 +107,40 @@
     EXPECT_EQ(reply.current.front().version, 8U);
 }
 
+TEST(store_client, AReplyWithoutTheStoresClockTellsNone)
+{
+    canned_store store;
+    store.answer(200, R"({"ver":9})");
+
+    const auto reply = store.commit(one_put());
+
+    EXPECT_EQ(reply.outcome, store::call_outcome::done);
+    EXPECT_EQ(reply.store_now, std::nullopt);
+}
+
+TEST(store_client, AReadWithoutItsRowsIsNotAnEmptyRange)
+{
+    // An API frontend that took it for one would answer that a job does not exist.
+    for (const auto* const body :
+         {R"({"ver":9,"now_ms":50})", R"({"ver":9,"rows":null})", R"({"ver":9,"rows":["k"]})"}) {
+        canned_store store;
+        store.answer(200, body);
+        EXPECT_EQ(store.read().outcome, store::call_outcome::unknown) << body;
+    }
+    canned_store store;
+    store.answer(200, R"({"ver":9,"now_ms":50,"rows":[]})");
+    EXPECT_EQ(store.read().outcome, store::call_outcome::done);
+}
+
+TEST(store_client, AConflictWithoutItsRowsSettlesNothing)
+{
+    // An API frontend takes a conflict for a job that is stored already.
+    canned_store store;
+    store.answer(412, R"({"ver":9,"now_ms":50})");
+
+    EXPECT_EQ(store.commit(one_put()).outcome, store::call_outcome::unknown);
+}
+
 TEST(store_client, ABusyStoreHasDoneNothing)
 {
     canned_store store;
