Keep for each part what the leader has seen of its job rows

What callers could see: an accepted job that is not known, and one that runs a second time. Cause: one version of the feed stood for all parts. It was lowered when a part was read later, so the feed delivered rows again that were gone by then, and each was taken for a new job; a report of a stored row by another VM had no version to be compared with. After a lost history the first reply set the version, and a row stored in another part between the two reads, or in a page already read, was never delivered. Class of fault: a stale value taken for a present one, and a bound (retention, history) that no test lived to reach.

Change: each part has the version up to which its rows were seen. The feed is followed from the earliest of them; a row at or below the version of its part is not applied again; a part that is read again takes the version of its first page and leaves the others alone. At most one reading of a part is under way, where each lost history began another.

Why it works: only the holder of a part's lease removes its rows, and the version is that of a read under the lease. A newer row can be gone only by this leader's own act, which knows the job until its feed has passed it.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -121,8 +121,9 @@
     /// first part's row is stored.
     void hand_back(std::function<void()> on_done);
 
-    /// Applies a submission or cancel that an API frontend has stored. The change feed delivers the
-    /// row as well.
+    /// Applies a submission or cancel that an API frontend has stored, unless it is older than what
+    /// this leader has seen of the part: then the row may be gone. The change feed delivers the row
+    /// as well.
     void receive_row(const store::row& seen);
 
     /// True once the stored state has been read.
@@ -195,7 +196,10 @@
     struct part_state {
         part_phase phase = part_phase::acquiring;
         std::unique_ptr<store::journal> journal{};
-        store::row_version read_version = 0;
+        /// Version of the store up to which this leader has seen the part's job rows.
+        store::row_version seen_version = 0;
+        /// Its job rows are read again because the feed's history was gone.
+        bool rereading = false;
         /// Attempts that the store did not serve.
         std::uint32_t failures = 0;
     };
@@ -220,8 +224,15 @@
     void on_lease_lost(const store::lease_record& found);
 
     // Applying rows that others write, and writing rows (leader_store.cpp).
+    /// Follows the feed from the earliest version that an active part has seen.
     void follow_jobs();
-    void reread_jobs(std::size_t part, const std::string& from);
+    void receive_feed(store::row_version after, const store::feed_reply& reply);
+    /// The version to follow the feed from; empty while no part can be followed.
+    [[nodiscard]] std::optional<store::row_version> followed_version() const;
+    /// Reads the job rows of a part again. `first_page` is the store's version when the first page
+    /// was read; empty before that.
+    void reread_jobs(std::size_t part, const std::string& from,
+                     std::optional<store::row_version> first_page);
     void apply_row(std::size_t part, const store::row& seen);
     void add_job(batch::submission accepted, std::size_t part);
     void drop_duplicate(std::size_t part, const std::string& id);
@@ -345,7 +356,8 @@
     std::map<std::string, std::set<std::size_t>> early_cancels_{};
     /// Called once all changes made so far are durable.
     std::vector<std::function<void()>> after_flush_{};
-    store::row_version jobs_version_ = 0;
+    /// A call that follows the feed of job rows is under way.
+    bool following_jobs_ = false;
     store::row_version directory_version_ = 0;
     std::map<std::string, std::unique_ptr<worker_state>> workers_{};
     leader_counters counters_{};
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -145,7 +145,7 @@
                    }
                    if (from.empty()) {
                        // The feed is followed from here; applying a row twice is harmless.
-                       parts_.at(part).read_version = reply.version;
+                       parts_.at(part).seen_version = reply.version;
                    }
                    for (const auto& job_row : reply.rows) {
                        apply_row(part, job_row);
@@ -207,8 +207,8 @@
     if (active_) {
         log.info("part_taken_later",
                  {{"store_part", options_.parts.name(part)}, {"epoch", epoch_}});
-        jobs_version_ = std::min(jobs_version_, parts_.at(part).read_version);
         adopt_part(part);
+        follow_jobs();
         return;
     }
     begin_work();
@@ -245,15 +245,10 @@
         return;
     }
     active_ = true;
-    jobs_version_ = 0;
     for (std::size_t part = 0; part < parts_.size(); ++part) {
-        const auto& state = parts_.at(part);
-        if (state.phase != part_phase::active) {
-            continue;
+        if (parts_.at(part).phase == part_phase::active) {
+            adopt_part(part);
         }
-        const auto version = state.read_version;
-        jobs_version_ = jobs_version_ == 0 ? version : std::min(jobs_version_, version);
-        adopt_part(part);
     }
     log.info("took_over", {{"epoch", epoch_},
                            {"jobs", jobs_.size()},
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -33,58 +33,80 @@
     return {"runs", options_.parts.name(part), key};
 }
 
+std::optional<store::row_version> leader::followed_version() const
+{
+    std::optional<store::row_version> earliest;
+    for (const auto& part : parts_) {
+        if (part.phase == part_phase::active && !part.rereading) {
+            earliest = std::min(earliest.value_or(part.seen_version), part.seen_version);
+        }
+    }
+    return earliest;
+}
+
 void leader::follow_jobs()
 {
-    rows_.follow(
-        {"jobs", jobs_version_, feed_wait},
-        [this, requested_version = jobs_version_, alive = alive_](const store::feed_reply& reply) {
-            if (!*alive || lost_) {
-                return;
+    const auto after = followed_version();
+    if (following_jobs_ || !after) {
+        return;
+    }
+    following_jobs_ = true;
+    rows_.follow({"jobs", *after, feed_wait},
+                 [this, after = *after, alive = alive_](const store::feed_reply& reply) {
+                     if (*alive && !lost_) {
+                         following_jobs_ = false;
+                         receive_feed(after, reply);
+                     }
+                 });
+}
+
+void leader::receive_feed(store::row_version after, const store::feed_reply& reply)
+{
+    if (reply.outcome == store::call_outcome::done) {
+        for (const auto& changed : reply.rows) {
+            if (!changed.removed) {
+                receive_row(changed.current);
             }
-            if (reply.outcome == store::call_outcome::done) {
-                for (const auto& changed : reply.rows) {
-                    if (!changed.removed) {
-                        receive_row(changed.current);
-                    }
-                }
-                // Unless the version was lowered meanwhile for a part that was read
-                // later: then the changes in between are requested again.
-                if (jobs_version_ >= requested_version) {
-                    jobs_version_ = std::max(jobs_version_, reply.version);
-                }
-                follow_jobs();
-                return;
+        }
+        for (auto& part : parts_) {
+            // A part that was read meanwhile, at an earlier version, has not seen what is between.
+            if (part.phase == part_phase::active && part.seen_version >= after) {
+                part.seen_version = std::max(part.seen_version, reply.version);
             }
-            if (reply.outcome == store::call_outcome::expired) {
-                log.warning("job_history_gone", {{"after", jobs_version_}});
-                jobs_version_ = 0;
-                for (std::size_t part = 0; part < parts_.size(); ++part) {
-                    reread_jobs(part, {});
-                }
-                return;
+        }
+        follow_jobs();
+        return;
+    }
+    if (reply.outcome == store::call_outcome::expired) {
+        log.warning("job_history_gone", {{"after", after}});
+        for (std::size_t part = 0; part < parts_.size(); ++part) {
+            auto& state = parts_.at(part);
+            if (state.phase == part_phase::active && !state.rereading) {
+                state.rereading = true;
+                reread_jobs(part, {}, std::nullopt);
             }
-            ports_.time->after(feed_retry, [this, alive] {
-                if (*alive) {
-                    follow_jobs();
-                }
-            });
-        });
+        }
+        return;
+    }
+    ports_.time->after(feed_retry, [this, alive = alive_] {
+        if (*alive) {
+            follow_jobs();
+        }
+    });
 }
 
-void leader::reread_jobs(std::size_t part, const std::string& from)
+void leader::reread_jobs(std::size_t part, const std::string& from,
+                         std::optional<store::row_version> first_page)
 {
-    if (parts_.at(part).phase != part_phase::active) {
-        return;
-    }
     rows_.read({"jobs", options_.parts.name(part), from, {}, page_rows},
-               [this, part, from, alive = alive_](const store::read_reply& reply) {
+               [this, part, from, first_page, alive = alive_](const store::read_reply& reply) {
                    if (!*alive || lost_) {
                        return;
                    }
                    if (reply.outcome != store::call_outcome::done) {
-                       ports_.time->after(read_retry, [this, part, from, alive] {
+                       ports_.time->after(read_retry, [this, part, from, first_page, alive] {
                            if (*alive) {
-                               reread_jobs(part, from);
+                               reread_jobs(part, from, first_page);
                            }
                        });
                        return;
@@ -92,24 +114,28 @@
                    for (const auto& seen : reply.rows) {
                        apply_row(part, seen);
                    }
+                   const auto version = first_page.value_or(reply.version);
                    if (reply.truncated && !reply.rows.empty()) {
-                       reread_jobs(part, after_key(reply.rows.back().id.key));
+                       reread_jobs(part, after_key(reply.rows.back().id.key), version);
                        return;
                    }
-                   if (jobs_version_ == 0) {
-                       // The first part that is reread sets the version from which the
-                       // feed is followed; the others are read as they reply.
-                       jobs_version_ = reply.version;
-                       follow_jobs();
-                   }
+                   auto& state = parts_.at(part);
+                   state.rereading = false;
+                   state.seen_version = std::max(state.seen_version, version);
+                   follow_jobs();
                });
 }
 
 void leader::receive_row(const store::row& seen)
 {
     const auto part = options_.parts.index_of(seen.id.part);
-    // Rows of a part that is not loaded yet are read when it is loaded.
-    if (active_ && part < parts_.size() && parts_.at(part).phase == part_phase::active) {
+    if (!active_ || part >= parts_.size()) {
+        return;
+    }
+    // Rows of a part that is not loaded yet are read when it is loaded. A version that was seen
+    // before may be of a row that is gone.
+    const auto& state = parts_.at(part);
+    if (state.phase == part_phase::active && seen.version > state.seen_version) {
         apply_row(part, seen);
     }
 }
--- a/tests/support/site_fixture.hpp
+++ b/tests/support/site_fixture.hpp
@@ -160,6 +160,17 @@
         return nullptr;
     }
 
+    /// A VM that holds the lease, whether it has taken over or not yet; or none.
+    [[nodiscard]] vm* elected_vm()
+    {
+        for (auto& [name, made] : vms_) {
+            if (made && made->node->local_leader() != nullptr) {
+                return made.get();
+            }
+        }
+        return nullptr;
+    }
+
     /// Waits until somebody leads.
     [[nodiscard]] vm* await_leader(base::milliseconds span = base::milliseconds{8'000})
     {
