Keep an ended job until its second row cannot be read as a new job

What callers could see: a job that has ended runs a second time. Cause: the row of an ended job went when its time was over although another row of it, stored in another part because a reply was lost, was still in the store. A part that was read once counted as known for good: it may be away, so that the second row can't be dropped yet; the feed may be behind; its rows may be read again after a lost history. The next leader, or the feed, then delivers the second row alone. Class of fault: a bound that no test lived long enough to reach.

Change: an ended job is held while a row of it waits to be dropped, and no ended job goes unless the rows of every part were seen as they were at most 10 s ago. Both fail towards keeping: rows stay for as long as a part can't be seen.

Why it works: a second row is written within seconds of the first, long before the retention is over, so it has been seen when the time comes, and from then on the first row outlives it.

--- a/src/control/ended_jobs.cpp
+++ b/src/control/ended_jobs.cpp
@@ -26,6 +26,19 @@
     by_end_[found->second.part].emplace(*at, id);
 }
 
+void ended_jobs::hold(const std::string& id)
+{
+    ++holds_[id];
+}
+
+void ended_jobs::release(const std::string& id)
+{
+    const auto found = holds_.find(id);
+    if (found != holds_.end() && --found->second == 0) {
+        holds_.erase(found);
+    }
+}
+
 std::optional<std::size_t> ended_jobs::part_of(const std::string& id) const
 {
     const auto found = jobs_.find(id);
@@ -50,11 +63,16 @@
 {
     std::vector<ended_job> taken;
     auto& ends = by_end_[part];
-    while (!ends.empty() && ends.begin()->first < limit && taken.size() < max_jobs) {
-        const auto found = jobs_.find(ends.begin()->second);
+    for (auto next = ends.begin();
+         next != ends.end() && next->first < limit && taken.size() < max_jobs;) {
+        if (holds_.contains(next->second)) {
+            ++next;
+            continue;
+        }
+        const auto found = jobs_.find(next->second);
         taken.push_back(std::move(found->second));
         jobs_.erase(found);
-        ends.erase(ends.begin());
+        next = ends.erase(next);
     }
     return taken;
 }
--- a/src/control/ended_jobs.hpp
+++ b/src/control/ended_jobs.hpp
@@ -34,6 +34,10 @@
     /// Sets the end of a job that was added without one.
     void set_end(const std::string& id, std::optional<base::store_time> at);
 
+    /// Keeps the row of a job, which need not be known yet, until as many calls of `release`.
+    void hold(const std::string& id);
+    void release(const std::string& id);
+
     [[nodiscard]] bool contains(const std::string& id) const
     {
         return jobs_.contains(id);
@@ -48,8 +52,8 @@
     [[nodiscard]] std::size_t count_in(std::size_t part) const;
     [[nodiscard]] std::size_t count_without_end(std::size_t part) const;
 
-    /// Removes and returns the jobs of a part that ended before `limit`, the earliest first and at
-    /// most `max_jobs` of them.
+    /// Removes and returns the jobs of a part that ended before `limit` and are not held, the
+    /// earliest first and at most `max_jobs` of them.
     [[nodiscard]] std::vector<ended_job> take_ended_before(std::size_t part, base::store_time limit,
                                                            std::size_t max_jobs);
 
@@ -59,6 +63,8 @@
     std::unordered_map<std::string, ended_job> jobs_{};
     /// Jobs with a known end, by part.
     std::map<std::size_t, std::set<end_and_id>> by_end_{};
+    /// How often a job is held.
+    std::unordered_map<std::string, std::size_t> holds_{};
 };
 
 } // namespace poplarstile::control
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -198,6 +198,8 @@
         std::unique_ptr<store::journal> journal{};
         /// Version of the store up to which this leader has seen the part's job rows.
         store::row_version seen_version = 0;
+        /// All its job rows that were stored before this time have been seen.
+        base::time_point seen_at{};
         /// Its job rows are read again because the feed's history was gone.
         bool rereading = false;
         /// Attempts that the store did not serve.
@@ -226,15 +228,18 @@
     // Applying rows that others write, and writing rows (leader_store.cpp).
     /// Follows the feed from the earliest version that an active part has seen.
     void follow_jobs();
-    void receive_feed(store::row_version after, const store::feed_reply& reply);
+    void receive_feed(store::row_version after, base::time_point sent,
+                      const store::feed_reply& reply);
     /// The version to follow the feed from; empty while no part can be followed.
     [[nodiscard]] std::optional<store::row_version> followed_version() const;
-    /// Reads the job rows of a part again. `first_page` is the store's version when the first page
-    /// was read; empty before that.
-    void reread_jobs(std::size_t part, const std::string& from,
-                     std::optional<store::row_version> first_page);
+    void reread_jobs(std::size_t part, const std::string& from);
+    /// True when the job rows of every part have been seen as they were a short time ago.
+    [[nodiscard]] bool all_rows_seen() const;
     void apply_row(std::size_t part, const store::row& seen);
     void add_job(batch::submission accepted, std::size_t part);
+    /// The version and time up to which a part's job rows are seen once it has been read, from the
+    /// reply with its first page.
+    void note_first_page(std::size_t part, base::time_point sent, const store::read_reply& reply);
     void drop_duplicate(std::size_t part, const std::string& id);
     /// Removes the stored request to cancel a job from a part, if that part is open.
     void remove_cancel(const std::string& id, std::size_t part);
--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -130,9 +130,9 @@
 void leader::remove_expired_jobs()
 {
     const auto now = store_clock_->newest();
-    // While a part is unread it may hold a second row of an ended job, which would then be taken
-    // for a new job.
-    if (!now || !all_parts_active()) {
+    // What has not been seen yet may be a second row of an ended job, which would then be taken for
+    // a new job.
+    if (!now || !all_rows_seen()) {
         return;
     }
     const auto limit = *now - (options_.status_retention + retention_slack);
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -135,7 +135,8 @@
 void leader::read_jobs(std::size_t part, const std::string& from)
 {
     rows_.read({"jobs", options_.parts.name(part), from, {}, page_rows},
-               [this, part, from, alive = alive_](const store::read_reply& reply) {
+               [this, part, from, sent = ports_.time->now(),
+                alive = alive_](const store::read_reply& reply) {
                    if (!*alive || lost_) {
                        return;
                    }
@@ -145,7 +146,7 @@
                    }
                    if (from.empty()) {
                        // The feed is followed from here; applying a row twice is harmless.
-                       parts_.at(part).seen_version = reply.version;
+                       note_first_page(part, sent, reply);
                    }
                    for (const auto& job_row : reply.rows) {
                        apply_row(part, job_row);
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -19,6 +19,8 @@
 constexpr base::milliseconds read_retry{150};
 constexpr base::milliseconds feed_wait{2'000};
 constexpr base::milliseconds feed_retry{100};
+/// No row of an ended job is removed while what was seen of another part is older than this.
+constexpr base::milliseconds longest_unseen{10'000};
 constexpr std::uint32_t page_rows = 500;
 
 } // namespace
@@ -51,16 +53,17 @@
         return;
     }
     following_jobs_ = true;
-    rows_.follow({"jobs", *after, feed_wait},
-                 [this, after = *after, alive = alive_](const store::feed_reply& reply) {
-                     if (*alive && !lost_) {
-                         following_jobs_ = false;
-                         receive_feed(after, reply);
-                     }
-                 });
+    rows_.follow({"jobs", *after, feed_wait}, [this, after = *after, sent = ports_.time->now(),
+                                               alive = alive_](const store::feed_reply& reply) {
+        if (*alive && !lost_) {
+            following_jobs_ = false;
+            receive_feed(after, sent, reply);
+        }
+    });
 }
 
-void leader::receive_feed(store::row_version after, const store::feed_reply& reply)
+void leader::receive_feed(store::row_version after, base::time_point sent,
+                          const store::feed_reply& reply)
 {
     if (reply.outcome == store::call_outcome::done) {
         for (const auto& changed : reply.rows) {
@@ -70,8 +73,10 @@
         }
         for (auto& part : parts_) {
             // A part that was read meanwhile, at an earlier version, has not seen what is between.
-            if (part.phase == part_phase::active && part.seen_version >= after) {
-                part.seen_version = std::max(part.seen_version, reply.version);
+            const bool followed = part.phase == part_phase::active && !part.rereading;
+            if (followed && part.seen_version >= after && part.seen_version <= reply.version) {
+                part.seen_version = reply.version;
+                part.seen_at = sent;
             }
         }
         follow_jobs();
@@ -83,7 +88,7 @@
             auto& state = parts_.at(part);
             if (state.phase == part_phase::active && !state.rereading) {
                 state.rereading = true;
-                reread_jobs(part, {}, std::nullopt);
+                reread_jobs(part, {});
             }
         }
         return;
@@ -95,18 +100,27 @@
     });
 }
 
-void leader::reread_jobs(std::size_t part, const std::string& from,
-                         std::optional<store::row_version> first_page)
+void leader::note_first_page(std::size_t part, base::time_point sent,
+                             const store::read_reply& reply)
+{
+    // Rows that change while further pages are read are delivered by the feed.
+    auto& state = parts_.at(part);
+    state.seen_version = reply.version;
+    state.seen_at = sent;
+}
+
+void leader::reread_jobs(std::size_t part, const std::string& from)
 {
     rows_.read({"jobs", options_.parts.name(part), from, {}, page_rows},
-               [this, part, from, first_page, alive = alive_](const store::read_reply& reply) {
+               [this, part, from, sent = ports_.time->now(),
+                alive = alive_](const store::read_reply& reply) {
                    if (!*alive || lost_) {
                        return;
                    }
                    if (reply.outcome != store::call_outcome::done) {
-                       ports_.time->after(read_retry, [this, part, from, first_page, alive] {
+                       ports_.time->after(read_retry, [this, part, from, alive] {
                            if (*alive) {
-                               reread_jobs(part, from, first_page);
+                               reread_jobs(part, from);
                            }
                        });
                        return;
@@ -114,18 +128,27 @@
                    for (const auto& seen : reply.rows) {
                        apply_row(part, seen);
                    }
-                   const auto version = first_page.value_or(reply.version);
+                   if (from.empty()) {
+                       note_first_page(part, sent, reply);
+                   }
                    if (reply.truncated && !reply.rows.empty()) {
-                       reread_jobs(part, after_key(reply.rows.back().id.key), version);
+                       reread_jobs(part, after_key(reply.rows.back().id.key));
                        return;
                    }
-                   auto& state = parts_.at(part);
-                   state.rereading = false;
-                   state.seen_version = std::max(state.seen_version, version);
+                   parts_.at(part).rereading = false;
                    follow_jobs();
                });
 }
 
+bool leader::all_rows_seen() const
+{
+    const auto now = ports_.time->now();
+    return std::ranges::all_of(parts_, [now](const part_state& part) {
+        return part.phase == part_phase::active && !part.rereading &&
+               now - part.seen_at <= longest_unseen;
+    });
+}
+
 void leader::receive_row(const store::row& seen)
 {
     const auto part = options_.parts.index_of(seen.id.part);
@@ -176,8 +199,11 @@
     }
     log.warning("duplicate_dropped", {{"job", id}, {"store_part", options_.parts.name(part)}});
     if (parts_.at(part).journal) {
+        // A successor that finds only this row takes it for a new job.
+        ended_.hold(id);
         parts_.at(part).journal->add(
             {{{jobs_row(part, id), store::row_removal{}}}, [this, id, part] {
+                 ended_.release(id);
                  ++counters_.duplicate_rows_removed;
                  log.info("job_row_removed", {{"job", id},
                                               {"cause", "duplicate"},
--- /dev/null
+++ b/tests/control/duplicate_rows_test.cpp
@@ -0,0 +1,130 @@
+#include "support/site_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+/// A job that is stored in two parts, because a reply was lost, runs once: the row of its end stays
+/// until the other row is gone.
+namespace poplarstile::tests
+{
+namespace
+{
+
+using base::milliseconds;
+using std::chrono::seconds;
+
+constexpr batch::resources worker_capacity{32'000, 65'536, 8};
+constexpr batch::resources small_task{2'000, 4'000, 1};
+/// The row of an ended job is gone after this time beyond the retention.
+constexpr seconds removal_bound{20};
+
+class duplicate_rows : public testing::Test
+{
+protected:
+    duplicate_rows()
+    {
+        site.leading.status_retention = seconds{5};
+        site.workers.add("w1", "r1-1", worker_capacity);
+        site.workers.need = [](const std::string& /*task*/) { return small_task; };
+        site.workers.duration = [](const std::string& /*task*/) { return milliseconds{500}; };
+    }
+
+    /// Starts a VM whose feeds are refused while `feed_away` is set.
+    void start_vm(const std::string& name)
+    {
+        auto& made = site.start(name);
+        made.rows.follow = [this, direct = made.rows.follow](
+                               store::feed_request asked,
+                               const std::function<void(store::feed_reply)>& handler) {
+            const auto answered = [this, handler](store::feed_reply reply) {
+                if (feed_away) {
+                    reply = {};
+                    reply.outcome = store::call_outcome::refused;
+                }
+                handler(reply);
+            };
+            direct(std::move(asked), answered);
+        };
+    }
+
+    [[nodiscard]] std::string other_part() const
+    {
+        return site.parts.name((site.parts.home_of(id) + 1) % site.parts.size());
+    }
+    void store_duplicate()
+    {
+        site.store.put({"jobs", other_part(), id}, batch::encode(make_job(id, 1, small_task)));
+    }
+    void wait_for_removal()
+    {
+        site.time.run_for(site.leading.status_retention + removal_bound);
+    }
+
+    std::string id{"0000000000000001"};
+    bool feed_away = false;
+    site_fixture site;
+};
+
+TEST_F(duplicate_rows, ARowThatCannotBeDroppedYetDoesNotRunUnderTheNextLeader)
+{
+    start_vm("vm1");
+    start_vm("vm2");
+    ASSERT_NE(site.await_leader(), nullptr);
+    site.submit(make_job(id, 1, small_task));
+    ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+    // The worker has forgotten the end of the task.
+    site.time.run_for(seconds{1});
+    site.store.away_parts = {other_part()};
+    store_duplicate();
+    wait_for_removal();
+
+    site.stop(site.leading_vm()->name);
+    ASSERT_NE(site.await_leader(), nullptr);
+    site.store.away_parts.clear();
+    wait_for_removal();
+
+    EXPECT_EQ(site.workers.starts().size(), 1U);
+    EXPECT_TRUE(site.store.all("jobs").empty());
+}
+
+TEST_F(duplicate_rows, ARowThatTheFeedDeliversLateDoesNotRun)
+{
+    start_vm("vm1");
+    ASSERT_NE(site.await_leader(), nullptr);
+    site.submit(make_job(id, 1, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return !site.workers.starts().empty(); }, seconds{2}));
+    feed_away = true;
+    store_duplicate();
+    ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+    wait_for_removal();
+
+    feed_away = false;
+    wait_for_removal();
+
+    EXPECT_EQ(site.workers.starts().size(), 1U);
+    EXPECT_TRUE(site.store.all("jobs").empty());
+}
+
+TEST_F(duplicate_rows, ARowOfAPartThatIsReadAgainLateDoesNotRun)
+{
+    start_vm("vm1");
+    ASSERT_NE(site.await_leader(), nullptr);
+    site.submit(make_job(id, 1, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return !site.workers.starts().empty(); }, seconds{2}));
+    feed_away = true;
+    store_duplicate();
+    site.time.run_for(seconds{3});
+    site.store.forget_history();
+    site.store.away_parts = {other_part()};
+    feed_away = false;
+    ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+    wait_for_removal();
+
+    site.store.away_parts.clear();
+    wait_for_removal();
+
+    EXPECT_EQ(site.workers.starts().size(), 1U);
+    EXPECT_TRUE(site.store.all("jobs").empty());
+}
+
+} // namespace
+} // namespace poplarstile::tests
--- a/tests/control/ended_jobs_test.cpp
+++ b/tests/control/ended_jobs_test.cpp
@@ -69,6 +69,23 @@
     EXPECT_EQ(jobs.size(), 0U);
 }
 
+TEST(ended_jobs, AHeldJobIsTakenOnlyOnceEachHoldIsReleased)
+{
+    ended_jobs jobs;
+    jobs.hold("held");
+    jobs.add({"held", 0, store_time{seconds{1}}});
+    jobs.add({"free", 0, store_time{seconds{2}}});
+    jobs.hold("held");
+    jobs.release("held");
+
+    EXPECT_EQ(ids_of(jobs.take_ended_before(0, store_time{seconds{3}}, 10)),
+              std::vector<std::string>{"free"});
+
+    jobs.release("held");
+    EXPECT_EQ(ids_of(jobs.take_ended_before(0, store_time{seconds{3}}, 10)),
+              std::vector<std::string>{"held"});
+}
+
 TEST(ended_jobs, NoMoreThanTheGivenNumberAreTakenAtOnce)
 {
     ended_jobs jobs;
--- a/tests/control/replayed_rows_test.cpp
+++ b/tests/control/replayed_rows_test.cpp
@@ -120,7 +120,7 @@
     start_vm("vm1");
     const auto late = site.parts.name(other());
     bool served = false;
-    read_through = [&](const reader& direct, store::read_range range, const auto& handler) {
+    read_through = [&](const reader& direct, const store::read_range& range, const auto& handler) {
         if (!served && range.table == "runs" && range.part == late) {
             site.time.after(milliseconds{4}, [handler] {
                 store::read_reply reply;
@@ -128,7 +128,7 @@
                 handler(reply);
             });
         } else {
-            direct(std::move(range), handler);
+            direct(range, handler);
         }
     };
     ASSERT_NE(site.await_leader(), nullptr);
@@ -148,7 +148,7 @@
     start_vm("vm1");
     ASSERT_NE(site.await_leader(), nullptr);
     // All parts but the job's are read a little later, after it was stored.
-    read_through = [&](const reader& direct, store::read_range range, const auto& handler) {
+    read_through = [&](const reader& direct, const store::read_range& range, const auto& handler) {
         const bool delayed = range.part != site.parts.name(home());
         const auto answered = [this, handler, delayed](const store::read_reply& reply) {
             site.time.after(milliseconds{delayed ? 0 : 50}, [handler, reply] { handler(reply); });
