Forget uncertain submissions when their time is over

What callers could see: nothing; the memory of each VM grew with each lost reply, since entries went only when no part was available. Class of fault: a set that nothing bounds. Before: uncertain_submissions.AreForgottenWhenTheirTimeIsOver fails with 600 entries in place of 31. After: it passes; frontend_test 12 pass.

--- a/src/frontend/api_frontend.cpp
+++ b/src/frontend/api_frontend.cpp
@@ -94,7 +94,7 @@
     const auto home = options_.parts.home_of(job);
     // Another part is allowed only if no earlier submission of the job can be stored in the
     // unavailable home part.
-    const bool known_to_be_new = ports_.views->whole() && !uncertain_until_.contains(job);
+    const bool known_to_be_new = ports_.views->whole() && !is_uncertain(job);
     const auto candidate_count = known_to_be_new ? options_.parts.size() : 1;
     for (std::size_t step = 0; step < candidate_count; ++step) {
         const auto part = (home + step) % options_.parts.size();
@@ -155,14 +155,15 @@
 
 void api_frontend::mark_uncertain(const std::string& job)
 {
-    uncertain_until_[job] = ports_.time->now() + uncertain_duration;
+    const auto now = ports_.time->now();
+    std::erase_if(uncertain_until_, [now](const auto& entry) { return entry.second < now; });
+    uncertain_until_[job] = now + uncertain_duration;
 }
 
-bool api_frontend::is_uncertain(const std::string& job)
+bool api_frontend::is_uncertain(const std::string& job) const
 {
-    std::erase_if(uncertain_until_,
-                  [now = ports_.time->now()](const auto& entry) { return entry.second < now; });
-    return uncertain_until_.contains(job);
+    const auto found = uncertain_until_.find(job);
+    return found != uncertain_until_.end() && found->second >= ports_.time->now();
 }
 
 void api_frontend::submit(const call_ptr& call)
--- a/src/frontend/api_frontend.hpp
+++ b/src/frontend/api_frontend.hpp
@@ -124,6 +124,12 @@
     /// effect.
     void mark_uncertain(const std::string& job);
 
+    /// Number of submissions whose outcome is not known.
+    [[nodiscard]] std::size_t uncertain_submissions() const
+    {
+        return uncertain_until_.size();
+    }
+
     [[nodiscard]] const frontend_counters& counters() const
     {
         return counters_;
@@ -160,7 +166,7 @@
     void finish(const call_ptr& call, caller_answer answer);
     [[nodiscard]] store::row_id jobs_row(std::size_t part, const std::string& key) const;
 
-    [[nodiscard]] bool is_uncertain(const std::string& job);
+    [[nodiscard]] bool is_uncertain(const std::string& job) const;
 
     frontend_ports ports_;
     frontend_options options_;
