Remember VMs from the start of a term, and forget replaced ones on followers

What operators could see: a leader elected after 90 s forgot at its first tick each VM that had not replied by then; followers remembered replaced VMs for ever, and after 256 knew no new one. Class of fault: a bound that no test lived long enough to reach, and a set that nothing bounds. Fix: silence counts from the election; a follower forgets what the leader has not listed for 90 s, and only when it hears the leader; a full list still updates known VMs.

--- a/src/control/cluster_heartbeats.cpp
+++ b/src/control/cluster_heartbeats.cpp
@@ -151,6 +151,7 @@
         if (found != vms_.end()) {
             found->second.answered_at = ports_.time->now();
         }
+        forget_unlisted_vms(received.vms);
     }
     answer.epoch = election_->epoch();
     answer.leaving = left_;
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -12,7 +12,8 @@
 
 constexpr base::event_logger log{"cluster"};
 constexpr base::milliseconds tick_interval{100};
-/// A VM that has not replied for this long is removed from the list of known VMs.
+/// A VM that has not replied to the leader for this long is removed from the leader's list of known
+/// VMs, and one that the leader has not listed for this long from those of the others.
 constexpr base::milliseconds forget_after{90'000};
 constexpr base::milliseconds hello_timeout{400};
 constexpr base::milliseconds hello_interval{500};
@@ -64,7 +65,8 @@
 
 void cluster_node::update_vm(const cluster::vm_entry& vm)
 {
-    if (vm.address.empty() || vm.address == options_.self.address || vms_.size() >= max_vms) {
+    if (vm.address.empty() || vm.address == options_.self.address ||
+        (vms_.size() >= max_vms && !vms_.contains(vm.address))) {
         return;
     }
     auto& peer = vms_[vm.address];
@@ -192,19 +194,40 @@
 
 void cluster_node::tick()
 {
-    const auto now = ports_.time->now();
     if (leader_) {
         if (leader_->active()) {
             update_local_views();
         }
         send_heartbeats(true);
         yield_to_larger_vm();
-        std::erase_if(vms_, [now](const auto& entry) {
-            return now - entry.second.answered_at > forget_after;
-        });
+        forget_silent_vms();
     }
 }
 
+void cluster_node::forget_silent_vms()
+{
+    // Before its term this VM expected no replies.
+    std::erase_if(vms_, [this](const auto& entry) {
+        const auto since = std::max(entry.second.answered_at, elected_at_);
+        return ports_.time->now() - since > forget_after;
+    });
+}
+
+void cluster_node::forget_unlisted_vms(const std::vector<cluster::vm_entry>& listed)
+{
+    const auto now = ports_.time->now();
+    for (const auto& vm : listed) {
+        const auto found = vms_.find(vm.address);
+        if (found != vms_.end()) {
+            found->second.listed_at = now;
+        }
+    }
+    std::erase_if(vms_, [now](const auto& entry) {
+        const auto& peer = entry.second;
+        return now - std::max(peer.listed_at, peer.answered_at) > forget_after;
+    });
+}
+
 void cluster_node::update_local_views()
 {
     const bool whole = leader_->all_parts_loaded();
--- a/src/control/cluster_node.hpp
+++ b/src/control/cluster_node.hpp
@@ -94,6 +94,8 @@
     struct peer_state {
         cluster::vm_entry entry{};
         base::time_point answered_at{};
+        /// When a heartbeat of the leader listed it last.
+        base::time_point listed_at{};
         base::time_point heartbeat_at{};
         bool in_flight = false;
         bool wants_snapshot = true;
@@ -104,6 +106,10 @@
     };
 
     void update_vm(const cluster::vm_entry& vm);
+    /// Forgets the VMs that the leader has not listed for long; only called when it is heard.
+    void forget_unlisted_vms(const std::vector<cluster::vm_entry>& listed);
+    /// Forgets the VMs that have not replied to this leader for long.
+    void forget_silent_vms();
     void send_hellos();
     void start_leading(const store::lease_record& lease, std::size_t part,
                        store::row_version version);
