Remove run records and cancels that are left beside ended jobs

What operators could see: rows that stay in the store for ever. Cause: dropping a duplicate left its record of runs, and a cancel read before the end of its job in another part was never looked at again. Class of fault: a set that nothing bounds. Before: duplicate_rows.TheRecordOfRunsBesideADroppedRowGoesWithIt and ACancelThatIsReadBeforeTheEndOfItsJobIsRemoved fail. After: both pass; control_test 49 pass.

--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -93,6 +93,12 @@
     if (ended_.add({id, part, finished.ended_at}) && !finished.ended_at) {
         store_end_time(part, id, finished);
     }
+    const auto cancels = early_cancels_.extract(id);
+    if (!cancels.empty()) {
+        for (const auto cancel_part : cancels.mapped()) {
+            remove_cancel(id, cancel_part);
+        }
+    }
 }
 
 void leader::store_end_time(std::size_t part, const std::string& id,
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -201,15 +201,17 @@
     if (parts_.at(part).journal) {
         // A successor that finds only this row takes it for a new job.
         ended_.hold(id);
-        parts_.at(part).journal->add(
-            {{{jobs_row(part, id), store::row_removal{}}}, [this, id, part] {
-                 ended_.release(id);
-                 ++counters_.duplicate_rows_removed;
-                 log.info("job_row_removed", {{"job", id},
-                                              {"cause", "duplicate"},
-                                              {"store_part", options_.parts.name(part)},
-                                              {"epoch", epoch_}});
-             }});
+        parts_.at(part).journal->add({{{jobs_row(part, id), store::row_removal{}},
+                                       {runs_row(part, id), store::row_removal{}}},
+                                      [this, id, part] {
+                                          ended_.release(id);
+                                          ++counters_.duplicate_rows_removed;
+                                          log.info("job_row_removed",
+                                                   {{"job", id},
+                                                    {"cause", "duplicate"},
+                                                    {"store_part", options_.parts.name(part)},
+                                                    {"epoch", epoch_}});
+                                      }});
     }
 }
 
--- a/tests/control/duplicate_rows_test.cpp
+++ b/tests/control/duplicate_rows_test.cpp
@@ -126,5 +126,42 @@
     EXPECT_TRUE(site.store.all("jobs").empty());
 }
 
+TEST_F(duplicate_rows, TheRecordOfRunsBesideADroppedRowGoesWithIt)
+{
+    // An earlier leader that read only this part has placed tasks.
+    const store::row_id runs{"runs", other_part(), id};
+    auto job = make_job(id, 1, small_task);
+    site.store.put(runs, batch::encode_runs(batch::job{job}));
+    site.store.away_parts = {other_part()};
+    store_duplicate();
+    site.submit(job);
+    start_vm("vm1");
+    ASSERT_NE(site.await_leader(), nullptr);
+    ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+
+    site.store.away_parts.clear();
+    site.time.run_for(seconds{5});
+
+    EXPECT_FALSE(site.store.find({"jobs", other_part(), id}));
+    EXPECT_FALSE(site.store.find(runs));
+}
+
+TEST_F(duplicate_rows, ACancelThatIsReadBeforeTheEndOfItsJobIsRemoved)
+{
+    const store::row_id cancel{"jobs", other_part(), id + ".cancel"};
+    site.store.put({"jobs", site.part_of(id), id},
+                   batch::encode(batch::finished_job{batch::job_status::cancelled, "queue",
+                                                     "workspace", base::store_time{seconds{100}}}));
+    site.store.put(cancel, "{}");
+    site.store.away_parts = {site.part_of(id)};
+    start_vm("vm1");
+    ASSERT_NE(site.await_leader(), nullptr);
+
+    site.store.away_parts.clear();
+    site.time.run_for(seconds{5});
+
+    EXPECT_FALSE(site.store.find(cancel));
+}
+
 } // namespace
 } // namespace poplarstile::tests
