--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -99,6 +99,12 @@
     if (ended_.add({id, part, finished.ended_at}) && !finished.ended_at) {
         store_end_time(part, id, finished);
     }
+    const auto cancels = early_cancels_.extract(id);
+    if (!cancels.empty()) {
+        for (const auto cancel_part : cancels.mapped()) {
+            remove_cancel(id, cancel_part);
+        }
+    }
 }
 
 void leader::store_end_time(std::size_t part, const std::string& id,
@@ -137,9 +143,9 @@
 void leader::remove_expired_jobs()
 {
     const auto now = store_clock_->newest();
-    // While a part is unread it may hold a second row of an ended job, which would then be taken
-    // for a new job.
-    if (!now || !all_parts_active()) {
+    // What has not been seen yet may be a second row of an ended job, which would then be taken for
+    // a new job.
+    if (!now || !all_rows_seen()) {
         return;
     }
     const auto limit = *now - (options_.status_retention + retention_slack);
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -19,6 +19,8 @@
 constexpr base::milliseconds read_retry{150};
 constexpr base::milliseconds feed_wait{2'000};
 constexpr base::milliseconds feed_retry{100};
+/// No row of an ended job is removed while what was seen of another part is older than this.
+constexpr base::milliseconds longest_unseen{10'000};
 constexpr std::uint32_t page_rows = 500;
 
 } // namespace
@@ -33,51 +35,85 @@
     return {"runs", options_.parts.name(part), key};
 }
 
+std::optional<store::row_version> leader::followed_version() const
+{
+    std::optional<store::row_version> earliest;
+    for (const auto& part : parts_) {
+        if (part.phase == part_phase::active && !part.rereading) {
+            earliest = std::min(earliest.value_or(part.seen_version), part.seen_version);
+        }
+    }
+    return earliest;
+}
+
 void leader::follow_jobs()
 {
-    rows_.follow(
-        {"jobs", jobs_version_, feed_wait},
-        [this, requested_version = jobs_version_, alive = alive_](const store::feed_reply& reply) {
-            if (!*alive || lost_) {
-                return;
+    const auto after = followed_version();
+    if (following_jobs_ || !after) {
+        return;
+    }
+    following_jobs_ = true;
+    rows_.follow({"jobs", *after, feed_wait}, [this, after = *after, sent = ports_.time->now(),
+                                               alive = alive_](const store::feed_reply& reply) {
+        if (*alive && !lost_) {
+            following_jobs_ = false;
+            receive_feed(after, sent, reply);
+        }
+    });
+}
+
+void leader::receive_feed(store::row_version after, base::time_point sent,
+                          const store::feed_reply& reply)
+{
+    if (reply.outcome == store::call_outcome::done) {
+        for (const auto& changed : reply.rows) {
+            if (!changed.removed) {
+                receive_row(changed.current);
             }
-            if (reply.outcome == store::call_outcome::done) {
-                for (const auto& changed : reply.rows) {
-                    if (!changed.removed) {
-                        receive_row(changed.current);
-                    }
-                }
-                // Unless the version was lowered meanwhile for a part that was read
-                // later: then the changes in between are requested again.
-                if (jobs_version_ >= requested_version) {
-                    jobs_version_ = std::max(jobs_version_, reply.version);
-                }
-                follow_jobs();
-                return;
+        }
+        for (auto& part : parts_) {
+            // A part that was read meanwhile, at an earlier version, has not seen what is between.
+            const bool followed = part.phase == part_phase::active && !part.rereading;
+            if (followed && part.seen_version >= after && part.seen_version <= reply.version) {
+                part.seen_version = reply.version;
+                part.seen_at = sent;
             }
-            if (reply.outcome == store::call_outcome::expired) {
-                log.warning("job_history_gone", {{"after", jobs_version_}});
-                jobs_version_ = 0;
-                for (std::size_t part = 0; part < parts_.size(); ++part) {
-                    reread_jobs(part, {});
-                }
-                return;
+        }
+        follow_jobs();
+        return;
+    }
+    if (reply.outcome == store::call_outcome::expired) {
+        log.warning("job_history_gone", {{"after", after}});
+        for (std::size_t part = 0; part < parts_.size(); ++part) {
+            auto& state = parts_.at(part);
+            if (state.phase == part_phase::active && !state.rereading) {
+                state.rereading = true;
+                reread_jobs(part, {});
             }
-            ports_.time->after(feed_retry, [this, alive] {
-                if (*alive) {
-                    follow_jobs();
-                }
-            });
-        });
+        }
+        return;
+    }
+    ports_.time->after(feed_retry, [this, alive = alive_] {
+        if (*alive) {
+            follow_jobs();
+        }
+    });
+}
+
+void leader::note_first_page(std::size_t part, base::time_point sent,
+                             const store::read_reply& reply)
+{
+    // Rows that change while further pages are read are delivered by the feed.
+    auto& state = parts_.at(part);
+    state.seen_version = reply.version;
+    state.seen_at = sent;
 }
 
 void leader::reread_jobs(std::size_t part, const std::string& from)
 {
-    if (parts_.at(part).phase != part_phase::active) {
-        return;
-    }
     rows_.read({"jobs", options_.parts.name(part), from, {}, page_rows},
-               [this, part, from, alive = alive_](const store::read_reply& reply) {
+               [this, part, from, sent = ports_.time->now(),
+                alive = alive_](const store::read_reply& reply) {
                    if (!*alive || lost_) {
                        return;
                    }
@@ -92,24 +128,37 @@
                    for (const auto& seen : reply.rows) {
                        apply_row(part, seen);
                    }
+                   if (from.empty()) {
+                       note_first_page(part, sent, reply);
+                   }
                    if (reply.truncated && !reply.rows.empty()) {
                        reread_jobs(part, after_key(reply.rows.back().id.key));
                        return;
                    }
-                   if (jobs_version_ == 0) {
-                       // The first part that is reread sets the version from which the
-                       // feed is followed; the others are read as they reply.
-                       jobs_version_ = reply.version;
-                       follow_jobs();
-                   }
+                   parts_.at(part).rereading = false;
+                   follow_jobs();
                });
 }
 
+bool leader::all_rows_seen() const
+{
+    const auto now = ports_.time->now();
+    return std::ranges::all_of(parts_, [now](const part_state& part) {
+        return part.phase == part_phase::active && !part.rereading &&
+               now - part.seen_at <= longest_unseen;
+    });
+}
+
 void leader::receive_row(const store::row& seen)
 {
     const auto part = options_.parts.index_of(seen.id.part);
-    // Rows of a part that is not loaded yet are read when it is loaded.
-    if (active_ && part < parts_.size() && parts_.at(part).phase == part_phase::active) {
+    if (!active_ || part >= parts_.size()) {
+        return;
+    }
+    // Rows of a part that is not loaded yet are read when it is loaded. A version that was seen
+    // before may be of a row that is gone.
+    const auto& state = parts_.at(part);
+    if (state.phase == part_phase::active && seen.version > state.seen_version) {
         apply_row(part, seen);
     }
 }
@@ -150,14 +199,19 @@
     }
     log.warning("duplicate_dropped", {{"job", id}, {"store_part", options_.parts.name(part)}});
     if (parts_.at(part).journal) {
-        parts_.at(part).journal->add(
-            {{{jobs_row(part, id), store::row_removal{}}}, [this, id, part] {
-                 ++counters_.duplicate_rows_removed;
-                 log.info("job_row_removed", {{"job", id},
-                                              {"cause", "duplicate"},
-                                              {"store_part", options_.parts.name(part)},
-                                              {"epoch", epoch_}});
-             }});
+        // A successor that finds only this row takes it for a new job.
+        ended_.hold(id);
+        parts_.at(part).journal->add({{{jobs_row(part, id), store::row_removal{}},
+                                       {runs_row(part, id), store::row_removal{}}},
+                                      [this, id, part] {
+                                          ended_.release(id);
+                                          ++counters_.duplicate_rows_removed;
+                                          log.info("job_row_removed",
+                                                   {{"job", id},
+                                                    {"cause", "duplicate"},
+                                                    {"store_part", options_.parts.name(part)},
+                                                    {"epoch", epoch_}});
+                                      }});
     }
 }
 
