Show no running job as pending when the read of its runs fails

What callers could see: "pending" for a job that was shown as running before. Cause: an API frontend without the leader's heartbeats reads the job's row and then the record of its runs; a second read that was refused or not answered counted as an empty one. Class of fault: a value that means unknown used as an answer.

Change: such a read is repeated as long as the caller waits, as the read of the job's row was already; the two share repeat_read. Then the outcome is unknown, or the call is refused while the part is away.

Before: job_status_of_stored_rows.ARunningJobIsNotShownAsPendingWhenTheReadOfItsRunsFails fails, pending instead of running. After: it passes; frontend_test 12 pass.

--- a/src/frontend/api_frontend.hpp
+++ b/src/frontend/api_frontend.hpp
@@ -153,6 +153,10 @@
     void find_job_in(const call_ptr& call, std::size_t tried,
                      std::function<void(const store::row*)> found);
     void show_row(const call_ptr& call, const store::row* row);
+    /// Shows a job whose row, in this part, was that of a job which has not ended.
+    void show_open_job(const call_ptr& call, const std::string& part);
+    /// Repeats a read of the part that was not served, as long as the caller waits.
+    void repeat_read(const call_ptr& call, const std::string& part, std::function<void()> read);
     void show_queue(const call_ptr& call);
     void count_waiting(const call_ptr& call, std::size_t part, std::uint32_t counted);
     /// The part for a new row of the job: its home part, or the next one that is available if the
--- a/src/frontend/api_frontend_queries.cpp
+++ b/src/frontend/api_frontend_queries.cpp
@@ -72,31 +72,37 @@
     }
     const auto part = (options_.parts.home_of(call->job) + parts_tried) % options_.parts.size();
     const auto& part_name = options_.parts.name(part);
-    ports_.rows->read(
-        {"jobs", part_name, call->job, store::after_key(call->job), 1},
-        [this, call, parts_tried, part_name, found = std::move(found),
-         alive = alive_](const store::read_reply& reply) {
-            if (!*alive) {
-                return;
-            }
-            const auto outage = ports_.rows->away(part_name);
-            if (reply.outcome != store::call_outcome::done && outage) {
-                finish(call,
-                       call_refused{call_refused::cause::store_away, retry_after_outage(*outage)});
-            } else if (reply.outcome != store::call_outcome::done) {
-                // The job may be stored in this part, so it can't be reported as missing.
-                retry(
-                    call,
-                    [this, call, parts_tried, found] { find_job_in(call, parts_tried, found); },
-                    call_outcome_unknown{});
-            } else if (reply.rows.empty()) {
-                call->empty_parts += fmt::format("{}{}@{}", call->empty_parts.empty() ? "" : " ",
-                                                 part_name, reply.version);
-                find_job_in(call, parts_tried + 1, found);
-            } else {
-                found(&reply.rows.front());
-            }
-        });
+    ports_.rows->read({"jobs", part_name, call->job, store::after_key(call->job), 1},
+                      [this, call, parts_tried, part_name, found = std::move(found),
+                       alive = alive_](const store::read_reply& reply) {
+                          if (!*alive) {
+                              return;
+                          }
+                          if (reply.outcome != store::call_outcome::done) {
+                              // The job may be stored in this part, so it can't be reported as
+                              // missing.
+                              repeat_read(call, part_name, [this, call, parts_tried, found] {
+                                  find_job_in(call, parts_tried, found);
+                              });
+                          } else if (reply.rows.empty()) {
+                              call->empty_parts +=
+                                  fmt::format("{}{}@{}", call->empty_parts.empty() ? "" : " ",
+                                              part_name, reply.version);
+                              find_job_in(call, parts_tried + 1, found);
+                          } else {
+                              found(&reply.rows.front());
+                          }
+                      });
+}
+
+void api_frontend::repeat_read(const call_ptr& call, const std::string& part,
+                               std::function<void()> read)
+{
+    if (const auto outage = ports_.rows->away(part)) {
+        finish(call, call_refused{call_refused::cause::store_away, retry_after_outage(*outage)});
+    } else {
+        retry(call, std::move(read), call_outcome_unknown{});
+    }
 }
 
 void api_frontend::show_row(const call_ptr& call, const store::row* row)
@@ -116,17 +122,25 @@
         finish(call, job_shown{finished->status});
         return;
     }
-    // The job was accepted and is not over. The record of its runs shows whether a task has
-    // started.
-    ports_.rows->read({"runs", row->id.part, call->job, store::after_key(call->job), 1},
-                      [this, call, alive = alive_](const store::read_reply& reply) {
+    show_open_job(call, row->id.part);
+}
+
+void api_frontend::show_open_job(const call_ptr& call, const std::string& part)
+{
+    // The record of a job's runs shows whether a task has started.
+    ports_.rows->read({"runs", part, call->job, store::after_key(call->job), 1},
+                      [this, call, part, alive = alive_](const store::read_reply& reply) {
                           if (!*alive) {
                               return;
                           }
-                          const bool started =
-                              reply.outcome == store::call_outcome::done && !reply.rows.empty();
-                          finish(call, job_shown{started ? batch::job_status::running
-                                                         : batch::job_status::pending});
+                          if (reply.outcome != store::call_outcome::done) {
+                              repeat_read(call, part,
+                                          [this, call, part] { show_open_job(call, part); });
+                          } else {
+                              const bool started = !reply.rows.empty();
+                              finish(call, job_shown{started ? batch::job_status::running
+                                                             : batch::job_status::pending});
+                          }
                       });
 }
 
