Show no ended job as pending when it ends between two reads

What callers could see: "pending" for a job that ran before and has just completed. Cause: an API frontend without the leader's heartbeats reads the job's row and then the record of its runs. The leader stores the end and removes the record in one transaction; when that falls between the two reads, no record was taken for no task started. Class of fault: a stale value used as the present.

Change: where the record is missing, the job's row is read again. The job is pending only if it is still open then, which it was at the moment at which no record existed. It costs one more read for a job that has not started, and only while no leader is heard.

Before: job_status_of_stored_rows.AJobThatEndsBetweenTheReadsIsNotShownAsPending fails, pending instead of completed. After: it passes; frontend_test 13, control_test 35 pass.

--- a/src/frontend/api_frontend.hpp
+++ b/src/frontend/api_frontend.hpp
@@ -155,6 +155,7 @@
     void show_row(const call_ptr& call, const store::row* row);
     /// Shows a job whose row, in this part, was that of a job which has not ended.
     void show_open_job(const call_ptr& call, const std::string& part);
+    void show_unstarted_job(const call_ptr& call, const std::string& part);
     /// Repeats a read of the part that was not served, as long as the caller waits.
     void repeat_read(const call_ptr& call, const std::string& part, std::function<void()> read);
     void show_queue(const call_ptr& call);
--- a/src/frontend/api_frontend_queries.cpp
+++ b/src/frontend/api_frontend_queries.cpp
@@ -136,14 +136,43 @@
                           if (reply.outcome != store::call_outcome::done) {
                               repeat_read(call, part,
                                           [this, call, part] { show_open_job(call, part); });
+                          } else if (reply.rows.empty()) {
+                              show_unstarted_job(call, part);
                           } else {
-                              const bool started = !reply.rows.empty();
-                              finish(call, job_shown{started ? batch::job_status::running
-                                                             : batch::job_status::pending});
+                              finish(call, job_shown{batch::job_status::running});
                           }
                       });
 }
 
+void api_frontend::show_unstarted_job(const call_ptr& call, const std::string& part)
+{
+    // The record of runs is removed with the end of the job, so the job is pending only if it has
+    // still not ended after the record was found missing.
+    ports_.rows->read(
+        {"jobs", part, call->job, store::after_key(call->job), 1},
+        [this, call, part, alive = alive_](const store::read_reply& reply) {
+            if (!*alive) {
+                return;
+            }
+            if (reply.outcome != store::call_outcome::done) {
+                repeat_read(call, part, [this, call, part] { show_unstarted_job(call, part); });
+                return;
+            }
+            if (reply.rows.empty()) {
+                show(call);
+                return;
+            }
+            const auto decoded = batch::decode_job_row(reply.rows.front().value);
+            const bool open =
+                decoded.has_value() && std::holds_alternative<batch::submission>(decoded.value());
+            if (open) {
+                finish(call, job_shown{batch::job_status::pending});
+            } else {
+                show_row(call, &reply.rows.front());
+            }
+        });
+}
+
 void api_frontend::show_queue(const call_ptr& call)
 {
     if (const auto load = ports_.views->load_of(call->queue->policy.queue)) {
--- a/tests/frontend/job_status_test.cpp
+++ b/tests/frontend/job_status_test.cpp
@@ -67,6 +67,17 @@
         store.put(row("runs"), "a record of runs");
     }
 
+    /// The leader stores the end of the job.
+    void store_end()
+    {
+        store::transaction end;
+        end.puts.push_back(
+            {row("jobs"), batch::encode(batch::finished_job{batch::job_status::completed, "queue",
+                                                            "", std::nullopt})});
+        end.removes.push_back(row("runs"));
+        rows_.commit(end, [](const store::commit_reply& /*reply*/) {});
+    }
+
     /// Asks for the job; `answer()` is set when it is answered.
     void ask()
     {
@@ -111,5 +122,17 @@
     EXPECT_EQ(await_status(), batch::job_status::running);
 }
 
+TEST_F(job_status_of_stored_rows, AJobThatEndsBetweenTheReadsIsNotShownAsPending)
+{
+    store_running_job();
+
+    ask();
+    // The read of the job's row has reached the store, that of its runs has not.
+    time.run_for(store.latency + milliseconds{1});
+    store_end();
+
+    EXPECT_EQ(await_status(), batch::job_status::completed);
+}
+
 } // namespace
 } // namespace poplarstile::tests
