Take no clock of an earlier incarnation of a worker for the new one's

What could happen: after a restart of a worker, leases and starts that name a time far past the longest lease, so that a start which is carried out late is not refused, and the leader takes the worker's runs for over too early; a second run beside the first is possible. Cause: a reply to a start or a stop that arrives after the news of the restart, as after a pause of the leader, set the new incarnation's clock to that of the earlier one, which is minutes ahead. Later readings are smaller and were not taken, for as long as the earlier life had lasted. Class of fault: two clocks compared.

Change: an order remembers the incarnation that it was sent to; the clock in its reply counts only while that is the one known, as for polls.

Before: worker_rebirth.AClockOfAnEarlierIncarnationDoesNotLengthenLeases fails, a lease of 66075 ms where 6000 ms is the longest. After: it passes; control_test 37 pass.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -303,7 +303,7 @@
     [[nodiscard]] std::size_t adopt_placed(job_entry& entry);
     void adopt(job_entry& entry, const batch::task_ref& ref);
     void send_start(const run_key& key);
-    void receive_start(const run_key& key, std::uint32_t number, base::time_point sent,
+    void receive_start(const run_key& key, std::uint32_t number, const order_sending& sent,
                        const fleet::order_reply& reply);
     void retry_orders(worker_state& worker);
     void stop_run(worker_state& worker, live_run& run, stop_reason why);
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -109,23 +109,24 @@
                             {"resumes", !order.checkpoint.empty()},
                             {"planned_ms_ago", base::milliseconds_between(run->planned_at, now)},
                             {"try", run->sends}});
-    ports_.orders->start(std::move(order), [this, alive = alive_, key, number = run->run,
-                                            sent = now](const fleet::order_reply& reply) {
-        if (*alive) {
-            receive_start(key, number, sent, reply);
-        }
-    });
+    ports_.orders->start(
+        std::move(order),
+        [this, alive = alive_, key, number = run->run,
+         sent = order_sending{now, worker.facts.life.started_at}](const fleet::order_reply& reply) {
+            if (*alive) {
+                receive_start(key, number, sent, reply);
+            }
+        });
 }
 
-void leader::receive_start(const run_key& key, std::uint32_t number, base::time_point sent,
+void leader::receive_start(const run_key& key, std::uint32_t number, const order_sending& sent,
                            const fleet::order_reply& reply)
 {
     const auto now = ports_.time->now();
     const auto found = workers_.find(key.worker);
     if (found != workers_.end() && reply.worker_ms &&
         reply.outcome != fleet::order_outcome::other_life) {
-        found->second->clock.observe(*reply.worker_ms, sent, now);
-        record_clock(*found->second, *reply.worker_ms);
+        record_clock(*found->second, sent, *reply.worker_ms, now);
     }
     auto* const run = find_run(key);
     if (run == nullptr || run->run != number) {
@@ -160,7 +161,7 @@
     case fleet::order_outcome::outdated:
         // The run has ended or was stopped at the worker; the list of ends shows which.
         run->order = order_state::accepted;
-        run->accepted_at = sent;
+        run->accepted_at = sent.at;
         worker.urgent_poll = true;
         return;
     default:
@@ -238,7 +239,8 @@
                             run.run,
                             epoch_};
     ports_.orders->stop(std::move(order), [this, alive = alive_, key, number = run.run,
-                                           sent = now](const fleet::order_reply& reply) {
+                                           sent = order_sending{now, worker.facts.life.started_at}](
+                                              const fleet::order_reply& reply) {
         if (!*alive) {
             return;
         }
@@ -252,7 +254,7 @@
             stopped->stop_acknowledged = true;
             stopped->stop_acknowledged_at = ports_.time->now();
             if (reply.worker_ms) {
-                target.clock.observe(*reply.worker_ms, sent, ports_.time->now());
+                record_clock(target, sent, *reply.worker_ms, ports_.time->now());
             }
             if (stopped->order != order_state::accepted) {
                 // If the start never arrived, no end is reported; a poll shows that nothing runs.
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -18,8 +18,13 @@
     return run.listed && run.sends <= 1;
 }
 
-void record_clock(worker_state& worker, std::int64_t worker_ms)
+void record_clock(worker_state& worker, const order_sending& sent, std::int64_t worker_ms,
+                  base::time_point received)
 {
+    if (worker.facts.life.started_at != sent.incarnation) {
+        return;
+    }
+    worker.clock.observe(worker_ms, sent.at, received);
     worker.incarnation_uncertain = worker.incarnation_uncertain || worker_ms < worker.newest_clock;
     worker.newest_clock = std::max(worker.newest_clock, worker_ms);
 }
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -80,9 +80,17 @@
 
 struct worker_state;
 
-/// Records the clock in a worker's reply. A clock that is earlier than a recorded one makes the
+/// When an order was sent, and the incarnation of the worker that was known then.
+struct order_sending {
+    base::time_point at{};
+    std::uint64_t incarnation = 0;
+};
+
+/// Records the clock in a worker's reply to an order, unless another incarnation is known by now:
+/// the clock may be that of the earlier one. A clock that is earlier than a recorded one makes the
 /// incarnation uncertain.
-void record_clock(worker_state& worker, std::int64_t worker_ms);
+void record_clock(worker_state& worker, const order_sending& sent, std::int64_t worker_ms,
+                  base::time_point received);
 
 /// The leader's state of one worker.
 struct worker_state {
--- a/tests/control/worker_rebirth_test.cpp
+++ b/tests/control/worker_rebirth_test.cpp
@@ -106,5 +106,36 @@
     }
 }
 
+// The reply to a start arrives after the news that the worker has restarted. The clock in it is
+// that of the earlier incarnation, far ahead of the new one's.
+TEST_F(worker_rebirth, AClockOfAnEarlierIncarnationDoesNotLengthenLeases)
+{
+    auto& orders = site.at("vm1").orders;
+    orders.start = [this, start = orders.start](const fleet::start_order& order, auto reply) {
+        start(order, [this, reply](const fleet::order_reply& answer) {
+            site.time.after(milliseconds{200}, [reply, answer] { reply(answer); });
+        });
+    };
+    site.time.run_for(seconds{60});
+    site.submit(make_job(job, 1, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 1; }, seconds{2}));
+    const auto worker = site.workers.starts().front().worker;
+    site.time.run_for(milliseconds{20});
+    site.workers.restart(worker);
+    site.time.run_for(milliseconds{300});
+
+    milliseconds longest{0};
+    site.workers.on_start = [&](const fleet::start_order& order) {
+        const auto& started = site.workers.at(order.to.life.worker);
+        const auto clock = base::milliseconds_between(started.born_at, site.time.now());
+        longest = std::max(longest, milliseconds{order.lease_until - clock});
+    };
+    site.submit(make_job("0000000000000002", 24, small_task));
+
+    EXPECT_EQ(site.await_end("0000000000000002"), batch::job_status::completed);
+    // A clock is known but for the time that a poll waits at the worker.
+    EXPECT_LE(longest, site.leading.longest_lease + site.leading.poll_wait);
+}
+
 } // namespace
 } // namespace poplarstile::tests
