Let the soak live past the retention and judge it

The soak never lived long enough to remove the row of an ended job: its retention was 120 s.

Change: the soak's retention is 10 s (--retention_s). Callers also ask for random earlier jobs whose time is not over. A 410 breaks a promise until the retention, counted from the earliest moment at which the end may have been stored, is over: the first sending, a later question answered with an open state (less the time a stale state may be shown), or the last task done by the workers' record. The stand-in's report lists stored jobs and the age of the last done task.

Two checks had to follow. Several callers may now ask for one job at once, so "shows another state after a final one" counts from when the question was sent. A caller resends a submission only within the retention; after it the id would be another job.

--- a/standins/site_standin/site_host.cpp
+++ b/standins/site_standin/site_host.cpp
@@ -5,6 +5,7 @@
 #include "standins/site_standin/store_wire.hpp"
 #include "standins/site_standin/worker_wire.hpp"
 #include "store/lease_record.hpp"
+#include "store/row_keys.hpp"
 
 #include <array>
 #include <optional>
@@ -86,6 +87,9 @@
     workers_.on_start = [this](const fleet::start_order& order) { judge_.started(order); };
     workers_.on_end = [this](const std::string& worker, const fleet::ended_task& ended) {
         judge_.ended(worker, ended);
+        if (ended.how == batch::run_end::done) {
+            last_done_[ended.task.job] = time_.now();
+        }
     };
     workers_.on_acknowledged = [this](const std::string& worker, const fleet::ended_task& ended) {
         judge_.acknowledged(worker, ended);
@@ -308,7 +312,28 @@
     }
     return {{"violations", std::move(violations)}, {"starts", judge_.starts()},
             {"done", judge_.done_tasks()},         {"leader", leader},
-            {"writes", store_.writes()},           {"looks", workers_.looks()}};
+            {"writes", store_.writes()},           {"looks", workers_.looks()},
+            {"stored_jobs", stored_jobs()},        {"last_done_ms_ago", ages_of_last_done()}};
+}
+
+json site_host::stored_jobs() const
+{
+    json ids = json::array();
+    for (const auto& row : store_.all("jobs")) {
+        if (!row.id.key.ends_with(store::cancel_suffix)) {
+            ids.push_back(row.id.key);
+        }
+    }
+    return ids;
+}
+
+json site_host::ages_of_last_done() const
+{
+    json ages = json::object();
+    for (const auto& [job, at] : last_done_) {
+        ages[job] = base::milliseconds_between(at, time_.now());
+    }
+    return ages;
 }
 
 std::vector<store::row> site_host::rename_workers(const vm_config& vm,
--- a/standins/site_standin/site_host.hpp
+++ b/standins/site_standin/site_host.hpp
@@ -66,6 +66,8 @@
     void crash(const std::string& worker);
     void come_back(const std::string& worker);
     void drain(const std::string& worker);
+    [[nodiscard]] json stored_jobs() const;
+    [[nodiscard]] json ages_of_last_done() const;
     void handle_store(const vm_config& vm, const net::http_request& request,
                       const net::http_responder& responder);
     void handle_worker(const std::string& worker, const net::http_request& request,
@@ -81,6 +83,8 @@
     tests::fake_workers workers_{time_};
     fleet::worker_orders orders_{};
     site_judge judge_{max_attempts};
+    /// When the newest task of each job was done.
+    std::map<std::string, base::time_point> last_done_{};
     std::map<std::string, store::row_store> store_ports_{};
     std::map<std::string, store_faults> store_faults_{};
     std::map<std::string, tests::fake_workers::fate> worker_faults_{};
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -20,6 +20,10 @@
 ABSL_FLAG(std::uint64_t, vms, 4, "entry VMs");
 ABSL_FLAG(std::uint64_t, workers, 8, "workers");
 ABSL_FLAG(std::uint64_t, callers, 8, "callers, each with one call at a time");
+ABSL_FLAG(std::int64_t, retention_s, poplarstile::soak::site_shape{}.status_retention.count(),
+          "how long the state of an ended job is promised");
+ABSL_FLAG(bool, await_removal, false,
+          "each of --seeds goes on until the rows of ended jobs have to be gone");
 ABSL_FLAG(std::string, folder, "", "where logs go; a folder of the build by default");
 ABSL_FLAG(std::string, regressions, "", "file with the seeds that ever failed; played first");
 
@@ -31,6 +35,7 @@
 struct seed_case {
     std::uint64_t seed = 0;
     std::int64_t seconds = 0;
+    bool await_removal = false;
 };
 
 /// Nothing when a part of the text is neither a number nor a range.
@@ -45,7 +50,7 @@
             return std::nullopt;
         }
         for (auto seed = first; seed <= last; ++seed) {
-            cases.push_back({seed, seconds});
+            cases.push_back({seed, seconds, absl::GetFlag(FLAGS_await_removal)});
         }
     }
     return cases;
@@ -68,7 +73,9 @@
     soak::run_options options;
     options.seed = played.seed;
     options.span = std::chrono::seconds{played.seconds};
-    options.shape = {absl::GetFlag(FLAGS_vms), absl::GetFlag(FLAGS_workers)};
+    options.shape = {absl::GetFlag(FLAGS_vms), absl::GetFlag(FLAGS_workers),
+                     std::chrono::seconds{absl::GetFlag(FLAGS_retention_s)}};
+    options.await_removal = played.await_removal;
     options.callers = absl::GetFlag(FLAGS_callers);
     const auto base_folder = absl::GetFlag(FLAGS_folder);
     options.folder = fmt::format("{}/seed-{}-{}s",
@@ -82,9 +89,10 @@
     }
     const auto& seen = result.value();
     std::cout << fmt::format("seed {} ({} s): {} faults, {} jobs, {} accepted, {} refused, settled "
-                             "after {} ms, {} broken promises\n",
+                             "after {} ms, rows gone after {} ms, {} broken promises\n",
                              played.seed, played.seconds, seen.faults, seen.jobs, seen.accepted,
-                             seen.refused, seen.settled_after.count(), seen.violations.size());
+                             seen.refused, seen.settled_after.count(), seen.removed_after.count(),
+                             seen.violations.size());
     for (const auto& violation : seen.violations) {
         std::cout << "  " << violation << "\n";
     }
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+using clock = std::chrono::steady_clock;
 using nlohmann::json;
 using standins::site_standin::step_script;
 
@@ -21,6 +22,8 @@
 constexpr int longest_pause_ms = 300;
 /// What was acknowledged, and a state once shown, is shown everywhere within this time.
 constexpr base::milliseconds visible_after{3'000};
+/// After so many of its jobs a caller asks for an earlier one of any caller.
+constexpr double earlier_job_share = 0.5;
 
 int between(std::mt19937_64& random, int least, int most)
 {
@@ -104,6 +107,11 @@
     return count;
 }
 
+bool job_note::may_be_removed(std::chrono::seconds retention) const
+{
+    return clock::now() >= open_at + retention;
+}
+
 caller_crowd::caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers)
     : site_{site}, seed_{seed}
 {
@@ -153,12 +161,37 @@
 void caller_crowd::work(std::uint64_t seed)
 {
     std::mt19937_64 random{seed};
+    // Of its own, so that a seed's jobs do not depend on these questions.
+    std::mt19937_64 questions{~seed};
     while (!stopping_) {
         live_one_job(random);
+        if (chance(questions, earlier_job_share)) {
+            ask_for_earlier_job(questions);
+        }
         pause(random);
     }
 }
 
+void caller_crowd::ask_for_earlier_job(std::mt19937_64& random)
+{
+    std::vector<std::string> candidates;
+    {
+        const std::lock_guard lock{mutex_};
+        const auto retention = site_.status_retention();
+        for (const auto& [id, noted] : notes_) {
+            if (noted.accepted &&
+                !(is_final(noted.final_state) && noted.may_be_removed(retention))) {
+                candidates.push_back(id);
+            }
+        }
+    }
+    if (!candidates.empty()) {
+        const auto last = static_cast<int>(candidates.size()) - 1;
+        const auto& job = candidates.at(static_cast<std::size_t>(between(random, 0, last)));
+        ask_state(any_vm(random), job);
+    }
+}
+
 job_note caller_crowd::make_job(std::mt19937_64& random)
 {
     job_note job;
@@ -175,6 +208,7 @@
 {
     auto job = make_job(random);
     const auto id = job.script.job;
+    job.open_at = clock::now();
     {
         const std::lock_guard lock{mutex_};
         notes_[id] = job;
@@ -185,7 +219,7 @@
         auto& noted = notes_.at(id);
         noted.accepted = outcome.accepted;
         noted.refused = outcome.refused;
-        noted.accepted_at = std::chrono::steady_clock::now();
+        noted.accepted_at = clock::now();
     }
     if (!outcome.accepted) {
         return;
@@ -210,7 +244,9 @@
 {
     const auto body = encode_job(job.script);
     bool refused = true;
-    for (int attempt = 0; attempt < most_attempts; ++attempt) {
+    // Once the retention is over the same id would be another job.
+    for (int attempt = 0; attempt < most_attempts && !job.may_be_removed(site_.status_retention());
+         ++attempt) {
         const auto vm = any_vm(random);
         const auto reply = site_.call(vm, "POST", job.prefix + job.script.job, body);
         if (reply.ok()) {
@@ -242,11 +278,13 @@
 
 std::string caller_crowd::ask_state(const std::string& vm, const std::string& job)
 {
+    const auto asked = clock::now();
     const auto reply = site_.call(vm, "GET", path_of(job));
     const std::lock_guard lock{mutex_};
     auto& noted = notes_.at(job);
-    const auto known_for = std::chrono::steady_clock::now() - noted.accepted_at;
-    if (reply.status == 410 && noted.accepted && known_for > visible_after) {
+    const auto known_for = clock::now() - noted.accepted_at;
+    if (reply.status == 410 && noted.accepted && known_for > visible_after &&
+        !noted.may_be_removed(site_.status_retention())) {
         violations_.push_back(fmt::format("{}: {} does not know it", job, vm));
     }
     if (!reply.ok()) {
@@ -254,17 +292,26 @@
     }
     const auto document = json::parse(reply.body, nullptr, false);
     auto state = document.is_object() ? document.value("state", "") : std::string{};
-    const bool settled = is_final(noted.final_state) &&
-                         std::chrono::steady_clock::now() - noted.final_at > visible_after;
+    const bool settled = is_final(noted.final_state) && asked - noted.final_at > visible_after;
     if (settled && state != noted.final_state) {
         violations_.push_back(
             fmt::format("{}: {} shows {} after {} was shown", job, vm, state, noted.final_state));
     }
     if (is_final(state) && noted.final_state.empty()) {
         noted.final_state = state;
-        noted.final_at = std::chrono::steady_clock::now();
+        noted.final_at = clock::now();
+    }
+    if (!is_final(state) && !state.empty()) {
+        noted.open_at = std::max(noted.open_at, asked - visible_after);
     }
     return state;
 }
 
+void caller_crowd::note_open(const std::string& job, clock::time_point time)
+{
+    const std::lock_guard lock{mutex_};
+    auto& noted = notes_.at(job);
+    noted.open_at = std::max(noted.open_at, time);
+}
+
 } // namespace poplarstile::soak
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -24,6 +24,8 @@
     job_script script{};
     std::string prefix{};
     std::chrono::steady_clock::time_point accepted_at{};
+    /// Its end was not stored before this time.
+    std::chrono::steady_clock::time_point open_at{};
     /// An attempt to hand it in was answered with success.
     bool accepted = false;
     /// Every attempt so far was refused.
@@ -36,6 +38,9 @@
 
     [[nodiscard]] bool can_be_done() const;
     [[nodiscard]] std::uint64_t tasks() const;
+    /// Whether the retention may be over, counted from the earliest moment at which it may have
+    /// ended.
+    [[nodiscard]] bool may_be_removed(std::chrono::seconds retention) const;
 };
 
 /// Callers that hand jobs in, ask for their states and cancel some, each on its own thread.
@@ -62,6 +67,9 @@
     /// status code where there is none.
     std::string ask_state(const std::string& vm, const std::string& job);
 
+    /// Notes that the job's end was not stored before `time`.
+    void note_open(const std::string& job, std::chrono::steady_clock::time_point time);
+
 private:
     struct attempt_outcome {
         bool accepted = false;
@@ -70,6 +78,7 @@
 
     void work(std::uint64_t seed);
     void live_one_job(std::mt19937_64& random);
+    void ask_for_earlier_job(std::mt19937_64& random);
     [[nodiscard]] job_note make_job(std::mt19937_64& random);
     [[nodiscard]] attempt_outcome hand_in(std::mt19937_64& random, const job_note& job);
     void cancel(const std::string& vm, const std::string& job);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -15,6 +15,8 @@
     base::milliseconds span{10'000};
     site_shape shape{};
     std::size_t callers = 8;
+    /// Goes on until the rows of all ended jobs have to be gone.
+    bool await_removal = false;
     /// Logs and settings of the run go here.
     std::string folder{};
 };
@@ -28,6 +30,8 @@
     std::size_t refused = 0;
     /// From the end of the faults until every accepted job had ended.
     base::milliseconds settled_after{0};
+    /// From then until the rows of the jobs were gone; 0 where that was not awaited.
+    base::milliseconds removed_after{0};
 };
 
 /// Makes the run under way end early, with its processes; may be called from a signal handler.
@@ -35,7 +39,8 @@
 [[nodiscard]] bool stop_requested();
 
 /// Plays one seed: callers and faults for the span, then all faults end and what was accepted has
-/// to end too. Error: the site did not start.
+/// to end too, to be known for its time and, if that is awaited, to be gone after it. Error: the
+/// site did not start.
 [[nodiscard]] base::result<run_result> play(const run_options& options);
 
 } // namespace poplarstile::soak
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -65,9 +65,10 @@
 
 json make_route(const char* name, const char* prefix, int priority)
 {
-    return {{"name", name},     {"service", "service"},         {"host", caller_host},
-            {"prefix", prefix}, {"priority", priority},         {"max_attempts", 3},
-            {"stretch", 3.0},   {"target_completion_ms", 1'000}};
+    return {{"name", name},         {"service", "service"},
+            {"host", caller_host},  {"prefix", prefix},
+            {"priority", priority}, {"max_attempts", max_runs_that_fail},
+            {"stretch", 3.0},       {"target_completion_ms", 1'000}};
 }
 
 json make_configuration()
@@ -84,7 +85,8 @@
 
 } // namespace
 
-soak_site::soak_site(const site_shape& shape, std::string folder) : folder_{std::move(folder)}
+soak_site::soak_site(const site_shape& shape, std::string folder)
+    : folder_{std::move(folder)}, status_retention_{shape.status_retention}
 {
     for (std::size_t index = 1; index <= shape.vms; ++index) {
         vm_names_.push_back(fmt::format("vm{}", index));
@@ -255,7 +257,7 @@
               {"configuration_ms", 2'000},
               {"configuration_stretch_ms", 5'000},
               {"grace_s", 6},
-              {"status_retention_s", 120},
+              {"status_retention_s", status_retention_.count()},
               {"remote_factor", 3}}}};
 }
 
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -22,12 +23,17 @@
 struct site_shape {
     std::size_t vms = 4;
     std::size_t workers = 8;
+    /// How long the state of an ended job is promised.
+    std::chrono::seconds status_retention{10};
 };
 
 /// Accelerators and cores of each worker.
 constexpr std::int64_t worker_accelerators = 8;
 constexpr std::int64_t worker_cpu_milli = 16'000;
 
+/// Runs of a task that fail before its job fails.
+constexpr std::uint64_t max_runs_that_fail = 3;
+
 constexpr const char* caller_host = "site.example";
 constexpr const char* caller_key = "soak-key";
 constexpr const char* urgent_prefix = "/urgent/";
@@ -56,6 +62,11 @@
         return worker_names_;
     }
 
+    [[nodiscard]] std::chrono::seconds status_retention() const
+    {
+        return status_retention_;
+    }
+
     // Processes.
     void signal_vm(const std::string& vm, int number);
     void kill_vm(const std::string& vm);
@@ -112,6 +123,7 @@
                                        const std::string& path, std::string body);
 
     std::string folder_;
+    std::chrono::seconds status_retention_;
     /// Open socket that keeps a block of ports for this site.
     int block_holder_ = -1;
     std::vector<std::string> vm_names_;
