Count an ended job's time from when its end was durable

What operators could see: a row that stays for as long as one leader leads, when the store applies the second try to store its end late as well; and, in a store that stays slow, a leader that counts from another time than the row has. Cause: the time in memory was computed back from the time of the applied try, and was empty where that was too long ago. Found by the review.

The tests of an outage and of a late try replace the leader after the end, so that the stored time is what counts: with the stamp made once and not for each try, no test failed before.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -262,9 +262,9 @@
     /// The change of a job's row to that of an ended job, with the time of the try that stores it.
     [[nodiscard]] store::journal_write end_write(std::size_t part, const std::string& id,
                                                  batch::finished_job finished) const;
-    /// The time that the newest durable end of a part was stored with; empty when that is not known
-    /// or too long ago.
-    [[nodiscard]] std::optional<base::store_time> stored_end(std::size_t part) const;
+    /// True when the newest durable commit of a part was applied long after it was sent, so that
+    /// the times in it are too early.
+    [[nodiscard]] bool applied_late(std::size_t part) const;
     /// Notes an ended job, and stores its end anew when its time is not known.
     void add_ended_job(std::size_t part, const std::string& id, batch::finished_job finished);
     void store_end_time(std::size_t part, const std::string& id,
--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -17,8 +17,8 @@
 constexpr base::event_logger log{"leader"};
 /// Added to the retention promised to callers, to cover clock differences and delays.
 constexpr base::milliseconds retention_slack{10'000};
-/// An end whose try was applied later than this after it was sent is stored again with a new time.
-constexpr base::milliseconds max_end_age{2'000};
+/// An end that the store applies later than this after it was sent is stored again with a new time.
+constexpr base::milliseconds max_apply_delay{2'000};
 /// Rows of one part that are removed in one tick.
 constexpr std::size_t max_rows_removed_at_once = 20;
 
@@ -56,7 +56,8 @@
             remove_cancel(id, cancel_part);
         }
     }
-    finished.ended_at = stored_end(part);
+    const bool late = applied_late(part);
+    finished.ended_at = store_clock_->newest();
     log.info("job_ended", {{"job", id},
                            {"status", batch::name_of(finished.status)},
                            {"queue", finished.queue},
@@ -64,11 +65,14 @@
                            {"objective_ms", entry.state.objective().count()},
                            {"store_part", options_.parts.name(part)},
                            {"ended_store_ms", base::to_stored_ms(finished.ended_at)},
-                           {"store_ms", base::to_stored_ms(store_clock_->newest())}});
+                           {"applied_late", late}});
     report_span(leader_span::job_until_end, age_of(entry.state));
     publish_status(id, entry, finished.status);
     jobs_.erase(found);
-    add_ended_job(part, id, std::move(finished));
+    add_ended_job(part, id, finished);
+    if (late) {
+        store_end_time(part, id, finished);
+    }
 }
 
 store::journal_write leader::end_write(std::size_t part, const std::string& id,
@@ -81,12 +85,11 @@
             }};
 }
 
-std::optional<base::store_time> leader::stored_end(std::size_t part) const
+bool leader::applied_late(std::size_t part) const
 {
-    const auto sent_at = store_clock_->estimate(parts_.at(part).journal->confirmed_at());
+    const auto sent = store_clock_->estimate(parts_.at(part).journal->confirmed_at());
     const auto now = store_clock_->newest();
-    const bool applied_late = sent_at && now && *now - *sent_at > max_end_age;
-    return applied_late ? std::nullopt : sent_at;
+    return sent && now && *now - *sent > max_apply_delay;
 }
 
 void leader::add_ended_job(std::size_t part, const std::string& id, batch::finished_job finished)
@@ -117,7 +120,7 @@
     store::journal_entry written;
     written.writes.push_back(end_write(part, id, finished));
     written.on_durable = [this, id, part] {
-        const auto ended_at = stored_end(part);
+        const auto ended_at = store_clock_->newest();
         log.warning("end_time_stored_anew", {{"job", id},
                                              {"store_part", options_.parts.name(part)},
                                              {"ended_store_ms", base::to_stored_ms(ended_at)},
--- a/tests/control/ended_job_retention_test.cpp
+++ b/tests/control/ended_job_retention_test.cpp
@@ -104,6 +104,9 @@
     site.store.away_parts.clear();
 
     ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+    site.time.run_for(milliseconds{100});
+    // A successor has only the stored time.
+    replace_leader();
     expect_kept_for_its_time(id);
 }
 
@@ -123,6 +126,8 @@
     };
 
     ASSERT_EQ(site.await_end(id, seconds{60}), batch::job_status::completed);
+    site.time.run_for(seconds{3});
+    replace_leader();
     expect_kept_for_its_time(id);
 }
 
