Keep the leases of a leader that is cut off within its authority

What could happen: two runs of one task at a time. A leader that is cut off from the store and the other VMs, with a worker that only it reaches, extends leases there until 9 s after its newest confirmed commit; its successor waits so long before it starts the runs elsewhere. Cause: the end of a lease was counted from the latest that the worker's clock may read. A poll waits up to 2 s at the worker, so that is up to 2 s ahead, and 2 % of the time since the last reading more on a slow clock; a lease outlived the authority by as much. Class of fault: two clocks compared, and a stale reading used as the present.

Change: a lease ends at the earlier of the longest lease after the latest reading and the authority after the earliest reading, which is that of the slowest clock since the reading came. As leases on a clock read minutes ago would be too short to start with, the clock of an idle worker is read each minute.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -288,7 +288,7 @@
     void acknowledge_ends(const std::string& id, std::uint64_t born, std::uint64_t number);
     void check_missing(worker_state& worker, base::time_point sent, const fleet::look_reply& reply);
     void end_expired_runs(worker_state& worker);
-    [[nodiscard]] static bool needs_poll(const worker_state& worker);
+    [[nodiscard]] bool needs_poll(const worker_state& worker) const;
     /// True when a draining worker has removed its registration, so that nothing runs there any
     /// more.
     [[nodiscard]] bool has_deregistered(const worker_state& worker) const;
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -19,14 +19,21 @@
 constexpr base::milliseconds storing_poll_interval{400};
 /// A run whose start was answered is listed by polls sent more than this much later.
 constexpr base::milliseconds poll_slack{5};
+/// A worker's clock is read again after this time, before what is known of it is so uncertain that
+/// a lease would be over when it is granted.
+constexpr base::milliseconds max_clock_age{60'000};
 
 } // namespace
 
-bool leader::needs_poll(const worker_state& worker)
+bool leader::needs_poll(const worker_state& worker) const
 {
     if (worker.facts.address.empty()) {
         return false;
     }
+    const auto clock_read = worker.clock.observed_at();
+    if (worker.listed && clock_read && ports_.time->now() - *clock_read > max_clock_age) {
+        return true;
+    }
     return !worker.runs.empty() || worker.unknown_runs > 0 ||
            worker.last_received_end > worker.acknowledged || (!worker.fenced && worker.listed);
 }
@@ -38,11 +45,12 @@
     }
     const auto authority = std::chrono::duration_cast<base::milliseconds>(
         confirmed_at() + options_.lease_horizon - now);
-    const auto length = std::min(options_.longest_lease, authority);
-    if (length <= base::milliseconds{0}) {
+    if (authority <= base::milliseconds{0}) {
         return std::nullopt;
     }
-    const auto until = worker.clock.lease_until(now, length);
+    // The worker must not hold a lease beyond the authority, whatever its clock reads now.
+    const auto until = std::min(worker.clock.lease_until(now, options_.longest_lease),
+                                worker.clock.earliest_reading(now) + authority.count());
     worker.greatest_lease = std::max(worker.greatest_lease, until);
     return until;
 }
--- a/src/fleet/worker_clock.cpp
+++ b/src/fleet/worker_clock.cpp
@@ -23,6 +23,16 @@
     return observed_->worker_ms + std::max<std::int64_t>(elapsed.count(), 0);
 }
 
+std::int64_t worker_clock::earliest_reading(base::time_point when) const
+{
+    if (!observed_) {
+        return 0;
+    }
+    const auto elapsed = std::chrono::floor<base::milliseconds>(when - observed_->received);
+    const auto least = static_cast<double>(std::max<std::int64_t>(elapsed.count(), 0));
+    return observed_->worker_ms + static_cast<std::int64_t>(least * slowest_clock_rate);
+}
+
 base::time_point worker_clock::surely_passed(std::int64_t worker_ms) const
 {
     if (!observed_) {
--- a/src/fleet/worker_clock.hpp
+++ b/src/fleet/worker_clock.hpp
@@ -26,6 +26,15 @@
     /// The greatest that the worker's clock can read at `when`.
     [[nodiscard]] std::int64_t latest_reading(base::time_point when) const;
 
+    /// The least that the worker's clock can read at `when`.
+    [[nodiscard]] std::int64_t earliest_reading(base::time_point when) const;
+
+    /// When the newest reading was received; empty while the clock is not known.
+    [[nodiscard]] std::optional<base::time_point> observed_at() const
+    {
+        return observed_ ? std::optional{observed_->received} : std::nullopt;
+    }
+
     /// A lease that ends `length` from `when` by the worker's clock, as that clock counts.
     [[nodiscard]] std::int64_t lease_until(base::time_point when, base::milliseconds length) const
     {
--- a/tests/fleet/worker_clock_test.cpp
+++ b/tests/fleet/worker_clock_test.cpp
@@ -56,5 +56,15 @@
     EXPECT_EQ(clock.latest_reading(start + seconds{1}), 2'000);
 }
 
+TEST(worker_clock, TheEarliestReadingIsThatOfASlowClockReadWhenTheAnswerCame)
+{
+    worker_clock clock;
+    clock.observe(1'000, start, start + seconds{2});
+
+    EXPECT_EQ(clock.earliest_reading(start + seconds{2}), 1'000);
+    EXPECT_EQ(clock.earliest_reading(start + seconds{102}), 99'000);
+    EXPECT_EQ(clock.latest_reading(start + seconds{102}), 103'000);
+}
+
 } // namespace
 } // namespace poplarstile::fleet
