Count waiting jobs behind more ended ones than a read returns

What callers could see: a queue without waiting jobs, though many wait, on a VM that hears no leader. Cause: the first 500 rows of a part were read and the rest left out; with ended jobs kept for 130 s a part has more of them from 4 jobs a second on. Class of fault: a bound that no test lived long enough to reach.

Change: all pages of jobs and then of runs are read, part by part; a count holds the ids of open jobs and takes out those with runs.

Before: queue_query.CountsWaitingJobsBehindManyEndedOnes gives 0 for 3 and DoesNotCountStartedJobsBehindManyOtherRuns 0 for 1. After: frontend_test 16 pass.

--- a/src/frontend/api_frontend.hpp
+++ b/src/frontend/api_frontend.hpp
@@ -142,6 +142,8 @@
 private:
     struct pending_call;
     using call_ptr = std::shared_ptr<pending_call>;
+    struct waiting_count;
+    using waiting_count_ptr = std::shared_ptr<waiting_count>;
 
     void submit(const call_ptr& call);
     void store_submission(const call_ptr& call);
@@ -159,7 +161,12 @@
     /// Repeats a read of the part that was not served, as long as the caller waits.
     void repeat_read(const call_ptr& call, const std::string& part, std::function<void()> read);
     void show_queue(const call_ptr& call);
-    void count_waiting(const call_ptr& call, std::size_t part, std::uint32_t counted);
+    /// Counts the jobs of the call's queue that have not started, part by part.
+    void count_waiting(const call_ptr& call, const waiting_count_ptr& count);
+    void read_open_jobs(const call_ptr& call, const waiting_count_ptr& count,
+                        const std::string& from);
+    void remove_started_jobs(const call_ptr& call, const waiting_count_ptr& count,
+                             const std::string& from);
     /// The part for a new row of the job: its home part, or the next one that is available if the
     /// job is known to be new.
     [[nodiscard]] std::optional<std::size_t> choose_part(const std::string& job) const;
--- a/src/frontend/api_frontend_queries.cpp
+++ b/src/frontend/api_frontend_queries.cpp
@@ -6,13 +6,26 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
+#include <memory>
+#include <set>
 #include <utility>
+#include <vector>
 
 /// Queries for jobs and queues, answered from the leader's heartbeats where these are current, else
 /// from the store.
 namespace poplarstile::frontend
 {
+
+/// How many jobs of a queue wait, as far as the parts of the store have been read.
+struct api_frontend::waiting_count {
+    /// Index of the part that is being read.
+    std::size_t part = 0;
+    /// Jobs of this part that have not ended, without those that are known to have started.
+    std::set<std::string> unstarted{};
+    /// Jobs that wait in the parts before it.
+    std::uint32_t waiting = 0;
+};
+
 namespace
 {
 
@@ -22,22 +35,18 @@
 constexpr base::event_logger log{"door"};
 constexpr std::uint32_t max_rows_per_read = 500;
 
-/// Counts the jobs of a queue that have no record of runs.
-std::uint32_t count_unstarted_jobs(const store::read_reply& jobs, const store::read_reply& runs,
-                                   const std::string& queue)
+/// Adds the ids of those jobs of a queue that have not ended.
+void collect_open_jobs(const std::vector<store::row>& rows, const std::string& queue,
+                       std::set<std::string>& open)
 {
-    std::uint32_t waiting = 0;
-    for (const auto& row : jobs.rows) {
-        const bool started = std::ranges::any_of(
-            runs.rows, [&row](const store::row& run) { return run.id.key == row.id.key; });
+    for (const auto& row : rows) {
         const auto decoded = batch::decode_job_row(row.value);
-        if (started || !decoded.has_value()) {
-            continue;
+        const auto* const accepted =
+            decoded.has_value() ? std::get_if<batch::submission>(&decoded.value()) : nullptr;
+        if (accepted != nullptr && accepted->policy.queue == queue) {
+            open.insert(row.id.key);
         }
-        const auto* const accepted = std::get_if<batch::submission>(&decoded.value());
-        waiting += accepted != nullptr && accepted->policy.queue == queue ? 1 : 0;
     }
-    return waiting;
 }
 
 } // namespace
@@ -179,42 +188,69 @@
         finish(call, queue_shown{load->waiting});
         return;
     }
-    count_waiting(call, 0, 0);
+    count_waiting(call, std::make_shared<waiting_count>());
 }
 
-void api_frontend::count_waiting(const call_ptr& call, std::size_t part, std::uint32_t counted)
+void api_frontend::count_waiting(const call_ptr& call, const waiting_count_ptr& count)
 {
-    if (part == options_.parts.size()) {
-        finish(call, queue_shown{counted});
+    if (count->part == options_.parts.size()) {
+        finish(call, queue_shown{count->waiting});
         return;
     }
     ++counters_.store_reads;
-    const auto again = [this, call, part, counted] { count_waiting(call, part, counted); };
-    const auto& name = options_.parts.name(part);
+    read_open_jobs(call, count, {});
+}
+
+void api_frontend::read_open_jobs(const call_ptr& call, const waiting_count_ptr& count,
+                                  const std::string& from)
+{
     ports_.rows->read(
-        {"jobs", name, {}, {}, max_rows_per_read},
-        [this, call, part, counted, again, name, alive = alive_](const store::read_reply& jobs) {
+        {"jobs", options_.parts.name(count->part), from, {}, max_rows_per_read},
+        [this, call, count, from, alive = alive_](const store::read_reply& jobs) {
             if (!*alive) {
                 return;
             }
             if (jobs.outcome != store::call_outcome::done) {
-                retry(call, again, call_outcome_unknown{});
+                retry(
+                    call, [this, call, count, from] { read_open_jobs(call, count, from); },
+                    call_outcome_unknown{});
+                return;
+            }
+            collect_open_jobs(jobs.rows, call->queue->policy.queue, count->unstarted);
+            if (jobs.truncated && !jobs.rows.empty()) {
+                read_open_jobs(call, count, store::after_key(jobs.rows.back().id.key));
+            } else {
+                remove_started_jobs(call, count, {});
+            }
+        });
+}
+
+void api_frontend::remove_started_jobs(const call_ptr& call, const waiting_count_ptr& count,
+                                       const std::string& from)
+{
+    ports_.rows->read(
+        {"runs", options_.parts.name(count->part), from, {}, max_rows_per_read},
+        [this, call, count, from, alive = alive_](const store::read_reply& runs) {
+            if (!*alive) {
+                return;
+            }
+            if (runs.outcome != store::call_outcome::done) {
+                retry(
+                    call, [this, call, count, from] { remove_started_jobs(call, count, from); },
+                    call_outcome_unknown{});
+                return;
+            }
+            for (const auto& run : runs.rows) {
+                count->unstarted.erase(run.id.key);
+            }
+            if (runs.truncated && !runs.rows.empty()) {
+                remove_started_jobs(call, count, store::after_key(runs.rows.back().id.key));
                 return;
             }
-            ports_.rows->read(
-                {"runs", name, {}, {}, max_rows_per_read},
-                [this, call, part, counted, again, jobs, alive](const store::read_reply& runs) {
-                    if (!*alive) {
-                        return;
-                    }
-                    if (runs.outcome != store::call_outcome::done) {
-                        retry(call, again, call_outcome_unknown{});
-                        return;
-                    }
-                    count_waiting(call, part + 1,
-                                  counted +
-                                      count_unstarted_jobs(jobs, runs, call->queue->policy.queue));
-                });
+            count->waiting += static_cast<std::uint32_t>(count->unstarted.size());
+            count->unstarted.clear();
+            ++count->part;
+            count_waiting(call, count);
         });
 }
 
