--- a/tests/control/duplicate_rows_test.cpp
+++ b/tests/control/duplicate_rows_test.cpp
@@ -1,6 +1,4 @@
-#include "support/site_fixture.hpp"
-
-#include <gtest/gtest.h>
+#include "support/row_retention_test.hpp"
 
 /// A job that is stored in two parts, because a reply was lost, runs once: the row of its end stays
 /// until the other row is gone.
@@ -12,20 +10,12 @@
 using base::milliseconds;
 using std::chrono::seconds;
 
-constexpr batch::resources worker_capacity{32'000, 65'536, 8};
-constexpr batch::resources small_task{2'000, 4'000, 1};
-/// The row of an ended job is gone after this time beyond the retention.
-constexpr seconds removal_bound{20};
-
-class duplicate_rows : public testing::Test
+class duplicate_rows : public row_retention_test
 {
 protected:
-    duplicate_rows()
+    duplicate_rows() : row_retention_test{milliseconds{500}}
     {
         site.leading.status_retention = seconds{5};
-        site.workers.add("w1", "r1-1", worker_capacity);
-        site.workers.need = [](const std::string& /*task*/) { return small_task; };
-        site.workers.duration = [](const std::string& /*task*/) { return milliseconds{500}; };
     }
 
     /// Starts a VM whose feeds are refused while `feed_away` is set.
@@ -54,14 +44,9 @@
     {
         site.store.put({"jobs", other_part(), id}, batch::encode(make_job(id, 1, small_task)));
     }
-    void wait_for_removal()
-    {
-        site.time.run_for(site.leading.status_retention + removal_bound);
-    }
 
     std::string id{"0000000000000001"};
     bool feed_away = false;
-    site_fixture site;
 };
 
 TEST_F(duplicate_rows, ARowThatCannotBeDroppedYetDoesNotRunUnderTheNextLeader)
--- a/tests/control/ended_job_retention_test.cpp
+++ b/tests/control/ended_job_retention_test.cpp
@@ -1,6 +1,4 @@
-#include "support/site_fixture.hpp"
-
-#include <gtest/gtest.h>
+#include "support/row_retention_test.hpp"
 
 /// The stored state of an ended job is kept for the time promised to callers, and not much longer,
 /// whatever happens to leaders and parts of the store when the job ends.
@@ -12,20 +10,12 @@
 using base::milliseconds;
 using std::chrono::seconds;
 
-constexpr batch::resources worker_capacity{32'000, 65'536, 8};
-constexpr batch::resources small_task{2'000, 4'000, 1};
-/// The leader may keep a row for this long after its time is over.
-constexpr seconds removal_bound{20};
-
-class ended_job_retention : public testing::Test
+class ended_job_retention : public row_retention_test
 {
 protected:
-    ended_job_retention()
+    ended_job_retention() : row_retention_test{milliseconds{2'500}}
     {
-        site.workers.add("w1", "r1-1", worker_capacity);
         site.workers.add("w2", "r1-1", worker_capacity);
-        site.workers.need = [](const std::string& /*task*/) { return small_task; };
-        site.workers.duration = [](const std::string& /*task*/) { return milliseconds{2'500}; };
     }
 
     void start_vms()
@@ -36,16 +26,6 @@
         ASSERT_NE(site.await_leader(), nullptr);
     }
 
-    void replace_leader()
-    {
-        auto* const leader = site.leading_vm();
-        ASSERT_NE(leader, nullptr);
-        const auto name = leader->name;
-        site.stop(name);
-        ASSERT_NE(site.await_leader(), nullptr);
-        site.start(name);
-    }
-
     [[nodiscard]] bool is_stored(const std::string& id) const
     {
         return site.store.find({"jobs", site.part_of(id), id}).has_value();
@@ -74,8 +54,6 @@
             }
         }
     }
-
-    site_fixture site;
 };
 
 TEST_F(ended_job_retention, AnEndStoredRightAfterATakeoverIsKeptForItsTime)
@@ -180,7 +158,7 @@
     site.store.put({"jobs", other, id}, batch::encode(duplicate));
     site.submit(duplicate);
     ASSERT_EQ(site.await_end(id), batch::job_status::completed);
-    site.time.run_for(site.leading.status_retention + removal_bound);
+    wait_for_removal();
 
     site.store.away_parts.clear();
     site.time.run_for(seconds{20});
--- a/tests/control/removed_job_test.cpp
+++ b/tests/control/removed_job_test.cpp
@@ -1,6 +1,4 @@
-#include "support/site_fixture.hpp"
-
-#include <gtest/gtest.h>
+#include "support/row_retention_test.hpp"
 
 /// An accepted job runs once and its rows go in the end, also when a leader learns late of some of
 /// its rows.
@@ -12,34 +10,16 @@
 using base::milliseconds;
 using std::chrono::seconds;
 
-constexpr batch::resources worker_capacity{32'000, 65'536, 8};
-constexpr batch::resources small_task{2'000, 4'000, 1};
-/// The leader may keep a row for this long after its time is over.
-constexpr seconds removal_bound{20};
-
-class removed_job : public testing::Test
+class removed_job : public row_retention_test
 {
 protected:
-    removed_job()
+    removed_job() : row_retention_test{milliseconds{500}}
     {
-        site.workers.add("w1", "r1-1", worker_capacity);
-        site.workers.need = [](const std::string& /*task*/) { return small_task; };
-        site.workers.duration = [](const std::string& /*task*/) { return milliseconds{500}; };
         for (const auto* const name : {"vm1", "vm2", "vm3"}) {
             site.start(name);
         }
     }
 
-    void replace_leader()
-    {
-        auto* const leader = site.leading_vm();
-        ASSERT_NE(leader, nullptr);
-        const auto name = leader->name;
-        site.stop(name);
-        ASSERT_NE(site.await_leader(), nullptr);
-        site.start(name);
-    }
-
     /// The leader's reads and feeds are refused; its writes are served.
     void refuse_reads_of(const std::string& leader)
     {
@@ -53,8 +33,6 @@
             return fake_store::fate::serve;
         };
     }
-
-    site_fixture site;
     const std::string id{"0000000000000001"};
 };
 
@@ -100,7 +78,7 @@
     refuse_reads_of(leader->name);
     site.time.run_for(seconds{3});
     site.store.put({"jobs", other, id}, batch::encode(make_job(id, 1, small_task)));
-    site.time.run_for(site.leading.status_retention + removal_bound);
+    wait_for_removal();
     serve_all();
     site.time.run_for(seconds{10});
 
@@ -119,7 +97,7 @@
     const store::row_id row{"jobs", site.part_of(id), id};
     leader->node->report_stored_row(*site.store.find(row));
     ASSERT_EQ(site.await_end(id), batch::job_status::completed);
-    site.time.run_for(site.leading.status_retention + removal_bound);
+    wait_for_removal();
     serve_all();
     site.time.run_for(seconds{10});
 
@@ -137,7 +115,7 @@
     auto* const leader = site.await_leader();
     ASSERT_NE(leader, nullptr);
 
-    site.time.run_for(site.leading.status_retention + removal_bound);
+    wait_for_removal();
 
     EXPECT_EQ(site.leading_vm(), leader);
     EXPECT_TRUE(site.store.all("jobs").empty());
@@ -148,7 +126,7 @@
     ASSERT_NE(site.await_leader(), nullptr);
     site.cancel(id);
 
-    site.time.run_for(site.leading.status_retention + removal_bound);
+    wait_for_removal();
 
     EXPECT_TRUE(site.store.all("jobs").empty());
 }
--- a/tests/control/replayed_rows_test.cpp
+++ b/tests/control/replayed_rows_test.cpp
@@ -1,6 +1,4 @@
-#include "support/site_fixture.hpp"
-
-#include <gtest/gtest.h>
+#include "support/row_retention_test.hpp"
 
 /// A row that the leader hears of late, when it is gone from the store, is no new job; a row that
 /// comes while parts are read is not missed.
@@ -12,20 +10,12 @@
 using base::milliseconds;
 using std::chrono::seconds;
 
-constexpr batch::resources worker_capacity{32'000, 65'536, 8};
-constexpr batch::resources small_task{2'000, 4'000, 1};
-/// The row of an ended job is gone after this time beyond the retention.
-constexpr seconds removal_bound{20};
-
-class replayed_rows : public testing::Test
+class replayed_rows : public row_retention_test
 {
 protected:
-    replayed_rows()
+    replayed_rows() : row_retention_test{milliseconds{500}}
     {
         site.leading.status_retention = seconds{5};
-        site.workers.add("w1", "r1-1", worker_capacity);
-        site.workers.need = [](const std::string& /*task*/) { return small_task; };
-        site.workers.duration = [](const std::string& /*task*/) { return milliseconds{500}; };
     }
 
     /// Starts a VM whose reads pass through `read_through`, if that is set.
@@ -68,7 +58,6 @@
     std::function<void(const reader&, store::read_range,
                        const std::function<void(store::read_reply)>&)>
         read_through{};
-    site_fixture site;
 };
 
 TEST_F(replayed_rows, ALateReportOfARemovedJobIsNotANewJob)
@@ -78,7 +67,7 @@
     site.submit(make_job(id, 1, small_task));
     const auto accepted = *site.store.find(row_in(home()));
     ASSERT_EQ(site.await_end(id), batch::job_status::completed);
-    site.time.run_for(site.leading.status_retention + removal_bound);
+    wait_for_removal();
     ASSERT_FALSE(site.store.find(row_in(home())));
 
     // A VM that was frozen for long reports the row that it stored.
@@ -134,7 +123,7 @@
     ASSERT_NE(site.await_leader(), nullptr);
     site.submit(make_job(id, 1, small_task));
     ASSERT_EQ(site.await_end(id), batch::job_status::completed);
-    site.time.run_for(site.leading.status_retention + removal_bound);
+    wait_for_removal();
 
     served = true;
     site.time.run_for(seconds{10});
--- /dev/null
+++ b/tests/soak/soak_judge.cpp
@@ -0,0 +1,212 @@
+#include "soak/soak_judge.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <map>
+#include <set>
+#include <thread>
+
+namespace poplarstile::soak
+{
+namespace
+{
+
+using clock = std::chrono::steady_clock;
+
+/// After that every accepted job ends within this time.
+constexpr base::milliseconds finish_bound{14'000};
+/// The row of an ended job is gone so long after its retention; the leader waits for 10 s of it.
+constexpr base::milliseconds removal_bound{15'000};
+/// Answer to a question for a job that does not exist.
+constexpr const char* unknown_job = "410";
+constexpr base::milliseconds poll_interval{100};
+
+template <class Condition>
+std::vector<std::string> jobs_where(const caller_crowd& callers, const Condition& holds)
+{
+    std::vector<std::string> found;
+    for (const auto& [id, note] : callers.notes()) {
+        if (holds(note)) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+/// Jobs that have to end: accepted, and nobody wished otherwise.
+std::vector<std::string> owed_jobs(const caller_crowd& callers)
+{
+    return jobs_where(callers, [](const auto& note) { return note.accepted && !note.cancelled; });
+}
+
+base::milliseconds since(clock::time_point started)
+{
+    return std::chrono::duration_cast<base::milliseconds>(clock::now() - started);
+}
+
+/// Whether `ask_state` gave a job's state, and no status code.
+bool is_state(const std::string& answer)
+{
+    return !answer.empty() && std::isalpha(static_cast<unsigned char>(answer.front())) != 0;
+}
+
+/// Asks for the jobs, at each of the VMs in turn, until `holds` is true of each one's state or the
+/// bound is over. The jobs left, with their last states.
+template <class Condition>
+std::map<std::string, std::string> ask_until(caller_crowd& callers,
+                                             const std::vector<std::string>& vms,
+                                             std::vector<std::string> jobs, const Condition& holds)
+{
+    const auto started = clock::now();
+    std::map<std::string, std::string> last_state;
+    for (std::size_t turn = 0; !jobs.empty() && !stop_requested() && since(started) < finish_bound;
+         ++turn) {
+        std::erase_if(jobs, [&](const std::string& job) {
+            last_state[job] = callers.ask_state(vms.at(turn % vms.size()), job);
+            return holds(job, last_state[job]);
+        });
+        std::this_thread::sleep_for(poll_interval);
+    }
+    std::erase_if(last_state, [&](const auto& entry) {
+        return std::ranges::find(jobs, entry.first) == jobs.end();
+    });
+    return last_state;
+}
+
+/// Whether the workers did all that the job's end takes: its tasks, or the attempts that fail it.
+bool could_end(const nlohmann::json& report, const job_note& note)
+{
+    const auto& job = note.script.job;
+    return note.can_be_done()
+               ? report.at("done").value(job, std::uint64_t{0}) == note.tasks()
+               : report.at("starts").value(job, std::uint64_t{0}) >= max_runs_that_fail;
+}
+
+/// A job that was completed had not ended before its last task was done.
+void note_last_work(soak_site& site, caller_crowd& callers)
+{
+    const auto asked = clock::now();
+    const auto ages = site.report().at("last_done_ms_ago");
+    for (const auto& job : owed_jobs(callers)) {
+        if (callers.notes().at(job).can_be_done() && ages.contains(job)) {
+            callers.note_open(job, asked - base::milliseconds{ages.at(job).get<std::int64_t>()});
+        }
+    }
+}
+
+/// Starts the VM again: it has seen no end of a job, and answers from the store.
+void start_anew(soak_site& site, const std::string& vm, run_result& result)
+{
+    site.kill_vm(vm);
+    site.ensure_vm(vm);
+    if (!site.await_ready(ready_bound)) {
+        result.violations.push_back(vm + ": takes no calls after its start");
+    }
+}
+
+} // namespace
+
+void append(std::vector<std::string>& all, const std::vector<std::string>& more)
+{
+    all.insert(all.end(), more.begin(), more.end());
+}
+
+void await_ends(soak_site& site, caller_crowd& callers, run_result& result)
+{
+    const auto started = clock::now();
+    const auto open =
+        ask_until(callers, site.vms(), owed_jobs(callers),
+                  [&](const std::string& job, const std::string& state) {
+                      const auto& note = callers.notes().at(job);
+                      const std::string wanted = note.can_be_done() ? "completed" : "failed";
+                      // Its time may be over though no caller happened to see its end.
+                      const bool ended = note.final_state.empty() ? could_end(site.report(), note)
+                                                                  : note.final_state == wanted;
+                      return state == wanted || (state == unknown_job && ended &&
+                                                 note.may_be_removed(site.status_retention()));
+                  });
+    result.settled_after = since(started);
+    for (const auto& [job, state] : open) {
+        result.violations.push_back(
+            fmt::format("{}: accepted, and still {} at the end", job, state));
+    }
+}
+
+void judge_known(soak_site& site, caller_crowd& callers, run_result& result)
+{
+    note_last_work(site, callers);
+    const auto& vm = site.vms().front();
+    start_anew(site, vm, result);
+    const auto unknown = ask_until(
+        callers, {vm}, jobs_where(callers, [](const auto& note) { return note.accepted; }),
+        [&](const std::string& job, const std::string& state) {
+            const auto& note = callers.notes().at(job);
+            return is_state(state) || note.may_be_removed(site.status_retention());
+        });
+    for (const auto& [job, state] : unknown) {
+        result.violations.push_back(
+            fmt::format("{}: accepted, and {} answers {} at the end", job, vm, state));
+    }
+}
+
+void judge_removal(soak_site& site, caller_crowd& callers, run_result& result)
+{
+    const auto started = clock::now();
+    const auto owed = owed_jobs(callers);
+    auto stored = owed;
+    while (!stored.empty() && !stop_requested() &&
+           since(started) < site.status_retention() + removal_bound) {
+        const auto rows = site.report().at("stored_jobs").get<std::set<std::string>>();
+        std::erase_if(stored, [&](const std::string& job) {
+            if (rows.contains(job)) {
+                return false;
+            }
+            if (!callers.notes().at(job).may_be_removed(site.status_retention())) {
+                result.violations.push_back(job + ": its row was removed before its time");
+            }
+            return true;
+        });
+        std::this_thread::sleep_for(poll_interval);
+    }
+    result.removed_after = since(started);
+    for (const auto& job : stored) {
+        result.violations.push_back(job + ": its row is stored long after its time");
+    }
+    const auto& vm = site.vms().back();
+    start_anew(site, vm, result);
+    const auto shown =
+        ask_until(callers, {vm}, owed, [](const std::string& /*job*/, const std::string& state) {
+            return state == unknown_job;
+        });
+    for (const auto& [job, state] : shown) {
+        result.violations.push_back(
+            fmt::format("{}: {} answers {} long after its time", job, vm, state));
+    }
+}
+
+void judge_workers(const nlohmann::json& report, const caller_crowd& callers, run_result& result)
+{
+    append(result.violations, report.at("violations").get<std::vector<std::string>>());
+    const auto starts = report.at("starts").get<std::map<std::string, std::uint64_t>>();
+    const auto done = report.at("done").get<std::map<std::string, std::uint64_t>>();
+    for (const auto& [job, count] : starts) {
+        const auto found = callers.notes().find(job);
+        if (found == callers.notes().end()) {
+            result.violations.push_back(job + ": started, and nobody handed it in");
+        } else if (found->second.refused) {
+            result.violations.push_back(job + ": started, though every attempt was refused");
+        }
+    }
+    for (const auto& [job, note] : callers.notes()) {
+        const auto found = done.find(job);
+        const auto ended = found == done.end() ? 0 : found->second;
+        if (note.final_state == "completed" && ended != note.tasks()) {
+            result.violations.push_back(fmt::format(
+                "{}: shown as completed with {} of {} tasks done", job, ended, note.tasks()));
+        }
+    }
+}
+
+} // namespace poplarstile::soak
