Log what callers have open when a process ends

The logs could not tell whether a request that got no answer at a shutdown came after the last look at the open requests, or was in flight and not counted. Both daemons now log the open requests, the open connections and the time since the newest request when they end. The time is measured inside the server, on one clock: the row store's daemon has timers of its own that go on while it is suspended. No logic is changed.

--- a/apps/poplarstiled/caller_gateway.cpp
+++ b/apps/poplarstiled/caller_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "answers.hpp"
 
+#include "base/log.hpp"
 #include "gateway/caller_request.hpp"
 
 #include <fmt/format.h>
@@ -16,6 +17,7 @@
 using base::error_code;
 using dispatch::outcome;
 
+constexpr base::logger log{"callers"};
 constexpr base::milliseconds not_ready_retry{1'000};
 /// Beyond the longest deadline, so that the dispatcher's answer always comes first.
 constexpr base::milliseconds handler_margin{5'000};
@@ -59,6 +61,16 @@
     return server_ ? server_->open_requests() : 0;
 }
 
+void caller_gateway::log_open() const
+{
+    if (server_) {
+        log.info("Ends with {} requests and {} connections of callers open, {} ms after the newest "
+                 "request.",
+                 server_->open_requests(), server_->open_connections(),
+                 server_->since_newest_request().count());
+    }
+}
+
 void caller_gateway::handle(const net::http_request& request, const net::http_responder& responder)
 {
     const auto path_text = request.path;
--- a/apps/poplarstiled/caller_gateway.hpp
+++ b/apps/poplarstiled/caller_gateway.hpp
@@ -23,6 +23,9 @@
     /// Requests and job submissions whose answers have not been written out to the end.
     [[nodiscard]] std::size_t open_requests() const;
 
+    /// Logs what callers have open when the process ends.
+    void log_open() const;
+
 private:
     void handle(const net::http_request& request, const net::http_responder& responder);
     void handle_short(const net::http_request& request, std::string_view service,
--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -151,6 +151,9 @@
 
 vm_daemon::~vm_daemon()
 {
+    if (callers_) {
+        callers_->log_open();
+    }
     callers_.reset();
     operators_.reset();
     peer_port_.reset();
--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -74,7 +74,11 @@
     parts_->flush_later();
     parts_->poll_settings();
     parts_->context.run();
-    log.info("stopped", {{"lease_returned", parts_->lease_returned}});
+    const auto& callers = *parts_->caller_port;
+    log.info("stopped", {{"lease_returned", parts_->lease_returned},
+                         {"open_requests", callers.open_requests()},
+                         {"open_connections", callers.open_connections()},
+                         {"newest_request_ms_ago", callers.since_newest_request().count()}});
     base::flush_event_lines();
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <numeric>
 #include <string_view>
 #include <thread>
 #include <unordered_set>
@@ -47,6 +48,14 @@
         return over_limit_.contains(connection);
     }
 
+    [[nodiscard]] std::size_t open() const
+    {
+        const std::lock_guard lock{mutex_};
+        return std::accumulate(
+            open_.begin(), open_.end(), std::size_t{0},
+            [](std::size_t sum, const auto& entry) { return sum + entry.second; });
+    }
+
 private:
     mutable std::mutex mutex_;
     std::size_t most_;
@@ -161,6 +170,7 @@
         auto request = to_request(incoming);
         request.over_connection_limit = connections->over_limit(incoming->connection_id());
         ++*open_requests;
+        newest_request = base::now();
         const std::shared_ptr<void> counted{nullptr, [open = open_requests](void*) { --*open; }};
         handler(std::move(request), http_responder{[incoming, counted](http_response response) {
                     send_response(incoming, std::move(response), counted);
@@ -172,6 +182,8 @@
     std::shared_ptr<connection_counter> connections;
     std::shared_ptr<std::atomic<std::size_t>> open_requests =
         std::make_shared<std::atomic<std::size_t>>(0);
+    /// When the server started, before the first request.
+    mutable std::atomic<base::time_point> newest_request{base::now()};
     std::uint16_t port = 0;
     /// Set when the server runs on somebody else's context.
     asio::io_context* shared = nullptr;
@@ -250,4 +262,15 @@
     return *impl_->open_requests;
 }
 
+std::size_t http_server::open_connections() const
+{
+    return impl_->connections->open();
+}
+
+base::milliseconds http_server::since_newest_request() const
+{
+    return std::chrono::duration_cast<base::milliseconds>(base::now() -
+                                                          impl_->newest_request.load());
+}
+
 } // namespace poplarstile::net
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -78,6 +78,12 @@
     /// Requests taken whose responses have not been written out to the end.
     [[nodiscard]] std::size_t open_requests() const;
 
+    /// Connections that are open, with or without a request.
+    [[nodiscard]] std::size_t open_connections() const;
+
+    /// Time since the newest request was taken, or since the server started.
+    [[nodiscard]] base::milliseconds since_newest_request() const;
+
 private:
     struct implementation;
     explicit http_server(std::unique_ptr<implementation> impl);
