Reproduce the requests without an answer while a VM shuts down

RequestsAtTermination.RequestsOnOpenConnectionsAreAnsweredUntilTheProcessIsGone has 24 callers that keep their connections and go on until the process is gone.

--- a/tests/integration/requests_under_faults_test.cpp
+++ b/tests/integration/requests_under_faults_test.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <future>
 #include <thread>
@@ -258,5 +259,42 @@
     EXPECT_EQ(system.vm(vm).wait_for_exit(milliseconds{9'000}), 0);
 }
 
+TEST(RequestsAtTermination, RequestsOnOpenConnectionsAreAnsweredUntilTheProcessIsGone)
+{
+    // Callers send one request after another on connections that they keep, and don't stop when
+    // the VM says that it leaves.
+    constexpr int callers = 24;
+    constexpr int rounds = 4;
+    auto started = cluster::start({.rules = request_rules()});
+    ASSERT_TRUE(started.has_value()) << base::describe(started.error());
+    auto& system = *started.value();
+    const auto& vm = system.vms().front();
+    for (int round = 0; round < rounds; ++round) {
+        std::atomic<bool> gone = false;
+        std::atomic<int> answered = 0;
+        std::atomic<int> unanswered = 0;
+        std::vector<std::future<void>> calling;
+        for (int caller = 0; caller < callers; ++caller) {
+            calling.push_back(std::async(std::launch::async, [&, round, caller] {
+                for (int number = 0; !gone; ++number) {
+                    const auto marker = fmt::format("{}-{}-{}", round, caller, number);
+                    const auto got =
+                        system.request(vm, {.service = "chart", .key = marker, .marker = marker});
+                    ++(got.told == answer::no_answer ? unanswered : answered);
+                    std::this_thread::sleep_for(milliseconds{10});
+                }
+            }));
+        }
+        std::this_thread::sleep_for(milliseconds{200});
+        system.terminate_vm(vm);
+        EXPECT_EQ(system.vm(vm).wait_for_exit(milliseconds{9'000}), 0);
+        gone = true;
+        calling.clear();
+
+        EXPECT_EQ(unanswered, 0) << "in round " << round << ", " << answered << " answered";
+        ASSERT_TRUE(system.restart_vm(vm));
+    }
+}
+
 } // namespace
 } // namespace poplarstile::integration
