Answer on open connections until a VM that leaves has none in use

Cause: a VM that leaves ended at the first look that found no open request. Its listening socket and its connections were open until then, so a request that came between the look and the end went unread or unanswered. The class is a check that is stale when it is acted on.

Fix: net::server_shutdown, used by both daemons. The drain timeout and the platform's grace bound it as before. stop_accepting, which nothing called, ran on the caller's thread while the server's own used the socket; it runs on the server's now.

--- a/apps/poplarstiled/caller_gateway.cpp
+++ b/apps/poplarstiled/caller_gateway.cpp
@@ -53,12 +53,13 @@
             handle(request, responder);
         }));
     server_ = std::move(server);
+    shutdown_.emplace(*server_);
     return base::success();
 }
 
-std::size_t caller_gateway::open_requests() const
+bool caller_gateway::may_end()
 {
-    return server_ ? server_->open_requests() : 0;
+    return shutdown_->may_end(base::now());
 }
 
 void caller_gateway::log_open() const
--- a/apps/poplarstiled/caller_gateway.hpp
+++ b/apps/poplarstiled/caller_gateway.hpp
@@ -5,8 +5,10 @@
 #include "node.hpp"
 
 #include "net/http_server.hpp"
+#include "net/server_shutdown.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace poplarstile::daemon
 {
@@ -20,8 +22,9 @@
     /// Error: `listen_failed`.
     [[nodiscard]] base::result<void> start();
 
-    /// Requests and job submissions whose answers have not been written out to the end.
-    [[nodiscard]] std::size_t open_requests() const;
+    /// Stops taking connections; true once no caller waits for an answer or goes on to send
+    /// requests.
+    [[nodiscard]] bool may_end();
 
     /// Logs what callers have open when the process ends.
     void log_open() const;
@@ -37,6 +40,7 @@
     dispatch_duty& dispatch_;
     job_gateway& jobs_;
     std::unique_ptr<net::http_server> server_;
+    std::optional<net::server_shutdown> shutdown_;
 };
 
 } // namespace poplarstile::daemon
--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -136,17 +136,19 @@
     scheduler_->leave();
 }
 
-bool vm_daemon::drained() const
+bool vm_daemon::drained()
 {
     if (!node_.leaving) {
         return false;
     }
     const auto waited = base::now() - left_at_;
+    if (waited < leave_notice) {
+        return false;
+    }
     const auto requests = node_.dispatch.get();
-    // The callers' port counts until an answer is written out, submissions of jobs included.
-    const bool idle =
-        requests->in_flight == 0 && requests->queued == 0 && callers_->open_requests() == 0;
-    return (idle && waited >= leave_notice) || waited >= node_.settings.times.drain_timeout;
+    const bool callers_done = callers_->may_end();
+    const bool idle = requests->in_flight == 0 && requests->queued == 0 && callers_done;
+    return idle || waited >= node_.settings.times.drain_timeout;
 }
 
 vm_daemon::~vm_daemon()
--- a/apps/poplarstiled/daemon.hpp
+++ b/apps/poplarstiled/daemon.hpp
@@ -35,8 +35,9 @@
     /// flight go on. Calling it again changes nothing.
     void leave();
 
-    /// True when this VM is leaving and nothing is in flight any more.
-    [[nodiscard]] bool drained() const;
+    /// True when this VM is leaving and may end: nothing is in flight, and callers send nothing
+    /// more. Call it again until then.
+    [[nodiscard]] bool drained();
 
     [[nodiscard]] bool leaving() const
     {
--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -103,6 +103,7 @@
                            handle_caller(std::move(request), responder);
                        }));
     caller_port = std::move(callers);
+    caller_shutdown.emplace(*caller_port);
     BOOST_OUTCOME_TRY(
         readiness, serve(settings.listen.readiness, [this](const net::http_request& request,
                                                            const net::http_responder& responder) {
@@ -225,9 +226,8 @@
     const auto waited = time.now() - left_at;
     const auto grace =
         base::milliseconds{static_cast<std::int64_t>(settings.bounds.grace_s * 1'000.0)};
-    const bool noticed = waited >= leave_notice;
-    const bool idle = caller_port->open_requests() == 0 && lease_returned;
-    if ((noticed && idle) || waited >= grace - exit_margin) {
+    const bool callers_done = waited >= leave_notice && caller_shutdown->may_end(time.now());
+    if ((callers_done && lease_returned) || waited >= grace - exit_margin) {
         context.stop();
         return;
     }
--- a/apps/poplarstiled/site_parts.hpp
+++ b/apps/poplarstiled/site_parts.hpp
@@ -6,6 +6,7 @@
 #include "frontend/api_frontend.hpp"
 #include "net/http_server.hpp"
 #include "net/reactor_client.hpp"
+#include "net/server_shutdown.hpp"
 #include "site_daemon.hpp"
 #include "site_metrics.hpp"
 #include "store/store_link.hpp"
@@ -14,6 +15,7 @@
 #include <asio/signal_set.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -65,6 +67,7 @@
     std::unique_ptr<control::cluster_node> node;
     std::unique_ptr<site_metrics> metrics;
     std::unique_ptr<net::http_server> caller_port;
+    std::optional<net::server_shutdown> caller_shutdown;
     std::unique_ptr<net::http_server> readiness_port;
     std::unique_ptr<net::http_server> peer_port;
     std::unique_ptr<net::http_server> metrics_port;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.hpp"
 
+#include "base/log.hpp"
+
 #include <fmt/format.h>
 
 #include <restinio/all.hpp>
@@ -18,6 +20,8 @@
 namespace
 {
 
+constexpr base::logger log{"http"};
+
 /// Counts the open connections of each IP number and remembers those beyond the limit.
 class connection_counter
 {
@@ -115,7 +119,7 @@
 
 /// `counted` lives until the response is written or the connection is gone.
 void send_response(const restinio::request_handle_t& incoming, http_response response,
-                   const std::shared_ptr<void>& counted)
+                   bool accepting, const std::shared_ptr<void>& counted)
 {
     const restinio::http_status_line_t line{restinio::http_status_code_t{response.status},
                                             std::string{reason_phrase(response.status)}};
@@ -124,7 +128,7 @@
     for (auto& header : response.headers) {
         answer.append_header(std::move(header.name), std::move(header.value));
     }
-    if (response.close || !incoming->header().should_keep_alive()) {
+    if (response.close || !accepting || !incoming->header().should_keep_alive()) {
         answer.connection_close();
     }
     answer.set_body(std::move(response.body));
@@ -172,8 +176,9 @@
         ++*open_requests;
         newest_request = base::now();
         const std::shared_ptr<void> counted{nullptr, [open = open_requests](void*) { --*open; }};
-        handler(std::move(request), http_responder{[incoming, counted](http_response response) {
-                    send_response(incoming, std::move(response), counted);
+        handler(std::move(request),
+                http_responder{[incoming, counted, going = accepting](http_response response) {
+                    send_response(incoming, std::move(response), *going, counted);
                 }});
         return restinio::request_accepted();
     }
@@ -182,6 +187,7 @@
     std::shared_ptr<connection_counter> connections;
     std::shared_ptr<std::atomic<std::size_t>> open_requests =
         std::make_shared<std::atomic<std::size_t>>(0);
+    std::shared_ptr<std::atomic<bool>> accepting = std::make_shared<std::atomic<bool>>(true);
     /// When the server started, before the first request.
     mutable std::atomic<base::time_point> newest_request{base::now()};
     std::uint16_t port = 0;
@@ -249,7 +255,16 @@
 
 void http_server::stop_accepting()
 {
-    impl_->server->close_sync();
+    const auto closed = [accepting = impl_->accepting] { *accepting = false; };
+    impl_->server->close_async(closed, [closed](const std::exception_ptr& /*failure*/) {
+        log.error("The listening socket could not be closed.");
+        closed();
+    });
+}
+
+bool http_server::accepting() const
+{
+    return *impl_->accepting;
 }
 
 std::uint16_t http_server::port() const
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -72,9 +72,13 @@
     /// The port listened on.
     [[nodiscard]] std::uint16_t port() const;
 
-    /// Takes no new connections; open ones go on.
+    /// Takes no new connections. Open ones are served until their next answer, which closes them.
+    /// Takes effect on a thread of the server, soon after the call.
     void stop_accepting();
 
+    /// True until `stop_accepting` has taken effect.
+    [[nodiscard]] bool accepting() const;
+
     /// Requests taken whose responses have not been written out to the end.
     [[nodiscard]] std::size_t open_requests() const;
 
