Write log lines whole, a pipe's buffer at a time

Cause: all lines that waited were handed to standard output in one write call. A pipe takes only PIPE_BUF bytes whole; a reader that takes a write in part loses or tears the rest.

--- a/src/base/event_line.cpp
+++ b/src/base/event_line.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <climits>
 #include <mutex>
 
 namespace poplarstile::base
@@ -20,6 +21,8 @@
 
 constexpr std::array<std::string_view, 4> level_names{"debug", "info", "warning", "error"};
 constexpr double microseconds_per_second = 1e6;
+/// Bytes that a pipe takes whole or not at all.
+constexpr std::size_t max_write_bytes = PIPE_BUF;
 
 /// The process's log: lines that wait for standard output, and the budget that bounds them.
 struct line_log {
@@ -93,6 +96,16 @@
     log.waiting += line;
 }
 
+/// The waiting lines that one write call takes: whole ones, or the beginning of a longer line.
+std::string_view next_write(std::string_view waiting)
+{
+    if (waiting.size() <= max_write_bytes) {
+        return waiting;
+    }
+    const auto last_end = waiting.rfind('\n', max_write_bytes - 1);
+    return waiting.substr(0, last_end == std::string_view::npos ? max_write_bytes : last_end + 1);
+}
+
 } // namespace
 
 void start_event_lines(std::string_view vm, const event_line_options& options)
@@ -136,18 +149,19 @@
 {
     auto& log = the_log();
     const std::lock_guard lock{log.mutex};
-    while (!log.waiting.empty()) {
-        const auto written = ::write(STDOUT_FILENO, log.waiting.data(), log.waiting.size());
-        if (written <= 0) {
-            if (written < 0 && errno == EINTR) {
-                continue;
-            }
+    std::string_view left = log.waiting;
+    while (!left.empty()) {
+        const auto lines = next_write(left);
+        const auto written = ::write(STDOUT_FILENO, lines.data(), lines.size());
+        if (written > 0) {
+            left.remove_prefix(static_cast<std::size_t>(written));
+        } else if (written == 0 || errno != EINTR) {
             // The reader is slow or gone; what waits is bounded and counted.
-            return false;
+            break;
         }
-        log.waiting.erase(0, static_cast<std::size_t>(written));
     }
-    return true;
+    log.waiting.erase(0, log.waiting.size() - left.size());
+    return log.waiting.empty();
 }
 
 std::uint64_t event_lines_left_out()
