--- a/tests/integration/requests_at_termination_test.cpp
+++ b/tests/integration/requests_at_termination_test.cpp
@@ -1,14 +1,12 @@
 #include "integration/harness/cluster.hpp"
+#include "support/persistent_callers.hpp"
 
 #include <gtest/gtest.h>
 
 #include <fmt/format.h>
 
-#include <atomic>
 #include <future>
-#include <string>
 #include <thread>
-#include <vector>
 
 /// A VM that gets SIGTERM answers what it was asked before it ends.
 namespace poplarstile::integration
@@ -44,41 +42,6 @@
     EXPECT_EQ(system.vm(vm).wait_for_exit(milliseconds{9'000}), 0);
 }
 
-/// Callers that send one request after another on connections that they keep, and don't stop when
-/// the VM says that it leaves.
-class persistent_callers
-{
-public:
-    persistent_callers(cluster& system, const std::string& vm, int callers)
-    {
-        calling_.reserve(static_cast<std::size_t>(callers));
-        for (int caller = 0; caller < callers; ++caller) {
-            calling_.push_back(std::async(std::launch::async, [this, &system, vm, caller] {
-                for (int number = 0; !stopping_; ++number) {
-                    const auto marker = fmt::format("{}-{}", caller, number);
-                    const auto got =
-                        system.request(vm, {.service = "chart", .key = marker, .marker = marker});
-                    unanswered_ += got.told == answer::no_answer ? 1 : 0;
-                    std::this_thread::sleep_for(milliseconds{10});
-                }
-            }));
-        }
-    }
-
-    /// Stops the callers and returns how many requests got no answer.
-    int stop()
-    {
-        stopping_ = true;
-        calling_.clear();
-        return unanswered_;
-    }
-
-private:
-    std::atomic<bool> stopping_ = false;
-    std::atomic<int> unanswered_ = 0;
-    std::vector<std::future<void>> calling_;
-};
-
 TEST(RequestsAtTermination, RequestsOnOpenConnectionsAreAnsweredUntilTheProcessIsGone)
 {
     constexpr int rounds = 4;
@@ -87,7 +50,13 @@
     auto& system = *started.value();
     const auto& vm = system.vms().front();
     for (int round = 0; round < rounds; ++round) {
-        persistent_callers callers{system, vm, 24};
+        const auto send = [&](int caller, int number) {
+            const auto marker = fmt::format("{}-{}-{}", round, caller, number);
+            const auto got =
+                system.request(vm, {.service = "chart", .key = marker, .marker = marker});
+            return got.told != answer::no_answer;
+        };
+        tests::persistent_callers callers{24, send};
         std::this_thread::sleep_for(milliseconds{200});
         system.terminate_vm(vm);
         EXPECT_EQ(system.vm(vm).wait_for_exit(milliseconds{9'000}), 0);
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak_site.hpp"
 
+#include "integration/harness/access.hpp"
+
 #include <fmt/format.h>
 
 #include <arpa/inet.h>
@@ -20,6 +22,8 @@
 namespace
 {
 
+using integration::endpoint;
+
 using nlohmann::json;
 
 constexpr base::milliseconds start_limit{15'000};
@@ -35,11 +39,6 @@
 constexpr std::uint16_t ports_of_block = 1'000;
 constexpr int port_blocks = 20;
 
-std::string endpoint(std::uint16_t port)
-{
-    return fmt::format("127.0.0.1:{}", port);
-}
-
 /// Binds the port; nothing when somebody has it.
 std::optional<int> hold_port(std::uint16_t port)
 {
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -87,6 +87,11 @@
     [[nodiscard]] nlohmann::json report();
 
     // Calls.
+    /// Port of a VM's callers, past the proxy.
+    [[nodiscard]] std::uint16_t caller_port(const std::string& vm) const
+    {
+        return places_.at(vm).callers;
+    }
     [[nodiscard]] net::http_reply call(const std::string& vm, const std::string& method,
                                        const std::string& path, std::string body = {});
     /// From now on each call opens a connection of its own: those kept open may have gone silent
