Let workers keep ended tasks until the end of their job is stored

Callers could see (first backend): a job that had completed ran a second time, or, if it may not be repeated, ended as `unknown`, when its scheduler died or was replaced before the end was in the table. An outage of the table makes that time long.

Cause: the scheduler told workers to forget a task once its attempt was over, at the next report, half a second later at most. The job's row was still the live one until the final write was answered. A successor that found the row and no task of it took the job for one that had never run. The class is a removal that can't be taken back and does not fail towards keeping.

Fix: ended tasks of a job whose end is not stored are not forgotten. When the final write is answered the job leaves the scheduler's memory, and the next report's tasks are forgotten as before.

--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -156,6 +156,7 @@
     void lose_lapsed_workers();
     void stop_gangs_of(const worker_state& worker, bool lapsed);
     void stop_orphan(const worker_state& worker, const workers::task_report& task);
+    [[nodiscard]] bool end_is_unstored(std::string_view job) const;
     void refresh_usable(const worker_state& worker);
     [[nodiscard]] worker_state* find_worker(std::string_view id);
     [[nodiscard]] std::size_t index_of(const worker_state& worker) const;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -189,8 +189,19 @@
     if (task_jobs_.contains(task.task)) {
         return;
     }
-    const auto* const order = workers::ended(task.state) ? "forget" : "stop";
-    out_.emplace_back(order_task{worker.description.address, task.task, order, token_});
+    const bool over = workers::ended(task.state);
+    if (over && end_is_unstored(task.job)) {
+        return;
+    }
+    out_.emplace_back(
+        order_task{worker.description.address, task.task, over ? "forget" : "stop", token_});
+}
+
+/// Until the table has the end, a successor learns it from the workers alone.
+bool scheduler::end_is_unstored(std::string_view job) const
+{
+    const auto found = jobs_.find(job);
+    return found != jobs_.end() && final_state(found->second.state);
 }
 
 void scheduler::refresh_usable(const worker_state& worker)
