Don't start an ended job again when its submission is repeated

Callers could see (first backend): a job that had ended, completed or cancelled, was placed and run once more when its caller repeated the submission with the same key after a takeover or a restart, and was shown as queued or running meanwhile.

Cause: a repeated submission is settled by the index row and passed to the scheduler with the version under which the job was first stored. The scheduler took that for a live row. Only its memory of the ends under its own lease, which a takeover empties, stood against it. The class is a stale value used as the present. Work that may not be repeated was safe: its start is a write on condition of the live row.

Fix: versions grow over all rows, so a submission older than the lease row is ignored. The scans under the lease find the job if its row is still there.

--- a/src/scheduling/messages.hpp
+++ b/src/scheduling/messages.hpp
@@ -38,7 +38,8 @@
 struct jobs_listed {
     std::vector<stored_job> jobs{};
 };
-/// A job accepted by some VM; its row is in the table already.
+/// A job accepted by some VM: its row was stored under this version, at any time before. Only a
+/// hint, since the row may be gone.
 struct job_submitted {
     stored_job job{};
 };
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -39,7 +39,8 @@
 
 void scheduler::handle(job_submitted& happened)
 {
-    if (phase_ != phase::inactive) {
+    // A row that is older than the lease may have gone under a predecessor; a scan finds it if not.
+    if (phase_ != phase::inactive && happened.job.version >= lease_version_) {
         add_job(std::move(happened.job));
     }
 }
--- a/tests/scheduling/ended_job_test.cpp
+++ b/tests/scheduling/ended_job_test.cpp
@@ -92,6 +92,35 @@
     EXPECT_EQ(cluster.state_of("j1"), job_state::completed);
 }
 
+TEST_F(ended_job, IsNotRunAgainWhenItsSubmissionIsRepeatedAfterATakeover)
+{
+    cluster.submit(job_of("j1"));
+    run(whole_life);
+    ASSERT_EQ(cluster.state_of("j1"), job_state::completed);
+    cluster.kill_scheduler();
+    cluster.start_scheduler();
+    run(whole_life);
+
+    cluster.repeat_submission("j1");
+    run(base::milliseconds{100});
+
+    EXPECT_FALSE(cluster.current().find_job("j1")) << "its row is not a live one";
+    run(whole_life);
+    EXPECT_EQ(attempts_started(), 1U);
+}
+
+// The word of a submission may come before the scan of the lease's new holder is answered.
+TEST_F(ended_job, NeverHidesAJobThatStillWaits)
+{
+    cluster.kill_scheduler();
+    cluster.submit(job_of("j1"));
+    cluster.start_scheduler();
+    cluster.repeat_submission("j1");
+    run(whole_life);
+
+    EXPECT_EQ(cluster.state_of("j1"), job_state::completed);
+}
+
 TEST_F(ended_job, IsForgottenByItsWorkersWhenTheEndIsStored)
 {
     cluster.submit(job_of("j1"));
--- a/tests/scheduling/fake_cluster.hpp
+++ b/tests/scheduling/fake_cluster.hpp
@@ -69,9 +69,17 @@
         const auto key = live_job_key("centro", job.spec.id);
         job.version = table.put(key, to_json(job));
         specs[job.spec.id] = job.spec;
+        submissions[job.spec.id] = job;
         deliver(nodes_.size() - 1, job_submitted{job});
     }
 
+    /// A caller repeats a submission, or the word of it comes late: the scheduler gets the row as
+    /// it was first stored.
+    void repeat_submission(const std::string& id)
+    {
+        deliver(nodes_.size() - 1, job_submitted{submissions.at(id)});
+    }
+
     /// Stores the wish as the gateway does; the scheduler is nudged or finds it by its scan.
     void cancel(const std::string& id, bool nudge)
     {
@@ -133,6 +141,7 @@
     fake_table table{};
     std::map<std::string, fake_worker> workers{};
     std::map<std::string, job_spec> specs{};
+    std::map<std::string, stored_job> submissions{};
     std::set<std::string> cancelled{};
     std::map<std::string, std::size_t> orders{};
     /// How many of the next orders of a kind take effect without an answer.
