Forget the oldest ends of jobs, not all at once

What could happen (first backend): after 16,384 ends under one lease, a job that had just ended was taken for a live one and run again, when a scan that had read its row before the end was answered after it, or when its submission was repeated.

Cause: the memory of ended jobs, which tells late rows from live ones, was emptied as a whole at its bound. The class is a bound that no test lives long enough to reach, and a removal that does not fail towards keeping.

Fix: ended_rows forgets the oldest end first, and remembers the greatest version that it forgot. A submission that is older than that is ignored, since its row may be gone; the scans find the job if it is not. A job that a scan lists is never hidden by the ends of others.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-/// Ended jobs that are remembered against stale rows.
-constexpr std::size_t max_ended = 16'384;
-
 placement::topology hardware_of(std::span<const worker_description> workers)
 {
     std::vector<placement::worker_hardware> hardware;
@@ -142,9 +139,6 @@
     for (auto& [id, job] : jobs_) {
         drive_overdue(job);
     }
-    if (ended_.size() > max_ended) {
-        ended_.clear();
-    }
     place_again_ = true;
     make_room();
 }
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "ordering/job_queue.hpp"
 #include "placement/allocation.hpp"
+#include "scheduling/ended_rows.hpp"
 #include "scheduling/gang.hpp"
 #include "scheduling/job_view.hpp"
 #include "scheduling/messages.hpp"
@@ -42,6 +43,9 @@
 /// Longest answer of a worker for which `reclaim_bound` holds.
 inline constexpr base::milliseconds reclaim_round_trip{100};
 
+/// Ended jobs that are remembered against rows that are read or told late.
+inline constexpr std::size_t max_ended = 16'384;
+
 /// The scheduler of one failure domain: decides which gang starts where, and sees each through.
 ///
 /// It acts only between `lease_gained` and `lease_lost`. After gaining the lease it first fences
@@ -218,7 +222,8 @@
     void write_final(job_record& job);
     void write_released(job_record& job);
     void take_conflict(job_record& job, const table::commit_result& result);
-    void erase_job(const std::string& id);
+    /// The job's live row went at `gone_at`, or before it.
+    void erase_job(const std::string& id, table::row_version gone_at);
     [[nodiscard]] std::string next_operation();
 
     // Views.
@@ -244,8 +249,7 @@
     std::unordered_map<placement::work_id, job_record*> works_;
     /// Jobs whose cells are being reclaimed.
     std::vector<std::string> claimants_;
-    /// Versions at which jobs ended here: older rows of them are stale.
-    std::map<std::string, table::row_version, std::less<>> ended_;
+    ended_rows ended_{max_ended};
     std::shared_ptr<const rules::ruleset> rules_ = std::make_shared<rules::ruleset>();
     phase phase_ = phase::inactive;
     workers::fencing_token token_ = 0;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -39,8 +39,10 @@
 
 void scheduler::handle(job_submitted& happened)
 {
-    // A row that is older than the lease may have gone under a predecessor; a scan finds it if not.
-    if (phase_ != phase::inactive && happened.job.version >= lease_version_) {
+    // A row that is older than the lease may have gone under a predecessor, one that is older than
+    // a forgotten end may have gone under this lease; a scan finds it if not.
+    const auto oldest = std::max(lease_version_, ended_.forgotten_up_to());
+    if (phase_ != phase::inactive && happened.job.version >= oldest) {
         add_job(std::move(happened.job));
     }
 }
@@ -48,8 +50,7 @@
 void scheduler::add_job(stored_job job)
 {
     const auto id = job.spec.id;
-    const auto ended = ended_.find(id);
-    if (ended != ended_.end() && job.version < ended->second) {
+    if (ended_.is_gone(id, job.version)) {
         return;
     }
     auto [entry, added] = jobs_.try_emplace(id);
--- a/src/scheduling/scheduler_table.cpp
+++ b/src/scheduling/scheduler_table.cpp
@@ -57,7 +57,7 @@
     case table::commit_state::committed:
         job.stored.version = happened.result.version;
         if (job.final_write) {
-            erase_job(happened.job);
+            erase_job(happened.job, happened.result.version);
             return;
         }
         job.stored.released = true;
@@ -91,7 +91,7 @@
             continue;
         }
         if (job.final_write) {
-            erase_job(std::string{job.stored.spec.id});
+            erase_job(std::string{job.stored.spec.id}, job.stored.version);
             return;
         }
         // The row is gone: the job has ended under an earlier write.
@@ -106,10 +106,10 @@
     out_.emplace_back(scan_jobs{});
 }
 
-void scheduler::erase_job(const std::string& id)
+void scheduler::erase_job(const std::string& id, table::row_version gone_at)
 {
     const auto found = jobs_.find(id);
-    ended_[id] = found->second.stored.version;
+    ended_.add(id, gone_at);
     works_.erase(found->second.sequence);
     jobs_.erase(found);
 }
