Remove the row of a cancel whose job is gone

Callers saw nothing; the row of a cancel that was stored just after its job's row was removed stayed for ever, and so did the leader's note of it.

Cause: a cancel without a known job is noted, because its job may not have been read yet. Only a job that is read, or one that has ended, took the note away; a job that is gone never comes.

A cancel is stored after its job's row was seen, so a job that is unknown after the rows of every part have been seen is gone. Each check fails towards keeping: while a part is unread, is read again, or its feed is refused, what has been seen does not advance; a part that does not answer is left alone; the cancel of a job whose row can't be read stays. Only one clock is used, that of the leader's VM.

The handling of cancels moves out of leader_store.cpp.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -161,6 +161,7 @@
         }
     }
     remove_expired_jobs();
+    remove_cancels_without_job();
     schedule_plan();
 }
 
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -5,6 +5,7 @@
 #include "batch/job_codec.hpp"
 #include "catalog/catalog.hpp"
 #include "cluster/job_view.hpp"
+#include "control/early_cancels.hpp"
 #include "control/ended_jobs.hpp"
 #include "control/plan_input.hpp"
 #include "control/worker_state.hpp"
@@ -233,6 +234,8 @@
     /// The version to follow the feed from; empty while no part can be followed.
     [[nodiscard]] std::optional<store::row_version> followed_version() const;
     void reread_jobs(std::size_t part, const std::string& from);
+    /// All job rows that were stored before this time have been seen; empty while a part is unread.
+    [[nodiscard]] std::optional<base::time_point> all_rows_seen_at() const;
     /// True when the job rows of every part have been seen as they were a short time ago.
     [[nodiscard]] bool all_rows_seen() const;
     void apply_row(std::size_t part, const store::row& seen);
@@ -243,9 +246,6 @@
     void drop_duplicate(std::size_t part, const std::string& id);
     /// Drops the row of an open job that has ended in another part, unless tasks of it are placed.
     void drop_open_duplicate(const std::string& id, batch::job_status status);
-    /// Removes the stored request to cancel a job from a part, if that part is open.
-    void remove_cancel(const std::string& id, std::size_t part);
-    void cancel_job(const std::string& id, std::size_t part);
     void mark_dirty(const std::string& id);
     void schedule_flush();
     void flush();
@@ -256,6 +256,13 @@
     [[nodiscard]] store::row_id jobs_row(std::size_t part, const std::string& key) const;
     [[nodiscard]] store::row_id runs_row(std::size_t part, const std::string& key) const;
 
+    // Requests to cancel jobs (leader_cancels.cpp).
+    void cancel_job(const std::string& id, std::size_t part);
+    /// Removes the stored request to cancel a job from a part, if that part is open.
+    void remove_cancel(const std::string& id, std::size_t part);
+    /// Removes requests whose jobs are gone.
+    void remove_cancels_without_job();
+
     // Ends of jobs and the removal of their rows (leader_ends.cpp).
     void close_job(const std::string& id, job_entry& entry);
     void publish_end(std::size_t part, const std::string& id, batch::finished_job finished);
@@ -361,8 +368,7 @@
     std::set<std::string> dirty_{};
 
     ended_jobs ended_{};
-    /// Cancel requests that were read before their jobs, with the parts that hold them.
-    std::map<std::string, std::set<std::size_t>> early_cancels_{};
+    early_cancels early_cancels_{};
     /// Called once all changes made so far are durable.
     std::vector<std::function<void()>> after_flush_{};
     /// A call that follows the feed of job rows is under way.
--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -105,11 +105,8 @@
     } else if (added && !finished.ended_at) {
         store_end_time(part, id, finished);
     }
-    const auto cancels = early_cancels_.extract(id);
-    if (!cancels.empty()) {
-        for (const auto cancel_part : cancels.mapped()) {
-            remove_cancel(id, cancel_part);
-        }
+    for (const auto cancel_part : early_cancels_.take(id)) {
+        remove_cancel(id, cancel_part);
     }
 }
 
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -140,13 +140,22 @@
                });
 }
 
+std::optional<base::time_point> leader::all_rows_seen_at() const
+{
+    auto earliest = base::time_point::max();
+    for (const auto& part : parts_) {
+        if (part.phase != part_phase::active || part.rereading) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest, part.seen_at);
+    }
+    return earliest;
+}
+
 bool leader::all_rows_seen() const
 {
-    const auto now = ports_.time->now();
-    return std::ranges::all_of(parts_, [now](const part_state& part) {
-        return part.phase == part_phase::active && !part.rereading &&
-               now - part.seen_at <= longest_unseen;
-    });
+    const auto seen_at = all_rows_seen_at();
+    return seen_at && ports_.time->now() - *seen_at <= longest_unseen;
 }
 
 void leader::receive_row(const store::row& seen)
@@ -177,6 +186,7 @@
     auto decoded = batch::decode_job_row(seen.value);
     if (!decoded.has_value()) {
         log.error("job_row_unreadable", {{"job", seen.id.key}, {"detail", decoded.error().detail}});
+        early_cancels_.keep(seen.id.key);
         return;
     }
     if (auto* const finished = std::get_if<batch::finished_job>(&decoded.value())) {
@@ -242,11 +252,8 @@
                            {"age_ms", age_ms},
                            {"chain_ms", position->second.state.longest_chain().count()},
                            {"epoch", epoch_}});
-    const auto cancels = early_cancels_.extract(id);
-    if (!cancels.empty()) {
-        for (const auto cancel_part : cancels.mapped()) {
-            cancel_job(id, cancel_part);
-        }
+    for (const auto cancel_part : early_cancels_.take(id)) {
+        cancel_job(id, cancel_part);
     }
     if (active_ && parts_.at(part).phase == part_phase::active) {
         publish_status(id, position->second, batch::job_status::pending);
@@ -254,39 +261,6 @@
     }
 }
 
-void leader::remove_cancel(const std::string& id, std::size_t part)
-{
-    if (parts_.at(part).journal) {
-        const auto row = jobs_row(part, id + std::string{cancel_suffix});
-        parts_.at(part).journal->add({{{row, store::row_removal{}}}, {}});
-    }
-}
-
-void leader::cancel_job(const std::string& id, std::size_t part)
-{
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end()) {
-        if (ended_.contains(id)) {
-            // The job has ended, so its cancel row is removed as well.
-            remove_cancel(id, part);
-        } else {
-            early_cancels_[id].insert(part);
-        }
-        return;
-    }
-    auto& entry = found->second;
-    entry.cancel_parts.insert(part);
-    if (entry.state.cancelled()) {
-        return;
-    }
-    entry.state.cancel();
-    log.info("job_cancelled", {{"job", id}, {"placed_tasks", entry.state.placed_tasks()}});
-    if (active_ && parts_.at(entry.part).phase == part_phase::active) {
-        stop_job(entry, stop_reason::cancelled);
-        mark_dirty(id);
-    }
-}
-
 void leader::mark_dirty(const std::string& id)
 {
     dirty_.insert(id);
