Place a job outside its home part only when no other row can run

What callers would see: tasks of an accepted job run twice, or again after they have ended. No caller has reported it; found by reading.

A lost reply can leave a job in two parts. A leader that could read only the row without tasks, while the part with the record of the running ones was away, took it for a new job and started it again. It also acknowledged ends of the running tasks as those of an unknown run, so that the end was lost. A successor that could read both parts kept the row that it happened to read first, and started the job again when that was the one without a record.

- A part's records of runs are read before its job rows, so that a job is known with its record from the start.
Nothing of an earlier leader is written once the lease is held, so the order is safe.
- Of two rows of an open job the one with a record stays.
- A row outside the home part is placed when it has a record, or by a leader that has read all parts.
Such a leader writes a record as soon as it sees the row.
So a job that was stored elsewhere because its home part is away still runs, also under the next leader while that part is away.
What was stored in the last moments of a leader, which has not recorded it, waits for the parts: API frontends use no other part unless the leader has read all of them.
- A row in the home part is placed while others are away, since else no new job could start; but not when a worker lists runs or ends of the job.
- An end of a job without a record is deferred until all parts are read.

Left open: a row in the home part, stored late, while the job ran from another part that is away now and no worker lists the job any more.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -44,7 +44,7 @@
     log.info("taking_over", {{"epoch", epoch_}, {"parts", parts_.size()}});
     for (std::size_t part = 0; part < parts_.size(); ++part) {
         if (part == first_part_) {
-            read_jobs(part, {});
+            read_runs(part, {});
         } else {
             acquire_part(part);
         }
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -185,6 +185,9 @@
         /// Parts that hold a request to cancel it.
         std::set<std::size_t> cancel_parts{};
         bool closing = false;
+        /// A record of its runs is stored beside its row, or is being stored: the leader that wrote
+        /// it had made sure that the job has no other row with tasks.
+        bool recorded = false;
         /// Orders that are sent once the job's next record is durable.
         std::vector<run_key> unsent{};
         base::time_point known_since{};
@@ -196,6 +199,8 @@
     struct part_state {
         part_phase phase = part_phase::acquiring;
         std::unique_ptr<store::journal> journal{};
+        /// Stored records of runs whose jobs have not been read yet, by job.
+        std::map<std::string, std::string> unclaimed_records{};
         /// Version of the store up to which this leader has seen the part's job rows.
         store::row_version seen_version = 0;
         /// All its job rows that were stored before this time have been seen.
@@ -211,9 +216,10 @@
     void acquire_part_lease(std::size_t part, const store::read_reply& reply);
     void commit_part_lease(std::size_t part, store::row_version version);
     void open_part(std::size_t part, store::lease_record lease, store::row_version version);
-    void read_jobs(std::size_t part, const std::string& from);
     void read_runs(std::size_t part, const std::string& from);
-    void restore_run_row(std::size_t part, const store::row& stored);
+    void read_jobs(std::size_t part, const std::string& from);
+    /// Restores the runs of a job from their stored record, if there is one.
+    void restore_runs(job_entry& entry);
     void part_failed(std::size_t part, std::function<void()> again);
     void part_read(std::size_t part);
     void begin_work();
@@ -240,9 +246,6 @@
     /// The version and time up to which a part's job rows are seen once it has been read, from the
     /// reply with its first page.
     void note_first_page(std::size_t part, base::time_point sent, const store::read_reply& reply);
-    void drop_duplicate(std::size_t part, const std::string& id);
-    /// Drops the row of an open job that has ended in another part, unless tasks of it are placed.
-    void drop_open_duplicate(const std::string& id, batch::job_status status);
     /// Removes the stored request to cancel a job from a part, if that part is open.
     void remove_cancel(const std::string& id, std::size_t part);
     void cancel_job(const std::string& id, std::size_t part);
@@ -256,6 +259,22 @@
     [[nodiscard]] store::row_id jobs_row(std::size_t part, const std::string& key) const;
     [[nodiscard]] store::row_id runs_row(std::size_t part, const std::string& key) const;
 
+    // Jobs that are stored in two parts (leader_second_rows.cpp).
+    /// Keeps the one of two rows of an open job that has a record of runs, and drops the other.
+    void settle_second_row(batch::submission accepted, std::size_t part);
+    void drop_duplicate(std::size_t part, const std::string& id);
+    /// Drops the row of an open job that has ended in another part, unless tasks of it are placed.
+    void drop_open_duplicate(const std::string& id, batch::job_status status);
+    /// Stores records for jobs outside their home parts, so that the next leader may place them
+    /// while their home parts are away. Does nothing until all parts have been read.
+    void record_jobs_outside_home();
+    /// Jobs without a record that workers run or ran, as recorded beside rows not read yet.
+    [[nodiscard]] std::set<std::string> jobs_recorded_elsewhere() const;
+    /// True when no other row of the job can have tasks. `elsewhere` are the jobs that are known to
+    /// have another.
+    [[nodiscard]] bool may_place(const job_entry& entry,
+                                 const std::set<std::string>& elsewhere) const;
+
     // Ends of jobs and the removal of their rows (leader_ends.cpp).
     void close_job(const std::string& id, job_entry& entry);
     void publish_end(std::size_t part, const std::string& id, batch::finished_job finished);
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -90,7 +90,7 @@
     } else if (record.epoch == epoch_ && store::same_holder(record, lease_)) {
         // An earlier commit of this leader took effect although its reply was lost.
         open_part(part, record, row.version);
-        read_jobs(part, {});
+        read_runs(part, {});
     } else {
         commit_part_lease(part, row.version);
     }
@@ -111,7 +111,7 @@
                      }
                      if (reply.outcome == store::call_outcome::done) {
                          open_part(part, record, reply.version);
-                         read_jobs(part, {});
+                         read_runs(part, {});
                      } else if (reply.outcome == store::call_outcome::conflict) {
                          acquire_part(part);
                      } else {
@@ -132,71 +132,71 @@
         rows_, *ports_.time, options, std::move(lease), version, std::move(handlers));
 }
 
-void leader::read_jobs(std::size_t part, const std::string& from)
+void leader::read_runs(std::size_t part, const std::string& from)
 {
-    rows_.read({"jobs", options_.parts.name(part), from, {}, page_rows},
-               [this, part, from, sent = ports_.time->now(),
-                alive = alive_](const store::read_reply& reply) {
+    rows_.read({"runs", options_.parts.name(part), from, {}, page_rows},
+               [this, part, from, alive = alive_](const store::read_reply& reply) {
                    if (!*alive || lost_) {
                        return;
                    }
                    if (reply.outcome != store::call_outcome::done) {
-                       part_failed(part, [this, part, from] { read_jobs(part, from); });
+                       part_failed(part, [this, part, from] { read_runs(part, from); });
                        return;
                    }
-                   if (from.empty()) {
-                       // The feed is followed from here; applying a row twice is harmless.
-                       note_first_page(part, sent, reply);
-                   }
-                   for (const auto& job_row : reply.rows) {
-                       apply_row(part, job_row);
+                   auto& records = parts_.at(part).unclaimed_records;
+                   for (const auto& stored : reply.rows) {
+                       records.insert_or_assign(stored.id.key, stored.value);
                    }
                    if (reply.truncated && !reply.rows.empty()) {
-                       read_jobs(part, after_key(reply.rows.back().id.key));
+                       read_runs(part, after_key(reply.rows.back().id.key));
                    } else {
-                       read_runs(part, {});
+                       read_jobs(part, {});
                    }
                });
 }
 
-void leader::read_runs(std::size_t part, const std::string& from)
+void leader::read_jobs(std::size_t part, const std::string& from)
 {
-    rows_.read({"runs", options_.parts.name(part), from, {}, page_rows},
-               [this, part, from, alive = alive_](const store::read_reply& reply) {
+    rows_.read({"jobs", options_.parts.name(part), from, {}, page_rows},
+               [this, part, from, sent = ports_.time->now(),
+                alive = alive_](const store::read_reply& reply) {
                    if (!*alive || lost_) {
                        return;
                    }
                    if (reply.outcome != store::call_outcome::done) {
-                       part_failed(part, [this, part, from] { read_runs(part, from); });
+                       part_failed(part, [this, part, from] { read_jobs(part, from); });
                        return;
                    }
-                   for (const auto& stored : reply.rows) {
-                       restore_run_row(part, stored);
+                   if (from.empty()) {
+                       // The feed is followed from here; applying a row twice is harmless.
+                       note_first_page(part, sent, reply);
+                   }
+                   for (const auto& job_row : reply.rows) {
+                       apply_row(part, job_row);
                    }
                    if (reply.truncated && !reply.rows.empty()) {
-                       read_runs(part, after_key(reply.rows.back().id.key));
+                       read_jobs(part, after_key(reply.rows.back().id.key));
                    } else {
                        part_read(part);
                    }
                });
 }
 
-void leader::restore_run_row(std::size_t part, const store::row& stored)
+void leader::restore_runs(job_entry& entry)
 {
-    const auto found = jobs_.find(stored.id.key);
-    auto record = batch::decode_runs(stored.value);
-    if (found == jobs_.end() || found->second.part != part) {
-        log.warning("run_record_without_job", {{"job", stored.id.key}});
+    const auto& id = entry.state.id();
+    const auto stored = parts_.at(entry.part).unclaimed_records.extract(id);
+    if (stored.empty()) {
         return;
     }
+    entry.recorded = true;
+    auto record = batch::decode_runs(stored.mapped());
     if (!record.has_value()) {
-        log.error("run_record_unreadable",
-                  {{"job", stored.id.key}, {"detail", record.error().detail}});
+        log.error("run_record_unreadable", {{"job", id}, {"detail", record.error().detail}});
         return;
     }
-    auto& entry = found->second;
     if (!entry.state.restore(std::move(record.value().occurrences), record.value().failed)) {
-        log.error("run_record_of_another_shape", {{"job", stored.id.key}});
+        log.error("run_record_of_another_shape", {{"job", id}});
         return;
     }
     entry.published_status = entry.state.status();
@@ -204,11 +204,16 @@
 
 void leader::part_read(std::size_t part)
 {
-    parts_.at(part).phase = part_phase::active;
+    auto& read = parts_.at(part);
+    read.phase = part_phase::active;
+    for (const auto& unclaimed : std::exchange(read.unclaimed_records, {})) {
+        log.warning("run_record_without_job", {{"job", unclaimed.first}});
+    }
     if (active_) {
         log.info("part_taken_later",
                  {{"store_part", options_.parts.name(part)}, {"epoch", epoch_}});
         adopt_part(part);
+        record_jobs_outside_home();
         follow_jobs();
         return;
     }
@@ -227,8 +232,9 @@
     if (found == jobs_.end()) {
         return all_parts_active();
     }
-    // The jobs of a part are read before their runs.
-    return parts_.at(found->second.part).phase == part_phase::active;
+    // No task of a job without a record was placed, unless another row of it has a record.
+    const bool read = parts_.at(found->second.part).phase == part_phase::active;
+    return read && (found->second.recorded || all_parts_active());
 }
 
 bool leader::part_answers(std::size_t part) const
@@ -251,6 +257,7 @@
             adopt_part(part);
         }
     }
+    record_jobs_outside_home();
     log.info("took_over", {{"epoch", epoch_},
                            {"jobs", jobs_.size()},
                            {"workers", workers_.size()},
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -91,7 +91,7 @@
         candidate.suspicion = static_cast<double>(recent_failures);
         candidate.schedulable = worker->listed && !worker->facts.draining && worker->fenced &&
                                 worker->unanswered_polls == 0 && worker->clock.known() &&
-                                worker->unknown_runs == 0 &&
+                                worker->unknown_jobs.empty() &&
                                 recent_failures < static_cast<std::ptrdiff_t>(failed_jobs_limit);
         worker_index.emplace(id, input.workers.size());
         input.workers.push_back(candidate);
@@ -103,10 +103,11 @@
                            const std::map<std::string, std::size_t>& worker_index)
 {
     std::vector<job_entry*> open;
+    const auto elsewhere = jobs_recorded_elsewhere();
     for (auto& [id, entry] : jobs_) {
         const bool usable =
             parts_.at(entry.part).phase == part_phase::active && part_answers(entry.part);
-        if (entry.state.open() && usable) {
+        if (entry.state.open() && usable && may_place(entry, elsewhere)) {
             open.push_back(&entry);
         }
     }
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -164,7 +164,7 @@
     worker.last_received_end = 0;
     worker.unstored_ends.clear();
     worker.deferred_ends.clear();
-    worker.unknown_runs = 0;
+    worker.unknown_jobs.clear();
     worker.fenced = false;
     worker.unanswered_polls = 0;
     worker.greatest_lease = 0;
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -184,50 +184,16 @@
         drop_open_duplicate(seen.id.key, finished->status);
         return;
     }
-    if (existing != jobs_.end() || ended_.contains(seen.id.key)) {
+    auto& accepted = std::get<batch::submission>(decoded.value());
+    if (ended_.contains(seen.id.key)) {
         drop_duplicate(part, seen.id.key);
-        return;
-    }
-    add_job(std::get<batch::submission>(std::move(decoded).value()), part);
-}
-
-void leader::drop_duplicate(std::size_t part, const std::string& id)
-{
-    // The same submission was stored in two parts because a reply was lost. It stays one job.
-    if (ended_.part_of(id) == part) {
-        // A late notification of the job row as it was before the job ended.
-        return;
-    }
-    log.warning("duplicate_dropped", {{"job", id}, {"store_part", options_.parts.name(part)}});
-    if (parts_.at(part).journal) {
-        // A successor that finds only this row takes it for a new job.
-        ended_.hold(id);
-        parts_.at(part).journal->add({{{jobs_row(part, id), store::row_removal{}},
-                                       {runs_row(part, id), store::row_removal{}}},
-                                      [this, id, part] {
-                                          ended_.release(id);
-                                          ++counters_.duplicate_rows_removed;
-                                          log.info("job_row_removed",
-                                                   {{"job", id},
-                                                    {"cause", "duplicate"},
-                                                    {"store_part", options_.parts.name(part)},
-                                                    {"epoch", epoch_}});
-                                      }});
+    } else if (existing != jobs_.end()) {
+        settle_second_row(std::move(accepted), part);
+    } else {
+        add_job(std::move(accepted), part);
     }
 }
 
-void leader::drop_open_duplicate(const std::string& id, batch::job_status status)
-{
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end() || found->second.closing || found->second.state.placed_tasks() > 0) {
-        return;
-    }
-    const auto part = found->second.part;
-    publish_status(id, found->second, status);
-    jobs_.erase(found);
-    drop_duplicate(part, id);
-}
-
 void leader::add_job(batch::submission accepted, std::size_t part)
 {
     const auto id = accepted.job;
@@ -235,6 +201,7 @@
     const auto age_ms = ports_.time->unix_ms() - accepted.accepted_ms;
     const auto position = jobs_.emplace(id, job_entry{std::move(accepted), part}).first;
     position->second.known_since = ports_.time->now();
+    restore_runs(position->second);
     log.info("job_known", {{"job", id},
                            {"queue", queue},
                            {"workspace", position->second.state.accepted().workspace},
@@ -250,6 +217,9 @@
     }
     if (active_ && parts_.at(part).phase == part_phase::active) {
         publish_status(id, position->second, batch::job_status::pending);
+        if (all_parts_active() && part != options_.parts.home_of(id)) {
+            mark_dirty(id);
+        }
         schedule_plan();
     }
 }
@@ -354,6 +324,7 @@
 
 void leader::write_job(const std::string& id, job_entry& entry)
 {
+    entry.recorded = true;
     const auto status = entry.state.status();
     auto orders = std::exchange(entry.unsent, {});
     store::journal_entry written;
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -34,7 +34,7 @@
     if (worker.listed && clock_read && ports_.time->now() - *clock_read > max_clock_age) {
         return true;
     }
-    return !worker.runs.empty() || worker.unknown_runs > 0 ||
+    return !worker.runs.empty() || !worker.unknown_jobs.empty() ||
            worker.last_received_end > worker.acknowledged || (!worker.fenced && worker.listed);
 }
 
@@ -159,7 +159,7 @@
 void leader::process_running(worker_state& worker, const fleet::look_reply& reply)
 {
     const auto now = ports_.time->now();
-    worker.unknown_runs = 0;
+    worker.unknown_jobs.clear();
     for (const auto& running : reply.running) {
         const auto task = batch::to_text(running.task);
         const auto found = worker.runs.find(task);
@@ -168,7 +168,7 @@
                 stop_unknown(worker, running);
             } else {
                 // The run may belong to a part that cannot be read yet.
-                ++worker.unknown_runs;
+                worker.unknown_jobs.insert(running.task.job);
             }
             continue;
         }
@@ -208,7 +208,7 @@
         }
         worker.last_received_end = std::max(worker.last_received_end, end.number);
         if (!runs_read_of(end.task.job)) {
-            worker.deferred_ends.insert(end.number);
+            worker.deferred_ends.emplace(end.number, end.task.job);
             continue;
         }
         worker.deferred_ends.erase(end.number);
@@ -241,8 +241,9 @@
     const auto stored = worker.unstored_ends.empty()             ? worker.last_received_end
                         : *worker.unstored_ends.begin() > number ? number
                                                                  : worker.acknowledged;
-    const auto known =
-        worker.deferred_ends.empty() ? stored : std::min(stored, *worker.deferred_ends.begin() - 1);
+    const auto known = worker.deferred_ends.empty()
+                           ? stored
+                           : std::min(stored, worker.deferred_ends.begin()->first - 1);
     worker.acknowledged = std::max(worker.acknowledged, known);
     const bool all_stored = worker.unstored_ends.empty() && worker.deferred_ends.empty();
     if (all_stored && worker.polls_in_flight == 0 && worker.unanswered_polls == 0) {
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -118,11 +118,11 @@
     bool urgent_poll = false;
     /// Numbers up to which ends were processed that are not durable yet.
     std::set<std::uint64_t> unstored_ends{};
-    /// Ends of jobs that may be stored in a part that can't be read yet. They are not acknowledged,
-    /// so that the worker goes on listing them.
-    std::set<std::uint64_t> deferred_ends{};
-    /// Listed runs that belong to no known job, while some parts are not read yet.
-    std::uint32_t unknown_runs = 0;
+    /// Ends of jobs that may be stored in a part that can't be read yet, with the jobs. They are
+    /// not acknowledged, so that the worker goes on listing them.
+    std::map<std::uint64_t, std::string> deferred_ends{};
+    /// Jobs of listed runs that no record read so far has, while some parts are not read yet.
+    std::set<std::string> unknown_jobs{};
     /// Polls without a reply since the last one with a reply.
     std::uint32_t unanswered_polls = 0;
     base::time_point answered_at{};
--- a/tests/control/removed_job_test.cpp
+++ b/tests/control/removed_job_test.cpp
@@ -49,10 +49,13 @@
             const auto job = fmt::format("{:015x}{:x}", ended + 1, away + 1);
             const auto starts = site.workers.starts().size();
             site.store.away_parts = {site.parts.name(away)};
-            replace_leader();
             const auto row = batch::encode(make_job(job, 1, small_task));
             site.store.put({"jobs", site.parts.name(ended), job}, row);
             site.store.put({"jobs", site.parts.name(away), job}, row);
+            // A leader that had read all parts has taken the job on.
+            site.store.put({"runs", site.parts.name(ended), job},
+                           batch::encode_runs(batch::job{make_job(job, 1, small_task)}));
+            replace_leader();
             site.time.run_for(seconds{5});
             ASSERT_EQ(site.workers.starts().size(), starts + 1);
 
