--- a/src/control/leader_second_rows.cpp
+++ b/src/control/leader_second_rows.cpp
@@ -61,8 +61,8 @@
         return;
     }
     const auto first_part = first.part;
-    if (!first.cancel_parts.empty()) {
-        early_cancels_[id] = first.cancel_parts;
+    for (const auto cancel_part : first.cancel_parts) {
+        early_cancels_.add(id, cancel_part, ports_.time->now());
     }
     jobs_.erase(id);
     drop_duplicate(first_part, id);
