Know an ended job's row again when the answer to its last write was lost

What could happen (first backend): the last write of a job took effect and its answer was lost. The next try found the row gone, and the job was forgotten with the version that its row had had. A scan that had read this row before then gave the job as a new one, and it was run again.

Cause: only rows with a smaller version than that of the end count as old, and here the row's own version stood for that of the end. The class is a value that means unknown used as a version: the transaction that removed the row is not known, only that it came later.

Fix: the row is gone from its newest known version on.

--- a/src/scheduling/scheduler_table.cpp
+++ b/src/scheduling/scheduler_table.cpp
@@ -91,7 +91,8 @@
             continue;
         }
         if (job.final_write) {
-            erase_job(std::string{job.stored.spec.id}, job.stored.version);
+            // Gone with a transaction that came after its newest known version.
+            erase_job(std::string{job.stored.spec.id}, job.stored.version + 1);
             return;
         }
         // The row is gone: the job has ended under an earlier write.
--- a/tests/scheduling/ended_rows_test.cpp
+++ b/tests/scheduling/ended_rows_test.cpp
@@ -89,6 +89,27 @@
     EXPECT_FALSE(knows(0)) << "a submission is repeated long after the end";
 }
 
+TEST_F(ended_rows_of_a_scheduler, AreNotTakenForLiveOnesWhenTheAnswerToTheLastWriteWasLost)
+{
+    const auto first = end_of(1);
+    (void)tell(
+        job_written{first.job, first.transaction.operation, {table::commit_state::unknown, 0, {}}});
+    now_ += base::milliseconds{1'000};
+    for (const auto& action : tell(time_passed{})) {
+        if (const auto* const again = std::get_if<write_job>(&action)) {
+            (void)tell(job_written{
+                again->job,
+                again->transaction.operation,
+                {table::commit_state::conflict, 0, {{live_job_key("d", again->job), 0}}}});
+        }
+    }
+    ASSERT_FALSE(knows(1));
+
+    (void)tell(jobs_listed{{row_of(1)}});
+
+    EXPECT_FALSE(knows(1)) << "a scan that read the row before the end is answered after it";
+}
+
 // Jobs that the scheduler has not heard of are never hidden by the ends of others.
 TEST_F(ended_rows_of_a_scheduler, OfOthersDoNotHideAJobThatAScanFinds)
 {
