Don't take a row for gone when a conflict lacks its version

What could happen (first backend): an answer 409 that names a row without the version found counted as "there is no such row". The scheduler then forgot a job whose row was still live, as ended under an earlier write.

Cause: the version of an entry that has none was read as 0, which stands for a row that does not exist. The class is a value that means unknown used as a version. The platform is assumed to name it always (docs/ASSUMPTIONS.md); nothing held us to reading it so.

Fix: an entry without a version is left out. A conflict without entries makes the scheduler and the dispatcher read the rows again.

Evidence: commit_answer.does_not_call_a_row_gone_whose_version_it_lacks failed before (two conflicts read, expected one). table_test: 6 of 6.

--- a/src/table/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -54,12 +54,17 @@
     return row;
 }
 
+/// Entries without a version are left out: version 0 would say that the row is gone.
 std::vector<table_condition> conflicts_of(const json& answer)
 {
     std::vector<table_condition> conflicts;
     for (const auto& entry : answer.value("conflicts", json::array())) {
-        conflicts.push_back({base::member_or(entry, "key", std::string{}),
-                             base::member_or(entry, "version", row_version{0})});
+        const bool complete =
+            entry.is_object() && entry.contains("version") && entry["version"].is_number_unsigned();
+        if (complete) {
+            conflicts.push_back({base::member_or(entry, "key", std::string{}),
+                                 entry["version"].get<row_version>()});
+        }
     }
     return conflicts;
 }
--- a/tests/table/platform_answers_test.cpp
+++ b/tests/table/platform_answers_test.cpp
@@ -46,6 +46,16 @@
     EXPECT_EQ(read.state, commit_state::conflict);
 }
 
+TEST(commit_answer, does_not_call_a_row_gone_whose_version_it_lacks)
+{
+    const auto read = read_commit_answer(
+        answered(409, R"({"conflicts":[{"key":"job/a"},{"key":"job/b","version":0}]})"));
+
+    EXPECT_EQ(read.state, commit_state::conflict);
+    ASSERT_EQ(read.conflicts.size(), 1U);
+    EXPECT_EQ(read.conflicts.front().key, "job/b");
+}
+
 TEST(commit_answer, reads_version_and_conflicts)
 {
     EXPECT_EQ(read_commit_answer(answered(200, R"({"committed":true,"version":9})")).version, 9U);
