Judge a conflict in the ledger by the write of its own attempt

Callers could see (first backend): `not_run` for work that may not be repeated, although another request with the same key had taken the row and its work may have run.

Cause: a write without an answer puts a later conflict in doubt, since it may be the write's own. The mark stayed when the attempt turned out never to have run and another one was reserved: a conflict of the second write, which was another request's, did not count as such, and a row that could not be read was then answered with `not_run`. The same holds for a deadline that passes meanwhile. The class is a stale value used as the present.

Fix: the mark belongs to the attempt; a new reservation begins without it.

--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -101,7 +101,8 @@
         bool asks_for_other = false;
         /// True once the key was seen to have another request's row, so that the work may have run.
         bool key_taken = false;
-        /// True once a write of the row got no answer, so that a later conflict may be its own.
+        /// True once a write of this attempt's row got no answer, so that a later conflict may be
+        /// its own.
         bool write_in_doubt = false;
         /// Since when the worker has not seen the attempt.
         std::optional<base::time_point> unseen_since{};
--- a/src/dispatch/dispatcher_ledger.cpp
+++ b/src/dispatch/dispatcher_ledger.cpp
@@ -27,6 +27,7 @@
     ++reserving_;
     pending.reserved_worker = worker;
     pending.where = stage::reserving;
+    pending.write_in_doubt = false;
     pending.ledger_key = ledger::ledger_key(pending.request.workspace, pending.request.service,
                                             pending.request.idempotency_key);
     const auto& target = pool_.description(worker);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -155,6 +155,30 @@
     EXPECT_TRUE(only<write_ledger>(pass(milliseconds{10'000})).empty());
 }
 
+TEST_F(dispatcher_test, DoubtAboutAnEarlierAttemptDoesNotHideAnothersRow)
+{
+    const auto first = only<write_ledger>(ask(1, "sheet", milliseconds{5'000}));
+    ASSERT_EQ(first.size(), 1U);
+    (void)vm_.decide(ledger_written{1, {.state = table::commit_state::unknown}}, now_);
+    const auto& write = first.front().transaction.writes.front();
+    const auto sent = only<send_execute>(vm_.decide(
+        ledger_read{1, std::optional{table::table_row{write.key, 7, write.value}}}, now_));
+    ASSERT_EQ(sent.size(), 1U) << "the row is its own";
+    const auto attempt = sent.front().call.attempt;
+    (void)report(1, attempt, execute_state::lost);
+    const auto second = only<write_ledger>(
+        vm_.decide(attempt_reported{1, attempt, {.state = execute_state::fenced}, true}, now_));
+    ASSERT_EQ(second.size(), 1U) << "the attempt never ran, so that another is made";
+    (void)vm_.decide(ledger_written{1, {.state = table::commit_state::conflict}}, now_);
+
+    const base::error unreadable{base::error_code::platform_unreachable, "", "", ""};
+    const auto answers = only<give_answer>(vm_.decide(ledger_read{1, unreadable}, now_));
+
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().answer.result, outcome::unknown)
+        << "the row is another request's, whose work may have run";
+}
+
 TEST_F(dispatcher_test, ATableThatDoesNotAnswerIsAskedByOneRequestAtATime)
 {
     for (request_number number = 1; number <= 3; ++number) {
