Try a worker again that said that it leaves

Callers could see (first backend): once a worker had answered that it leaves, a VM gave it no short request for the rest of its own life, also after the worker had come back under its id. After a rolling restart of all workers the VM had none left: requests waited and were answered with `not_run`.

Cause: the mark was set by a refusal and taken back by an event that nothing sent.

Fix: the mark holds for 10 s. Then one idempotent request tries the worker, as after an ejection: a refusal marks it again and starts nothing, an answer brings it back. The event that nothing sent is gone.

The integration tests were not run.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -234,13 +234,6 @@
     }
 }
 
-void dispatcher::handle(worker_condition_changed& happened)
-{
-    if (const auto worker = pool_.find(happened.worker)) {
-        pool_.set_leaving(*worker, happened.leaving);
-    }
-}
-
 // Ends.
 
 void dispatcher::answer(pending_request& pending, outcome result, std::optional<error> failure,
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -117,7 +117,6 @@
     void handle(time_passed& happened);
     void handle(rules_changed& happened);
     void handle(sharing_vms_changed& happened);
-    void handle(worker_condition_changed& happened);
 
     // Admission.
     [[nodiscard]] std::optional<caller_answer> refusal(const incoming_request& request,
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -201,7 +201,7 @@
         --pending.uncertain_attempts;
     }
     if (answer.leaving) {
-        pool_.set_leaving(attempt.worker, true);
+        pool_.set_leaving(attempt.worker, now_);
     }
     if (answer.state == execute_state::completed) {
         const std::chrono::duration<double, std::milli> service = now_ - attempt.started;
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -83,14 +83,9 @@
 struct sharing_vms_changed {
     std::size_t vms = 1;
 };
-struct worker_condition_changed {
-    std::string worker{};
-    bool leaving = false;
-};
 
-using event =
-    std::variant<request_received, attempt_reported, ledger_written, ledger_read, time_passed,
-                 rules_changed, sharing_vms_changed, worker_condition_changed>;
+using event = std::variant<request_received, attempt_reported, ledger_written, ledger_read,
+                           time_passed, rules_changed, sharing_vms_changed>;
 
 // Actions.
 
--- a/src/routing/worker_pool.cpp
+++ b/src/routing/worker_pool.cpp
@@ -27,7 +27,7 @@
 
 bool worker_pool::may_take(const worker_state& worker, bool idempotent) const
 {
-    if (worker.leaving || worker.avoided) {
+    if (worker.leaving_until || worker.avoided) {
         return false;
     }
     switch (worker.condition) {
@@ -41,9 +41,15 @@
     return false;
 }
 
-void worker_pool::release_from_ejection(base::time_point now)
+void worker_pool::start_probations(base::time_point now)
 {
     for (auto& worker : workers_) {
+        if (worker.leaving_until && now >= *worker.leaving_until) {
+            worker.leaving_until.reset();
+            if (worker.condition == health::healthy) {
+                worker.condition = health::probation;
+            }
+        }
         if (worker.condition == health::ejected && now >= worker.ejected_until) {
             worker.condition = health::probation;
         }
@@ -53,7 +59,7 @@
 std::optional<worker_index> worker_pool::select(base::time_point now, bool idempotent,
                                                 std::span<const worker_index> excluded)
 {
-    release_from_ejection(now);
+    start_probations(now);
     candidates_.clear();
     for (worker_index index = 0; index < workers_.size(); ++index) {
         const bool passed_over = std::ranges::find(excluded, index) != excluded.end();
@@ -126,9 +132,9 @@
     worker.ejected_until = now + worker.ejection;
 }
 
-void worker_pool::set_leaving(worker_index worker, bool leaving)
+void worker_pool::set_leaving(worker_index worker, base::time_point now)
 {
-    workers_[worker].leaving = leaving;
+    workers_[worker].leaving_until = now + options_.leaving_recheck;
 }
 
 void worker_pool::set_avoided(worker_index worker, bool avoided)
@@ -171,7 +177,7 @@
     std::uint32_t total = 0;
     for (const auto& worker : workers_) {
         const bool usable =
-            !worker.leaving && !worker.avoided && worker.condition == health::healthy;
+            !worker.leaving_until && !worker.avoided && worker.condition == health::healthy;
         total += usable ? worker.limit.limit() : 0;
     }
     return total;
--- a/src/routing/worker_pool.hpp
+++ b/src/routing/worker_pool.hpp
@@ -42,6 +42,9 @@
     std::uint32_t failures_to_eject = 3;
     base::milliseconds first_ejection{2'000};
     base::milliseconds longest_ejection{60'000};
+    /// A worker that refused work because it leaves is tried again after this time: it may have
+    /// come back since.
+    base::milliseconds leaving_recheck{10'000};
     /// At most this share of workers is ejected at once, so that a fault of the requests
     /// themselves can't take the whole pool.
     double max_ejected_share = 0.5;
@@ -72,8 +75,9 @@
     /// Counts an attempt as over.
     void end(worker_index worker, attempt_verdict verdict, base::time_point now);
 
-    /// A worker that is leaving or avoided by a rule gets no new work.
-    void set_leaving(worker_index worker, bool leaving);
+    /// A worker that said that it leaves gets no new work, but a canary from time to time.
+    void set_leaving(worker_index worker, base::time_point now);
+    /// A worker that a rule avoids gets no new work.
     void set_avoided(worker_index worker, bool avoided);
 
     [[nodiscard]] const worker_description& description(worker_index worker) const;
@@ -96,12 +100,13 @@
         health condition = health::healthy;
         base::time_point ejected_until{};
         base::milliseconds ejection{0};
-        bool leaving = false;
+        /// When a worker that said that it leaves is tried again.
+        std::optional<base::time_point> leaving_until{};
         bool avoided = false;
     };
 
     [[nodiscard]] bool may_take(const worker_state& worker, bool idempotent) const;
-    void release_from_ejection(base::time_point now);
+    void start_probations(base::time_point now);
     void eject(worker_state& worker, base::time_point now);
     void record_failure(worker_state& worker, base::time_point now);
     [[nodiscard]] bool may_eject_another() const;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -179,6 +179,29 @@
         << "the row is another request's, whose work may have run";
 }
 
+TEST_F(dispatcher_test, AWorkerThatLeftAndCameBackGetsWorkAgain)
+{
+    request_number number = 0;
+    for (; number < 50; ++number) {
+        auto sent = only<send_execute>(ask(number, "chart", milliseconds{5'000}));
+        while (!sent.empty()) {
+            const auto attempt = sent.front().call.attempt;
+            sent = only<send_execute>(vm_.decide(
+                attempt_reported{
+                    number, attempt, {.state = execute_state::refused, .leaving = true}},
+                now_));
+        }
+    }
+    (void)pass(milliseconds{60'000});
+
+    const auto sent = only<send_execute>(ask(++number, "chart", milliseconds{5'000}));
+
+    ASSERT_EQ(sent.size(), 1U) << "both left a minute ago; nobody tells when they are back";
+    (void)report(number, sent.front().call.attempt, execute_state::completed);
+    EXPECT_EQ(only<write_ledger>(ask(++number, "sheet", milliseconds{5'000})).size(), 1U)
+        << "one that has answered gets work that may not be repeated as well";
+}
+
 TEST_F(dispatcher_test, ATableThatDoesNotAnswerIsAskedByOneRequestAtATime)
 {
     for (request_number number = 1; number <= 3; ++number) {
