Store nothing for a caller that left while the VM was suspended

What could happen: an API frontend whose VM is suspended in the pause between two tries of a submission repeats it afterwards. If that lasts longer than an ended job's row is kept, and another VM has stored the job meanwhile, the row is gone, the repetition is stored and the job runs twice. Seen in a test only.

Cause: `retry` looked at the caller's time before the pause, not after it. The clock of these timers goes on while a VM is suspended. A cancel was repeated in the same way, and was also stored after a read of its job that had outlasted its caller.

Both are asked after the pause as well, and before a cancel is stored.

This closes the pauses that are ours. A submission that waits in a socket or at the store while its row is stored and removed can still be applied afterwards, since its only condition is that there is no row.

--- a/src/frontend/api_frontend.cpp
+++ b/src/frontend/api_frontend.cpp
@@ -277,6 +277,9 @@
     find_job(call, [this, call](const store::row* row) {
         if (row == nullptr) {
             finish(call, no_such_job{});
+        } else if (call->time_left(ports_.time->now()) <= base::milliseconds{0}) {
+            // The read took longer than the caller waits, or the VM was suspended meanwhile.
+            finish(call, call_refused{call_refused::cause::store_away, min_outage_retry});
         } else {
             store_cancel(call);
         }
@@ -320,14 +323,19 @@
 void api_frontend::retry(const call_ptr& call, std::function<void()> operation,
                          caller_answer final_answer)
 {
-    const auto waited =
-        std::chrono::duration_cast<base::milliseconds>(ports_.time->now() - call->received);
-    if (waited + retry_interval + options_.answer_margin >= call->call.timeout) {
+    if (call->time_left(ports_.time->now()) <= retry_interval + options_.answer_margin) {
         finish(call, std::move(final_answer));
         return;
     }
-    ports_.time->after(retry_interval, [operation = std::move(operation), alive = alive_] {
-        if (*alive) {
+    ports_.time->after(retry_interval, [this, call, operation = std::move(operation),
+                                        final_answer = std::move(final_answer), alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        // The VM may have been suspended meanwhile.
+        if (call->time_left(ports_.time->now()) <= options_.answer_margin) {
+            finish(call, final_answer);
+        } else {
             operation();
         }
     });
--- a/src/frontend/internal/pending_call.hpp
+++ b/src/frontend/internal/pending_call.hpp
@@ -46,6 +46,12 @@
     std::string_view basis{};
     /// The parts in which the job's row was not found, as `PART@VERSION`, for the log.
     std::string empty_parts{};
+
+    /// How much longer the caller waits.
+    [[nodiscard]] base::milliseconds time_left(base::time_point now) const
+    {
+        return call.timeout - std::chrono::duration_cast<base::milliseconds>(now - received);
+    }
 };
 
 } // namespace poplarstile::frontend
