Refuse writes that could not be sent while the VM was suspended

After a long suspension the condition of a submission ("there is no row") may hold again, since the row has been removed. Seen in a test only.

Such a write is refused unsent when more than 5 s have passed, which no answer takes otherwise: calls time out after 2 s, with a hop after 2.15 s.

--- a/src/store/store_link.cpp
+++ b/src/store/store_link.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t silent_scopes_until_away = 2;
 /// Before the read that tries whether a part is served.
 constexpr base::milliseconds probe_pause{60};
+/// A write that could not be sent for longer than this, because the VM was suspended, is refused:
+/// its condition may hold again by now.
+constexpr base::milliseconds longest_write_wait{5'000};
 constexpr std::uint16_t status_too_many = 429;
 constexpr std::uint16_t status_unavailable = 503;
 
@@ -213,12 +216,12 @@
 {
     auto question = ports_.probe(call.scope);
     question.scope = call.scope;
-    send_and_note(question, [this, call, handler = std::move(handler),
+    send_and_note(question, [this, call, handler = std::move(handler), asked = ports_.time->now(),
                              alive = alive_](const link_reply& reply) {
         if (!*alive) {
             return;
         }
-        if (is_good(reply)) {
+        if (is_good(reply) && ports_.time->now() - asked <= longest_write_wait) {
             send_and_note(call, handler);
         } else {
             handler({});
@@ -246,9 +249,12 @@
         help(call, {}, std::move(handler));
         return;
     }
-    send_direct(call, [this, call, handler = std::move(handler)](link_reply reply) mutable {
+    send_direct(call, [this, call, asked = ports_.time->now(),
+                       handler = std::move(handler)](link_reply reply) mutable {
+        const bool too_late =
+            call.kind == call_kind::write && ports_.time->now() - asked > longest_write_wait;
         // What was turned away certainly had no effect and may go another way.
-        if (turned_away(reply) && !choose_helper(scopes_[call.scope]).empty()) {
+        if (turned_away(reply) && !too_late && !choose_helper(scopes_[call.scope]).empty()) {
             help(call, std::move(reply), std::move(handler));
         } else {
             handler(std::move(reply));
--- a/tests/store/store_link_test.cpp
+++ b/tests/store/store_link_test.cpp
@@ -25,13 +25,15 @@
                               const link_handler& handler) {
             made.push_back(call);
             const bool silent = all_silent || silent_scopes.contains(call.scope);
-            time.after(silent ? timeout : milliseconds{4}, [silent, handler] {
+            const auto status = status_of_answers;
+            time.after(silent ? timeout : time_of_answers, [silent, status, handler] {
                 handler(silent ? link_reply{net::delivery::lost, 0, {}}
-                               : link_reply{net::delivery::answered, 200, "{}"});
+                               : link_reply{net::delivery::answered, status, "{}"});
             });
         };
-        ports.through = [this](const std::string& /*helper*/, const link_call& /*call*/,
+        ports.through = [this](const std::string& /*helper*/, const link_call& call,
                                milliseconds /*timeout*/, const link_handler& handler) {
+            relayed.push_back(call);
             time.after(milliseconds{6}, [handler] {
                 handler({net::delivery::answered, 200, "{}"});
             });
@@ -69,9 +71,13 @@
     tests::virtual_time time{};
     std::set<std::string> silent_scopes{};
     bool all_silent = false;
+    std::uint16_t status_of_answers = 200;
+    milliseconds time_of_answers{4};
     /// VMs that the store serves.
     std::vector<std::string> helpers{};
     std::vector<link_call> made{};
+    /// Calls that went through a helper.
+    std::vector<link_call> relayed{};
     std::unique_ptr<store_link> link{};
 };
 
@@ -103,6 +109,37 @@
     EXPECT_EQ(send("a"), net::delivery::answered);
 }
 
+TEST_F(store_link_test, AWriteThatWaitedForAnAnswerWhileTheVmWasSuspendedIsNotSent)
+{
+    // Its condition may hold again by now, as that of a submission whose row has been removed.
+    silent_scopes = {"b"};
+    EXPECT_EQ(send("b", call_kind::read), net::delivery::lost);
+    time_of_answers = seconds{200};
+    std::optional<net::delivery> outcome;
+    link->send({call_kind::write, "a", "POST", {}, {}, {}},
+               [&outcome](const link_reply& reply) { outcome = reply.outcome; });
+
+    time.run_for(seconds{500});
+
+    EXPECT_EQ(outcome, net::delivery::not_sent);
+    EXPECT_EQ(writes_sent(), 0U);
+}
+
+TEST_F(store_link_test, AWriteThatWasTurnedAwayWhileTheVmWasSuspendedGoesThroughNoOther)
+{
+    helpers = {"vm2"};
+    status_of_answers = 503;
+    time_of_answers = seconds{200};
+    std::optional<std::uint16_t> status;
+    link->send({call_kind::write, "a", "POST", {}, {}, {}},
+               [&status](const link_reply& reply) { status = reply.status; });
+
+    time.run_for(seconds{201});
+
+    EXPECT_EQ(status, 503);
+    EXPECT_EQ(std::ranges::count(relayed, call_kind::write, &link_call::kind), 0);
+}
+
 TEST_F(store_link_test, TwoSilentScopesMeanThatTheStoreIsAwayAndWritesAreRefusedAtOnce)
 {
     all_silent = true;
