Remove the cancels of an open row that is dropped

Callers saw nothing; when a job was stored in two parts and the open row was read before the ended one, the open row was dropped and its cancel stayed until the next leader. Shown by a test only.

Cause: the parts that hold a job's cancels are noted with the open job, and that note went with it.

The cancels are removed with the row, as they are for a job that has ended when its cancel is read.

--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -233,6 +233,9 @@
         return;
     }
     const auto part = found->second.part;
+    for (const auto cancel_part : found->second.cancel_parts) {
+        remove_cancel(id, cancel_part);
+    }
     publish_status(id, found->second, status);
     jobs_.erase(found);
     drop_duplicate(part, id);
--- a/tests/control/early_cancels_test.cpp
+++ b/tests/control/early_cancels_test.cpp
@@ -111,5 +111,33 @@
     EXPECT_FALSE(site.store.find(cancel_row()));
 }
 
+TEST_F(early_cancel, OfAnOpenRowThatIsDroppedBecauseItsJobHasEndedGoes)
+{
+    // Of the two rows of a job one has ended. The parts are read in any order.
+    for (std::size_t ended = 0; ended < site.parts.size(); ++ended) {
+        for (std::size_t open = 0; open < site.parts.size(); ++open) {
+            if (ended == open) {
+                continue;
+            }
+            const auto job = fmt::format("{:015x}{:x}", ended + 1, open + 1);
+            site.store.put({"jobs", site.parts.name(open), job},
+                           batch::encode(make_job(job, 1, small_task)));
+            site.store.put({"jobs", site.parts.name(open), job + ".cancel"}, "{}");
+            site.store.put(
+                {"jobs", site.parts.name(ended), job},
+                batch::encode(batch::finished_job{batch::job_status::cancelled, "queue",
+                                                  "workspace", base::store_time{seconds{100}}}));
+        }
+    }
+    auto* const leader = site.await_leader();
+    ASSERT_NE(leader, nullptr);
+
+    wait_for_removal();
+
+    EXPECT_EQ(site.leading_vm(), leader);
+    EXPECT_TRUE(site.store.all("jobs").empty());
+    EXPECT_TRUE(site.workers.starts().empty());
+}
+
 } // namespace
 } // namespace poplarstile::tests
