Count a leader's first confirmation from when its acquisition was sent

What callers would see: a task that runs twice for a moment after a takeover. Not reported; found by reading.

A leader extends leases at workers up to lease_horizon past its newest confirmed commit, and a successor waits for lease_horizon from its own acquisition. The lease row may have been written, and taken by a successor, long before. The leader then believed in an authority that lasted longer than it does, by the round trip or the delay.

The first confirmation is now the time at which the call was sent that showed the row to be this VM's: at that time no successor had acquired it yet. That holds for a commit, for the rows of a conflict and for a read.

--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -155,7 +155,8 @@
     ports.on_status = [this](const cluster::job_view& view) { publish_view(view); };
     ports.on_span = ports_.on_span;
     ports.on_lost = [this](const store::lease_record& found) { schedule_step_down(found); };
-    leader_ = std::make_unique<leader>(std::move(ports), options_.leader, lease, part, version);
+    leader_ = std::make_unique<leader>(std::move(ports), options_.leader, lease, part, version,
+                                       election_->acquisition_sent());
     for (auto& [address, peer] : vms_) {
         peer.wants_snapshot = true;
         peer.unsent.clear();
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -23,7 +23,7 @@
 }
 
 leader::leader(leader_ports ports, leader_options options, store::lease_record lease,
-               std::size_t first, store::row_version version)
+               std::size_t first, store::row_version version, base::time_point sent)
     : ports_{std::move(ports)}, options_{std::move(options)},
       store_clock_{std::make_shared<store::store_clock_reading>()}, rows_{store::with_clock_reading(
                                                                         *ports_.rows, *ports_.time,
@@ -31,7 +31,7 @@
       epoch_{lease.epoch}, lease_{lease}, first_part_{first},
       parts_(options_.parts.size()), began_{ports_.time->now()}
 {
-    open_part(first, std::move(lease), version);
+    open_part(first, std::move(lease), version, sent);
 }
 
 leader::~leader()
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -107,9 +107,10 @@
 class leader
 {
 public:
-    /// `lease` and `version` are the lease row of part `first` as this VM wrote it.
+    /// `lease` and `version` are the lease row of part `first` as this VM wrote it; the call that
+    /// showed this was sent at `sent`.
     leader(leader_ports ports, leader_options options, store::lease_record lease, std::size_t first,
-           store::row_version version);
+           store::row_version version, base::time_point sent);
     ~leader();
     leader(const leader&) = delete;
     leader& operator=(const leader&) = delete;
@@ -213,9 +214,11 @@
 
     // Acquiring and loading the parts (leader_parts.cpp).
     void acquire_part(std::size_t part);
-    void acquire_part_lease(std::size_t part, const store::read_reply& reply);
+    void acquire_part_lease(std::size_t part, base::time_point sent,
+                            const store::read_reply& reply);
     void commit_part_lease(std::size_t part, store::row_version version);
-    void open_part(std::size_t part, store::lease_record lease, store::row_version version);
+    void open_part(std::size_t part, store::lease_record lease, store::row_version version,
+                   base::time_point sent);
     void read_runs(std::size_t part, const std::string& from);
     void read_jobs(std::size_t part, const std::string& from);
     /// Restores the runs of a job from their stored record, if there is one.
--- a/src/control/leader_election.cpp
+++ b/src/control/leader_election.cpp
@@ -153,15 +153,17 @@
 void leader_election::read_lease(std::size_t part)
 {
     const auto lease = store::lease_row(options_.parts.name(part));
-    ports_.rows->read({lease.table, lease.part, lease.key, store::after_key(lease.key), 1},
-                      [this, part, alive = alive_](const store::read_reply& reply) {
-                          if (*alive) {
-                              handle_lease_row(part, reply);
-                          }
-                      });
+    ports_.rows->read(
+        {lease.table, lease.part, lease.key, store::after_key(lease.key), 1},
+        [this, part, sent = ports_.time->now(), alive = alive_](const store::read_reply& reply) {
+            if (*alive) {
+                handle_lease_row(part, sent, reply);
+            }
+        });
 }
 
-void leader_election::handle_lease_row(std::size_t part, const store::read_reply& reply)
+void leader_election::handle_lease_row(std::size_t part, base::time_point sent,
+                                       const store::read_reply& reply)
 {
     const bool answered = reply.outcome == store::call_outcome::done;
     if (!answered && part + 1 < options_.parts.size()) {
@@ -195,7 +197,7 @@
     round->version = row.version;
     if (is_own(record)) {
         // An earlier attempt of this VM took effect although its reply was lost.
-        become_leader(record, part, row.version);
+        become_leader(record, part, row.version, sent);
     } else if (record.holder == options_.self.vm) {
         acquire_lease(part, row.version, record);
     } else {
@@ -335,20 +337,20 @@
     store::transaction take;
     take.expected.push_back({lease, version});
     take.puts.push_back({lease, store::encode(taken)});
-    ports_.rows->commit(std::move(take), [this, part, taken, lease,
+    ports_.rows->commit(std::move(take), [this, part, taken, lease, sent = ports_.time->now(),
                                           alive = alive_](const store::commit_reply& reply) {
         if (!*alive) {
             return;
         }
         if (reply.outcome == store::call_outcome::done) {
-            become_leader(taken, part, reply.version);
+            become_leader(taken, part, reply.version, sent);
             return;
         }
         if (reply.outcome == store::call_outcome::conflict) {
             for (const auto& row : reply.current) {
                 const auto found = store::decode_lease(row.value);
                 if (row.id == lease && found.has_value() && is_own(found.value())) {
-                    become_leader(found.value(), part, row.version);
+                    become_leader(found.value(), part, row.version, sent);
                     return;
                 }
             }
@@ -360,7 +362,7 @@
 }
 
 void leader_election::become_leader(const store::lease_record& record, std::size_t part,
-                                    store::row_version version)
+                                    store::row_version version, base::time_point sent)
 {
     attempt_in_progress_ = false;
     if (left_) {
@@ -370,6 +372,7 @@
     vacant_ = false;
     commits_confirmed_ = true;
     epoch_ = record.epoch;
+    acquisition_sent_ = sent;
     leader_ = options_.self;
     log.info("elected",
              {{"epoch", epoch_},
--- a/src/control/leader_election.hpp
+++ b/src/control/leader_election.hpp
@@ -96,6 +96,11 @@
     {
         return epoch_;
     }
+    /// When the call was sent that showed the lease row to be this VM's, which leads since.
+    [[nodiscard]] base::time_point acquisition_sent() const
+    {
+        return acquisition_sent_;
+    }
     /// Time since the leader's last heartbeat; zero while this VM leads.
     [[nodiscard]] base::milliseconds leader_silence() const;
 
@@ -119,15 +124,16 @@
     void schedule_tick();
     [[nodiscard]] bool needs_leader() const;
     void read_lease(std::size_t part);
-    void handle_lease_row(std::size_t part, const store::read_reply& reply);
+    void handle_lease_row(std::size_t part, base::time_point sent, const store::read_reply& reply);
     void query_peers(const std::shared_ptr<election_round>& round);
     void handle_hello_answer(election_round& round, const std::optional<cluster::message>& answer);
     void finish_round(const std::shared_ptr<election_round>& round);
     [[nodiscard]] bool may_take_lease(const election_round& round);
     void acquire_lease(std::size_t part, store::row_version version,
                        const store::lease_record& record);
+    /// `sent` is when the call was sent whose reply shows the lease row to be this VM's.
     void become_leader(const store::lease_record& record, std::size_t part,
-                       store::row_version version);
+                       store::row_version version, base::time_point sent);
     /// True for a lease that this incarnation of this VM wrote.
     [[nodiscard]] bool is_own(const store::lease_record& record) const;
     [[nodiscard]] std::uint64_t next_epoch(std::uint64_t found) const;
@@ -138,6 +144,7 @@
     cluster::vm_entry leader_{};
     std::uint64_t epoch_ = 0;
     base::time_point last_heartbeat_at_{};
+    base::time_point acquisition_sent_{};
     bool commits_confirmed_ = true;
     bool vacant_ = false;
     bool leading_ = false;
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -58,15 +58,17 @@
 void leader::acquire_part(std::size_t part)
 {
     const auto lease = store::lease_row(options_.parts.name(part));
-    rows_.read({lease.table, lease.part, lease.key, after_key(lease.key), 1},
-               [this, part, alive = alive_](const store::read_reply& reply) {
-                   if (*alive && !lost_) {
-                       acquire_part_lease(part, reply);
-                   }
-               });
+    rows_.read(
+        {lease.table, lease.part, lease.key, after_key(lease.key), 1},
+        [this, part, sent = ports_.time->now(), alive = alive_](const store::read_reply& reply) {
+            if (*alive && !lost_) {
+                acquire_part_lease(part, sent, reply);
+            }
+        });
 }
 
-void leader::acquire_part_lease(std::size_t part, const store::read_reply& reply)
+void leader::acquire_part_lease(std::size_t part, base::time_point sent,
+                                const store::read_reply& reply)
 {
     if (reply.outcome != store::call_outcome::done) {
         part_failed(part, [this, part] { acquire_part(part); });
@@ -89,7 +91,7 @@
         on_lease_lost(record);
     } else if (record.epoch == epoch_ && store::same_holder(record, lease_)) {
         // An earlier commit of this leader took effect although its reply was lost.
-        open_part(part, record, row.version);
+        open_part(part, record, row.version, sent);
         read_runs(part, {});
     } else {
         commit_part_lease(part, row.version);
@@ -104,26 +106,28 @@
     store::transaction acquisition;
     acquisition.expected.push_back({lease, version});
     acquisition.puts.push_back({lease, store::encode(record)});
-    rows_.commit(std::move(acquisition),
-                 [this, part, record, alive = alive_](const store::commit_reply& reply) {
-                     if (!*alive || lost_) {
-                         return;
-                     }
-                     if (reply.outcome == store::call_outcome::done) {
-                         open_part(part, record, reply.version);
-                         read_runs(part, {});
-                     } else if (reply.outcome == store::call_outcome::conflict) {
-                         acquire_part(part);
-                     } else {
-                         part_failed(part, [this, part] { acquire_part(part); });
-                     }
-                 });
+    rows_.commit(std::move(acquisition), [this, part, record, sent = ports_.time->now(),
+                                          alive = alive_](const store::commit_reply& reply) {
+        if (!*alive || lost_) {
+            return;
+        }
+        if (reply.outcome == store::call_outcome::done) {
+            open_part(part, record, reply.version, sent);
+            read_runs(part, {});
+        } else if (reply.outcome == store::call_outcome::conflict) {
+            acquire_part(part);
+        } else {
+            part_failed(part, [this, part] { acquire_part(part); });
+        }
+    });
 }
 
-void leader::open_part(std::size_t part, store::lease_record lease, store::row_version version)
+void leader::open_part(std::size_t part, store::lease_record lease, store::row_version version,
+                       base::time_point sent)
 {
     store::journal_options options;
     options.part = options_.parts.name(part);
+    options.acquisition_sent = sent;
     store::journal::events handlers;
     handlers.on_lost = [this](const store::lease_record& found) { on_lease_lost(found); };
     auto& opened = parts_.at(part);
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -62,7 +62,8 @@
                  lease_record record, row_version version, events told)
     : rows_{rows}, time_{time}, options_{std::move(options)}, record_{std::move(record)},
       version_{version}, told_{std::move(told)}, last_commit_{record_.commit},
-      retry_delay_{options_.retry_delay}, confirmed_at_{time.now()}, last_sent_{confirmed_at_}
+      retry_delay_{options_.retry_delay}, confirmed_at_{options_.acquisition_sent}, last_sent_{
+                                                                                        time.now()}
 {
     schedule_renewal();
 }
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -41,6 +41,8 @@
 
 struct journal_options {
     std::string part{};
+    /// When the call was sent that showed the lease row to be this VM's; the first confirmation.
+    base::time_point acquisition_sent{};
     /// The lease row is put again after this time without another commit.
     base::milliseconds renewal{1'000};
     base::milliseconds retry_delay{60};
--- a/tests/control/lease_horizon_test.cpp
+++ b/tests/control/lease_horizon_test.cpp
@@ -77,5 +77,31 @@
     EXPECT_EQ(site.workers.starts().front().run, 1U) << "the first start came too late";
 }
 
+TEST(lease_authority, CountsFromWhenTheAnsweredCommitWasSent)
+{
+    site_fixture site;
+    site.store.latency = milliseconds{100};
+    auto& made = site.start("vm1");
+    base::time_point newest_answered{};
+    made.rows.commit = [&site, &newest_answered, direct = made.rows.commit](
+                           store::transaction sent,
+                           const std::function<void(store::commit_reply)>& handler) {
+        const auto sent_at = site.time.now();
+        direct(std::move(sent), [&, handler, sent_at](const store::commit_reply& reply) {
+            newest_answered = std::max(newest_answered, sent_at);
+            handler(reply);
+        });
+    };
+    bool has_led = false;
+    for (int step = 0; step < 3'000; ++step) {
+        site.time.run_for(milliseconds{1});
+        const auto* const leader = made.node->local_leader();
+        has_led = has_led || leader != nullptr;
+        ASSERT_TRUE(leader == nullptr || leader->confirmed_at() <= newest_answered)
+            << "in the step " << step;
+    }
+    EXPECT_TRUE(has_led);
+}
+
 } // namespace
 } // namespace poplarstile::tests
