--- a/tests/control/rival_leases_test.cpp
+++ b/tests/control/rival_leases_test.cpp
@@ -15,7 +15,7 @@
 TEST(rival_leases, AnOwnLeaseThatARivalHasOvertakenDoesNotKeepEveryoneFromLeading)
 {
     site_fixture site;
-    const auto store_lease = [&site](std::size_t part, store::lease_record record) {
+    const auto store_lease = [&site](std::size_t part, const store::lease_record& record) {
         site.store.put(store::lease_row(site.parts.name(part)), store::encode(record));
     };
     // The VMs are born as 1, 2 and 3; the epoch of the rival is the higher one.
