--- a/tests/control/job_rows_test.cpp
+++ b/tests/control/job_rows_test.cpp
@@ -191,6 +191,29 @@
     EXPECT_TRUE(site.store.all("jobs").empty());
 }
 
+TEST_F(job_rows, AnEndInTheFutureOfTheStoresClockIsNotKeptForLonger)
+{
+    ASSERT_NE(site.await_leader(), nullptr);
+    site.store.put({"jobs", home(), id},
+                   batch::encode(batch::finished_job{batch::job_status::completed, "queue",
+                                                     "workspace", base::store_time{seconds{900}}}));
+    wait_for_removal();
+
+    EXPECT_TRUE(site.store.all("jobs").empty());
+}
+
+TEST_F(job_rows, AnEndThatIsALittleAheadOfTheNewestReplyIsNotStoredAgain)
+{
+    ASSERT_NE(site.await_leader(), nullptr);
+    const base::store_time ahead{milliseconds{site.time.now_ms() + 2'000}};
+    site.store.put({"jobs", home(), id},
+                   batch::encode(batch::finished_job{batch::job_status::completed, "queue",
+                                                     "workspace", ahead}));
+    site.time.run_for(seconds{1});
+
+    EXPECT_EQ(counters().end_times_stored_anew, 0U);
+}
+
 TEST_F(job_rows, RemovalsAreNotCollectedForAPartThatDoesNotAnswer)
 {
     ASSERT_NE(site.await_leader(), nullptr);
