--- a/tests/batch/job_test.cpp
+++ b/tests/batch/job_test.cpp
@@ -198,6 +198,19 @@
     const auto& read = std::get<finished_job>(row.value());
     EXPECT_EQ(read.status, job_status::cancelled);
     EXPECT_EQ(read.ended_at, ended_at);
+    EXPECT_FALSE(read.ended_at_sending);
+}
+
+TEST(job_codec, TheMarkOfATimeOfSendingSurvivesARoundTrip)
+{
+    const base::store_time sent_at{base::milliseconds{99}};
+    const auto row = decode_job_row(
+        encode(finished_job{job_status::completed, "renders", "shop", sent_at, true}));
+
+    ASSERT_TRUE(row.has_value());
+    const auto& read = std::get<finished_job>(row.value());
+    EXPECT_EQ(read.ended_at, sent_at) << "a build that does not know the mark reads the time";
+    EXPECT_TRUE(read.ended_at_sending);
 }
 
 TEST(job_codec, RunsSurviveARoundTrip)
