Show a cancelled job that starts from its second row

A job that is stored in two parts ends as cancelled while the part of its second row is away. Its cancel, in a third part, is removed at once, because the job has ended. If the next leader reads the second row while the part of the ended one is away, it starts the job.

--- a/tests/control/early_cancels_test.cpp
+++ b/tests/control/early_cancels_test.cpp
@@ -139,5 +139,27 @@
     EXPECT_TRUE(site.workers.starts().empty());
 }
 
+TEST_F(early_cancel, CountsForASecondRowThatIsReadWithoutTheEndedOne)
+{
+    // The job ended as cancelled while the part of its second row was away; the next leader reads
+    // that part, and the part of the ended row is away.
+    const auto third = site.parts.name((site.parts.home_of(id) + 2) % site.parts.size());
+    ASSERT_NE(site.await_leader(), nullptr);
+    site.store.away_parts = {other_part()};
+    replace_leader();
+    const auto job = make_job(id, 1, worker_capacity);
+    site.store.put({"jobs", third, id + ".cancel"}, "{}");
+    site.submit(job);
+    site.store.put({"jobs", other_part(), id}, batch::encode(job));
+    ASSERT_EQ(site.await_end(id), batch::job_status::cancelled);
+    site.time.run_for(seconds{3});
+
+    site.store.away_parts = {site.part_of(id)};
+    replace_leader();
+    site.time.run_for(seconds{10});
+
+    EXPECT_TRUE(site.workers.starts().empty());
+}
+
 } // namespace
 } // namespace poplarstile::tests
