Keep the cancel of an ended job until all rows have been seen

A job that is stored in two parts ended as cancelled while the part of its second row was away. Its cancel, in a third part, was removed at once; a leader that then read the second row without the ended one started the job.

Cause: a cancel was taken as needed no longer when one row of its job had ended.

It is now kept until the rows of every part have been seen as they were after the job ended. Still open: a second row that was seen, but whose removal waits for its part, no longer keeps the cancel.

--- a/src/control/early_cancels.cpp
+++ b/src/control/early_cancels.cpp
@@ -25,15 +25,16 @@
     return parts;
 }
 
-std::vector<std::string> early_cancels::take_noted_before(std::size_t part, base::time_point limit,
-                                                          std::size_t max_requests)
+std::vector<std::string> early_cancels::take_noted_before(
+    std::size_t part, const std::function<base::time_point(const std::string& id)>& limit_of,
+    std::size_t max_requests)
 {
     std::vector<std::string> taken;
     for (auto next = noted_.begin(); next != noted_.end() && taken.size() < max_requests;) {
         const auto current = next++;
         auto& [id, parts] = *current;
         const auto request = parts.find(part);
-        if (request == parts.end() || request->second >= limit || kept_.contains(id)) {
+        if (request == parts.end() || request->second >= limit_of(id) || kept_.contains(id)) {
             continue;
         }
         taken.push_back(id);
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -162,7 +162,7 @@
     }
     settle_ends();
     remove_expired_jobs();
-    remove_cancels_without_job();
+    remove_unneeded_cancels();
     schedule_plan();
 }
 
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -275,8 +275,8 @@
     void cancel_job(const std::string& id, std::size_t part);
     /// Removes the stored request to cancel a job from a part, if that part is open.
     void remove_cancel(const std::string& id, std::size_t part);
-    /// Removes requests whose jobs are gone.
-    void remove_cancels_without_job();
+    /// Removes requests whose jobs have ended or are gone.
+    void remove_unneeded_cancels();
 
     // Ends of jobs and the removal of their rows (leader_ends.cpp).
     void close_job(const std::string& id, job_entry& entry);
--- a/src/control/leader_cancels.cpp
+++ b/src/control/leader_cancels.cpp
@@ -31,12 +31,7 @@
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
-        if (ended_.contains(id)) {
-            // The job has ended, so its cancel row is removed as well.
-            remove_cancel(id, part);
-        } else {
-            early_cancels_.add(id, part, ports_.time->now());
-        }
+        early_cancels_.add(id, part, ports_.time->now());
         return;
     }
     auto& entry = found->second;
@@ -52,23 +47,25 @@
     }
 }
 
-void leader::remove_cancels_without_job()
+void leader::remove_unneeded_cancels()
 {
     // A cancel is stored after its job, so a job that is not known once all rows have been seen is
-    // gone.
+    // gone. One that has ended may have a second row that has not been seen.
     const auto seen_at = all_rows_seen_at();
     if (!seen_at) {
         return;
     }
-    const auto limit = *seen_at - kept_without_job;
+    const auto limit_of = [this, seen_at = *seen_at](const std::string& id) {
+        return ended_.contains(id) ? seen_at : seen_at - kept_without_job;
+    };
     for (std::size_t part = 0; part < parts_.size(); ++part) {
         // A part that does not answer would only collect removals.
         if (!part_answers(part)) {
             continue;
         }
         for (const auto& id :
-             early_cancels_.take_noted_before(part, limit, max_rows_removed_at_once)) {
-            log.info("cancel_without_job_removed",
+             early_cancels_.take_noted_before(part, limit_of, max_rows_removed_at_once)) {
+            log.info("cancel_row_removed",
                      {{"job", id}, {"store_part", options_.parts.name(part)}, {"epoch", epoch_}});
             remove_cancel(id, part);
         }
--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -60,7 +60,7 @@
     // as well.
     for (const auto cancel_part : entry.cancel_parts) {
         if (cancel_part != part) {
-            remove_cancel(id, cancel_part);
+            early_cancels_.add(id, cancel_part, ports_.time->now());
         }
     }
     finished.ended_at = store_clock_->estimate(ports_.time->now());
@@ -99,9 +99,6 @@
         finished.ended_at_sending = false;
         parts_.at(part).unsettled_ends.push_back({id, std::move(finished), origin, now});
     }
-    for (const auto cancel_part : early_cancels_.take(id)) {
-        remove_cancel(id, cancel_part);
-    }
 }
 
 void leader::settle_ends()
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -234,7 +234,7 @@
     }
     const auto part = found->second.part;
     for (const auto cancel_part : found->second.cancel_parts) {
-        remove_cancel(id, cancel_part);
+        early_cancels_.add(id, cancel_part, ports_.time->now());
     }
     publish_status(id, found->second, status);
     jobs_.erase(found);
