--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -281,8 +281,8 @@
     void cancel_job(const std::string& id, std::size_t part);
     /// Removes the stored request to cancel a job from a part, if that part is open.
     void remove_cancel(const std::string& id, std::size_t part);
-    /// Removes requests whose jobs are gone.
-    void remove_cancels_without_job();
+    /// Removes requests whose jobs have ended or are gone.
+    void remove_unneeded_cancels();
 
     // Jobs that are stored in two parts (leader_second_rows.cpp).
     /// Keeps the one of two rows of an open job that has a record of runs, and drops the other.
