Let no VM lead by an own lease that a later epoch has overtaken

Shown by tests only; callers would see jobs that are accepted and not started. Two VMs had taken the leases of different parts, both without an answer. The one with the lower epoch found its own lease, led, met the greater epoch in the other part, stepped down, found the same lease again, and so on; the heartbeats of these terms kept the other VM from trying.

Cause: an own lease row counted as the grant of a term whatever epochs the VM had met since it was written, and becoming leader set the known epoch back to the lower one.

A VM now leads only by a lease whose epoch is greater than any it knows, wherever it learns of the lease (the read, the answer to the commit, the row in a conflict). So no epoch is led twice and the known epoch only grows. For an older own lease the other VMs are asked, as for anybody's, and the lease is taken with a greater epoch if nobody leads. In that round an answer that tells of a term with an epoch lower than one this VM knows doesn't count as a leader.

--- a/src/control/leader_election.cpp
+++ b/src/control/leader_election.cpp
@@ -195,10 +195,11 @@
     round->record = record;
     round->part = part;
     round->version = row.version;
-    if (is_own(record)) {
-        // An earlier attempt of this VM took effect although its reply was lost.
+    if (is_own(record) && record.epoch > epoch_) {
+        // An earlier attempt of this VM took effect although its reply was lost. The term of an own
+        // lease whose epoch is not the greatest known has ended or never began.
         become_leader(record, part, row.version, sent);
-    } else if (record.holder == options_.self.vm) {
+    } else if (record.holder == options_.self.vm && !is_own(record)) {
         acquire_lease(part, row.version, record);
     } else {
         query_peers(round);
@@ -250,7 +251,7 @@
         ports_.on_vm_seen(vm);
     }
     const bool has_leader =
-        response->epoch >= round.record.epoch && response->epoch > 0 &&
+        response->epoch >= std::max(round.record.epoch, epoch_) && response->epoch > 0 &&
         base::milliseconds{response->leader_seen_ms_ago} < options_.leader_timeout;
     round.leader_reachable = round.leader_reachable || has_leader;
     if (response->from.vm == round.record.holder &&
@@ -342,14 +343,15 @@
         if (!*alive) {
             return;
         }
-        if (reply.outcome == store::call_outcome::done) {
+        if (reply.outcome == store::call_outcome::done && taken.epoch > epoch_) {
             become_leader(taken, part, reply.version, sent);
             return;
         }
         if (reply.outcome == store::call_outcome::conflict) {
             for (const auto& row : reply.current) {
                 const auto found = store::decode_lease(row.value);
-                if (row.id == lease && found.has_value() && is_own(found.value())) {
+                if (row.id == lease && found.has_value() && is_own(found.value()) &&
+                    found.value().epoch > epoch_) {
                     become_leader(found.value(), part, row.version, sent);
                     return;
                 }
