Show how a job ended only once its end is stored

Callers saw a job as cancelled that they later saw as completed, without any fault: it had been cancelled 50 ms before its end.

Cause: the leader published the status of a job as soon as its runs were stored, and when it took over a part. A job with a cancel counts as cancelled then, though a task of it may still end as done, which makes it completed.

What is published with the runs is pending or running now; a final status comes from the stored end alone (publish_end, and drop_open_duplicate for an end that was read). At a takeover the stored runs tell pending or running. A cancelled or failed job therefore shows as before until its last task has ended and the end is stored.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -182,7 +182,7 @@
         batch::job state;
         /// Index of the part that holds its rows.
         std::size_t part = 0;
-        /// The stored status, which is the one that is published.
+        /// The status that is published: a stored one, and final only once the end is stored.
         batch::job_status published_status = batch::job_status::pending;
         /// Parts that hold a request to cancel it.
         std::set<std::size_t> cancel_parts{};
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -203,7 +203,8 @@
         log.error("run_record_of_another_shape", {{"job", id}});
         return;
     }
-    entry.published_status = entry.state.status();
+    entry.published_status =
+        entry.state.started() ? batch::job_status::running : batch::job_status::pending;
 }
 
 void leader::part_read(std::size_t part)
@@ -286,7 +287,7 @@
             stop_job(entry, entry.state.cancelled() ? stop_reason::cancelled : stop_reason::failed);
             mark_dirty(id);
         }
-        publish_status(id, entry, entry.state.status());
+        publish_status(id, entry, entry.published_status);
     }
     log.info("part_adopted", {{"store_part", options_.parts.name(part)},
                               {"placed_tasks", adopted},
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -305,7 +305,8 @@
     written.writes.push_back({runs_row(entry.part, id), batch::encode_runs(entry.state)});
     written.on_durable = [this, id, status, orders = std::move(orders)] {
         const auto found = jobs_.find(id);
-        if (found != jobs_.end()) {
+        // How the job ends is settled only once its end is stored.
+        if (found != jobs_.end() && !batch::is_final(status)) {
             publish_status(id, found->second, status);
         }
         for (const auto& key : orders) {
--- a/tests/control/shown_end_test.cpp
+++ b/tests/control/shown_end_test.cpp
@@ -64,6 +64,21 @@
     EXPECT_EQ(shown_by("vm2"), stored);
 }
 
+TEST_F(shown_end, AJobThatIsCancelledAndEndsWhileNobodyLeadsIsNotShownAsCancelled)
+{
+    start_job();
+    const auto leader = site.leading_vm()->name;
+    const std::string other = leader == "vm1" ? "vm2" : "vm1";
+    site.stop(leader);
+    site.cancel(id);
+    // The task ends before anyone leads, so nothing stops it.
+    const auto stored = site.await_end(id);
+
+    site.time.run_for(seconds{1});
+    EXPECT_EQ(stored, batch::job_status::completed);
+    EXPECT_EQ(shown_by(other), stored);
+}
+
 TEST_F(shown_end, AJobIsNotShownAsOpenByALeaderThatDoesNotKnowThatItsEndIsStored)
 {
     ASSERT_NE(site.await_leader(), nullptr);
