Take a record without a run for a job that has not started

What callers would see: a job that waits outside its home part was shown as running, and was left out of the count of waiting jobs, by a VM without the leader's heartbeats.

Cause: a record of runs counted as "started" whatever it says. It is decoded now; one that can't be read counts as started, as before.

--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -269,6 +269,16 @@
     }
 }
 
+bool run_record::any_run() const
+{
+    return std::ranges::any_of(occurrences, [](const occurrence_state& occurrence) {
+        return std::ranges::any_of(occurrence.steps, [](const step_state& step) {
+            return std::ranges::any_of(step.tasks,
+                                       [](const task_state& task) { return task.run > 0; });
+        });
+    });
+}
+
 std::string encode_runs(const job& current)
 {
     incarnation_table workers;
--- a/src/batch/job_codec.hpp
+++ b/src/batch/job_codec.hpp
@@ -40,6 +40,9 @@
 struct run_record {
     std::vector<occurrence_state> occurrences{};
     bool failed = false;
+
+    /// True once a task was placed on a worker.
+    [[nodiscard]] bool any_run() const;
 };
 
 /// Encodes the runs of `current` for its row in the runs table.
--- a/src/control/leader_second_rows.cpp
+++ b/src/control/leader_second_rows.cpp
@@ -40,14 +40,13 @@
 
 bool leader::may_place(const job_entry& entry, const std::set<std::string>& elsewhere) const
 {
-    if (entry.recorded) {
+    if (entry.recorded || all_parts_active()) {
         return true;
     }
     const auto& id = entry.state.id();
     // A job goes to another part only while its home part is away and all others are known to be
     // without it, so that a row in the home part is the only one unless a reply was lost.
-    const bool only_row = all_parts_active() || entry.part == options_.parts.home_of(id);
-    return only_row && !elsewhere.contains(id);
+    return entry.part == options_.parts.home_of(id) && !elsewhere.contains(id);
 }
 
 void leader::settle_second_row(batch::submission accepted, std::size_t part)
@@ -55,7 +54,8 @@
     const auto id = accepted.job;
     const auto& first = jobs_.at(id);
     const bool second_runs = parts_.at(part).unclaimed_records.contains(id);
-    if (first.recorded || first.closing || !second_runs) {
+    const bool first_runs = first.recorded || first.state.placed_tasks() > 0;
+    if (first_runs || first.closing || !second_runs) {
         parts_.at(part).unclaimed_records.erase(id);
         drop_duplicate(part, id);
         return;
--- a/src/frontend/api_frontend_queries.cpp
+++ b/src/frontend/api_frontend_queries.cpp
@@ -35,6 +35,13 @@
 constexpr base::event_logger log{"door"};
 constexpr std::uint32_t max_rows_per_read = 500;
 
+/// True when a record of runs shows that a task was placed; one that can't be read counts as such.
+bool shows_a_run(const store::row& record)
+{
+    const auto decoded = batch::decode_runs(record.value);
+    return !decoded.has_value() || decoded.value().any_run();
+}
+
 /// Adds the ids of those jobs of a queue that have not ended.
 void collect_open_jobs(const std::vector<store::row>& rows, const std::string& queue,
                        std::set<std::string>& open)
@@ -145,7 +152,7 @@
                           if (reply.outcome != store::call_outcome::done) {
                               repeat_read(call, part,
                                           [this, call, part] { show_open_job(call, part); });
-                          } else if (reply.rows.empty()) {
+                          } else if (reply.rows.empty() || !shows_a_run(reply.rows.front())) {
                               show_unstarted_job(call, part);
                           } else {
                               finish(call, job_shown{batch::job_status::running});
@@ -240,8 +247,10 @@
                     call_outcome_unknown{});
                 return;
             }
-            for (const auto& run : runs.rows) {
-                count->unstarted.erase(run.id.key);
+            for (const auto& record : runs.rows) {
+                if (shows_a_run(record)) {
+                    count->unstarted.erase(record.id.key);
+                }
             }
             if (runs.truncated && !runs.rows.empty()) {
                 remove_started_jobs(call, count, store::after_key(runs.rows.back().id.key));
--- a/tests/frontend/job_status_test.cpp
+++ b/tests/frontend/job_status_test.cpp
@@ -134,5 +134,19 @@
     EXPECT_EQ(await_status(), batch::job_status::completed);
 }
 
+TEST_F(job_status_of_stored_rows, AJobWhoseRecordShowsNoRunIsShownAsPending)
+{
+    // A leader records a job outside its home part before it can place it.
+    store_running_job();
+    batch::submission accepted;
+    accepted.job = id;
+    accepted.spec.steps.emplace_back();
+    store.put(row("runs"), batch::encode_runs(batch::job{accepted}));
+
+    ask();
+
+    EXPECT_EQ(await_status(), batch::job_status::pending);
+}
+
 } // namespace
 } // namespace poplarstile::tests
