End the runs of a worker whose address another has taken

Cause: another worker answers at the address of a lost one. Each poll, every 0.4 s, ended the lost one's incarnation anew, and so set back the time at which its leases are surely over; runs that it had never listed to this leader never ended. The log has 84 lines worker_life_over for one worker, with runs=4 in each. The class is a stale value used as the present: the news of a change, taken for a new change each time.

Fix: only the first such answer ends the incarnation; later ones count as no answer of the worker's own, so that its runs end with its leases.

--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -122,6 +122,7 @@
         end_incarnation(worker, "registered_anew");
     }
     const bool starts_draining = facts.draining && !worker.facts.draining;
+    worker.displaced = worker.displaced && worker.facts.address == facts.address;
     worker.facts = facts;
     worker.listed = true;
     if (first_registration || other_incarnation || starts_draining) {
@@ -167,6 +168,7 @@
     worker.unknown_jobs.clear();
     worker.fenced = false;
     worker.unanswered_polls = 0;
+    worker.displaced = false;
     worker.greatest_lease = 0;
     worker.incarnation_changed_at = ports_.time->now();
     worker.failed_jobs.clear();
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -108,7 +108,12 @@
         worker.next_poll_at = now + storing_poll_interval;
         return;
     case fleet::order_outcome::other_life:
-        end_incarnation(worker, "another_worker_at_its_address");
+        if (!worker.displaced) {
+            end_incarnation(worker, "another_worker_at_its_address");
+            worker.displaced = true;
+        }
+        // No reply of its own: what may still run there ends with its leases.
+        ++worker.unanswered_polls;
         worker.next_poll_at = now + storing_poll_interval;
         return;
     default:
@@ -140,6 +145,7 @@
         worker.newest_clock = std::max(worker.newest_clock, *reply.worker_ms);
     }
     worker.incarnation_uncertain = false;
+    worker.displaced = false;
     const bool first_answer = !worker.fenced;
     worker.fenced = true;
     worker.answered_at = now;
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -129,6 +129,8 @@
     base::time_point next_poll_at{};
     /// When another incarnation under the same id was found.
     base::time_point incarnation_changed_at{};
+    /// Another worker answers at its address.
+    bool displaced = false;
     /// Latest lease end granted, on the worker's clock.
     std::int64_t greatest_lease = 0;
     /// The worker has accepted a poll with this leader's fencing token.
