Ask a listed worker again until it answers

Cause: a worker whose leases ran out in the cut kept its last unanswered poll and was not used for that; without runs it was not asked again before its clock was 60 s old. The class is a stale value used as the present.

Fix: a listed worker that did not answer is asked until it does, once a second when it has no runs.

unreachable_worker.GetsWorkAgainSoonAfterItAnswers failed before (no second start in 4 s) and passes now.

--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -15,6 +15,8 @@
 constexpr base::event_logger log{"workers"};
 /// Interval between polls of a worker that does not answer.
 constexpr base::milliseconds unanswered_poll_interval{250};
+/// The same for a worker without runs, which only waits to be used again.
+constexpr base::milliseconds unanswered_idle_poll_interval{1'000};
 /// Interval between polls while ends wait to be stored.
 constexpr base::milliseconds storing_poll_interval{400};
 /// A run whose start was answered is listed by polls sent more than this much later.
@@ -34,8 +36,9 @@
     if (worker.listed && clock_read && ports_.time->now() - *clock_read > max_clock_age) {
         return true;
     }
+    const bool unusable = !worker.fenced || worker.unanswered_polls > 0;
     return !worker.runs.empty() || !worker.unknown_jobs.empty() ||
-           worker.last_received_end > worker.acknowledged || (!worker.fenced && worker.listed);
+           worker.last_received_end > worker.acknowledged || (worker.listed && unusable);
 }
 
 std::optional<std::int64_t> leader::lease_for(worker_state& worker, base::time_point now) const
@@ -127,7 +130,8 @@
                                           {"runs", worker.runs.size()}});
         }
         ++worker.unanswered_polls;
-        worker.next_poll_at = now + unanswered_poll_interval;
+        worker.next_poll_at =
+            now + (worker.runs.empty() ? unanswered_idle_poll_interval : unanswered_poll_interval);
         return;
     }
     if (reply.born && *reply.born != born) {
--- a/tests/control/unreachable_worker_test.cpp
+++ b/tests/control/unreachable_worker_test.cpp
@@ -83,5 +83,19 @@
     EXPECT_TRUE(site.workers.doubled().empty());
 }
 
+TEST_F(unreachable_worker, GetsWorkAgainSoonAfterItAnswers)
+{
+    add_workers({"w1"});
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{9}; };
+    const auto worker = start_job();
+
+    site.workers.at(worker).answers = false;
+    site.time.run_for(long_cut);
+    site.workers.at(worker).answers = true;
+
+    EXPECT_TRUE(site.time.run_until([&] { return site.workers.starts().size() == 2; }, seconds{4}));
+    EXPECT_EQ(site.await_end(job, seconds{15}), batch::job_status::completed);
+}
+
 } // namespace
 } // namespace poplarstile::tests
