Test that a job which may be stored waits for its part, and for how long

Two mutations of the API frontend that no test caught: a submission whose earlier try may have taken effect is refused at once, and a job counts as uncertain for ever. Both tests pass on the code as it is.

--- a/tests/frontend/api_answers_test.cpp
+++ b/tests/frontend/api_answers_test.cpp
@@ -257,6 +257,27 @@
     EXPECT_TRUE(store.all("jobs").empty());
 }
 
+TEST_F(api_answers, AJobThatMayBeStoredWaitsForItsPartInsteadOfBeingRefused)
+{
+    views.set_loads({}, true);
+    frontend_->mark_uncertain(id);
+    store.away_parts = {home_row().part};
+    time.after(seconds{1}, [this] { store.away_parts.clear(); });
+
+    EXPECT_TRUE(answers<frontend::job_accepted>(call_kind::submit));
+}
+
+TEST_F(api_answers, AJobCountsAsNewAgainOnceNoEarlierCallCanTakeEffect)
+{
+    constexpr seconds uncertain_bound{40};
+    frontend_->mark_uncertain(id);
+    time.run_for(uncertain_bound);
+    views.set_loads({}, true);
+    store.away_parts = {home_row().part};
+
+    EXPECT_TRUE(answers<frontend::job_accepted>(call_kind::submit));
+}
+
 TEST_F(api_answers, ACancelThatIsStoredAlreadyIsAccepted)
 {
     store.put(home_row(), ended_row());
