Share the configuration that tests of the API frontend serve

Three tests of src/frontend set up the same source of a configuration by hand. It is fixed_configuration and one_open_queue in tests/support now.

--- a/tests/frontend/api_answers_test.cpp
+++ b/tests/frontend/api_answers_test.cpp
@@ -1,6 +1,7 @@
 #include "batch/job_codec.hpp"
 #include "frontend/api_frontend.hpp"
 #include "support/fake_store.hpp"
+#include "support/fixed_configuration.hpp"
 
 #include <gtest/gtest.h>
 
@@ -24,28 +25,26 @@
 constexpr milliseconds caller_timeout{3'000};
 constexpr milliseconds oldest_configuration{60'000};
 
+/// The queue `queue` at host.example/queue/, for callers with the key of `workspace`.
+catalog::contents one_keyed_queue()
+{
+    catalog::contents contents;
+    contents.version = 1;
+    catalog::queue queue;
+    queue.policy = {"queue", "service", 1, 3, 3.0, milliseconds{1'000}};
+    queue.host = "host.example";
+    queue.prefix = "/queue/";
+    contents.queues.push_back(queue);
+    contents.workspaces.push_back({"workspace", {"key"}, 0});
+    contents.services.push_back({"service", 0, false, false});
+    return contents;
+}
+
 class api_answers : public testing::Test
 {
 protected:
     api_answers()
     {
-        source_.read = [](const auto& handler) {
-            handler({store::call_outcome::done, catalog::stored_configuration{1, "document"}, 1});
-        };
-        source_.follow = [](store::row_version /*after*/, milliseconds /*wait*/,
-                            const auto& /*handler*/) {};
-        source_.decode = [](std::string_view /*document*/) {
-            catalog::contents contents;
-            contents.version = 1;
-            catalog::queue queue;
-            queue.policy = {"queue", "service", 1, 3, 3.0, milliseconds{1'000}};
-            queue.host = "host.example";
-            queue.prefix = "/queue/";
-            contents.queues.push_back(queue);
-            contents.workspaces.push_back({"workspace", {"key"}, 0});
-            contents.services.push_back({"service", 0, false, false});
-            return base::result<catalog::contents>{contents};
-        };
         configuration_.start();
         frontend::frontend_ports ports;
         ports.rows = &rows_;
@@ -114,7 +113,7 @@
 
 private:
     store::row_store rows_ = store.port("vm1");
-    catalog::configuration_source source_{};
+    catalog::configuration_source source_ = fixed_configuration(one_keyed_queue());
     catalog::configuration_cache configuration_{source_, time.timers()};
 
 protected:
--- a/tests/frontend/job_status_test.cpp
+++ b/tests/frontend/job_status_test.cpp
@@ -1,6 +1,7 @@
 #include "batch/job_codec.hpp"
 #include "frontend/api_frontend.hpp"
 #include "support/fake_store.hpp"
+#include "support/fixed_configuration.hpp"
 
 #include <gtest/gtest.h>
 
@@ -25,22 +26,6 @@
 protected:
     job_status_of_stored_rows()
     {
-        source_.read = [](const auto& handler) {
-            handler({store::call_outcome::done, catalog::stored_configuration{1, "document"}, 1});
-        };
-        source_.follow = [](store::row_version /*after*/, milliseconds /*wait*/,
-                            const auto& /*handler*/) {};
-        source_.decode = [](std::string_view /*document*/) {
-            catalog::contents contents;
-            contents.version = 1;
-            catalog::queue queue;
-            queue.policy.queue = "queue";
-            queue.host = "host.example";
-            queue.prefix = "/queue/";
-            queue.open_to_all = true;
-            contents.queues.push_back(queue);
-            return base::result<catalog::contents>{contents};
-        };
         configuration_.start();
         frontend::frontend_ports ports;
         ports.rows = &rows_;
@@ -100,7 +85,7 @@
 private:
     store::row_store rows_ = store.port("vm1");
     store::part_map parts_{"site", 4};
-    catalog::configuration_source source_{};
+    catalog::configuration_source source_ = fixed_configuration(one_open_queue());
     catalog::configuration_cache configuration_{source_, time.timers()};
     frontend::job_views views_{time.timers(), milliseconds{1'000}, 100};
     std::unique_ptr<frontend::api_frontend> frontend_{};
--- a/tests/frontend/suspended_vm_test.cpp
+++ b/tests/frontend/suspended_vm_test.cpp
@@ -1,6 +1,7 @@
 #include "batch/job_codec.hpp"
 #include "frontend/api_frontend.hpp"
 #include "support/fake_store.hpp"
+#include "support/fixed_configuration.hpp"
 
 #include <gtest/gtest.h>
 
@@ -35,22 +36,6 @@
         };
         rows_.commit = on_this_vm(rows_.commit);
         rows_.read = on_this_vm(rows_.read);
-        source_.read = [](const auto& handler) {
-            handler({store::call_outcome::done, catalog::stored_configuration{1, "document"}, 1});
-        };
-        source_.follow = [](store::row_version /*after*/, milliseconds /*wait*/,
-                            const auto& /*handler*/) {};
-        source_.decode = [](std::string_view /*document*/) {
-            catalog::contents contents;
-            contents.version = 1;
-            catalog::queue queue;
-            queue.policy.queue = "queue";
-            queue.host = "host.example";
-            queue.prefix = "/queue/";
-            queue.open_to_all = true;
-            contents.queues.push_back(queue);
-            return base::result<catalog::contents>{contents};
-        };
         configuration_.start();
         frontend::frontend_ports ports;
         ports.rows = &rows_;
@@ -129,7 +114,7 @@
     std::vector<std::function<void()>> held_{};
     base::timers timers_ = time.timers();
     store::row_store rows_ = store.port("vm1");
-    catalog::configuration_source source_{};
+    catalog::configuration_source source_ = fixed_configuration(one_open_queue());
     catalog::configuration_cache configuration_{source_, time.timers()};
     frontend::job_views views_{time.timers(), milliseconds{1'000}, 100};
     std::unique_ptr<frontend::api_frontend> frontend_{};
