End a VM that leaves when its drain timeout is over, however short

With a drain timeout below the 1.5 s of the notice the VM stayed for the notice, since the notice was asked first; found by the review.

--- a/apps/poplarstiled/daemon.cpp
+++ b/apps/poplarstiled/daemon.cpp
@@ -142,13 +142,15 @@
         return false;
     }
     const auto waited = base::now() - left_at_;
+    if (waited >= node_.settings.times.drain_timeout) {
+        return true;
+    }
     if (waited < leave_notice) {
         return false;
     }
     const auto requests = node_.dispatch.get();
     const bool callers_done = callers_->may_end();
-    const bool idle = requests->in_flight == 0 && requests->queued == 0 && callers_done;
-    return idle || waited >= node_.settings.times.drain_timeout;
+    return requests->in_flight == 0 && requests->queued == 0 && callers_done;
 }
 
 vm_daemon::~vm_daemon()
