Tell a crash of a worker under a run from the other lost runs

Callers see a job that runs for ever and other jobs whose runs are lost; the logs said 'lost' for a crash, for leases that ran out, for an order that was never sent and for a worker that left. Each run that was or may have been on a worker whose incarnation ended without notice now has a line, with whether another job's run was there and whether the run had just been started, and there are counters of such workers and runs. No decision has changed.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -87,6 +87,10 @@
     std::uint64_t polls = 0;
     std::uint64_t preemptions = 0;
     std::uint64_t lost_runs = 0;
+    /// Incarnations of workers that ended without notice.
+    std::uint64_t worker_crashes = 0;
+    /// Runs that were, or may have been, on such a worker.
+    std::uint64_t crashed_runs = 0;
     std::array<std::uint64_t, 7> ends{};
     std::uint64_t unreadable_workers = 0;
     std::uint64_t plans = 0;
@@ -321,6 +325,9 @@
     void apply_worker_change(const fleet::worker_change& change);
     void apply_worker_facts(const fleet::worker_change& change);
     void end_incarnation(worker_state& worker, std::string_view cause);
+    /// Notes the runs that the end of a worker's incarnation takes with it, unless the worker was
+    /// draining.
+    void note_crash(const worker_state& worker);
     void update_worker(worker_state& worker);
     void poll_worker(worker_state& worker);
     void receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -89,6 +89,7 @@
     }
     const auto now = ports_.time->now();
     run->order = order_state::sent;
+    run->first_sent_at = run->sends == 0 ? now : run->first_sent_at;
     run->sent_at = now;
     run->start_under_way = true;
     ++run->sends;
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -142,7 +142,9 @@
     log.warning("worker_life_over", {{"worker", worker.facts.life.worker},
                                      {"life", worker.facts.life.started_at},
                                      {"cause", cause},
+                                     {"draining", worker.facts.draining},
                                      {"runs", worker.runs.size()}});
+    note_crash(worker);
     std::vector<std::string> ended_tasks;
     for (auto& [task, run] : worker.runs) {
         if (run.order != order_state::unsent && !belongs_to_current_incarnation(run)) {
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -116,7 +116,7 @@
             worker.displaced = true;
         }
         // No reply of its own: what may still run there ends with its leases.
-        ++worker.unanswered_polls;
+        count_unanswered_poll(worker, now);
         worker.next_poll_at = now + storing_poll_interval;
         return;
     default:
@@ -129,7 +129,7 @@
                                           {"outcome", fleet::name_of(reply.outcome)},
                                           {"runs", worker.runs.size()}});
         }
-        ++worker.unanswered_polls;
+        count_unanswered_poll(worker, now);
         worker.next_poll_at =
             now + (worker.runs.empty() ? unanswered_idle_poll_interval : unanswered_poll_interval);
         return;
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -5,6 +5,21 @@
 
 namespace poplarstile::control
 {
+namespace
+{
+
+/// A crash this soon after a run's start may have been caused by the start. It has to cover a poll
+/// that waits at the worker while the worker crashes.
+constexpr base::milliseconds start_window{3'000};
+
+bool crashed_at_start(const live_run& run, base::time_point silent_since)
+{
+    // The start of an adopted run was sent by an earlier leader at an unknown time.
+    const bool start_known = run.sends > 0;
+    return start_known && silent_since - run.first_sent_at <= start_window;
+}
+
+} // namespace
 
 std::string_view name_of(stop_reason why)
 {
@@ -18,6 +33,32 @@
     return run.listed && run.sends <= 1;
 }
 
+void count_unanswered_poll(worker_state& worker, base::time_point now)
+{
+    if (worker.unanswered_polls == 0) {
+        worker.silent_since = now;
+    }
+    ++worker.unanswered_polls;
+}
+
+std::vector<crashed_run> runs_under_crash(const worker_state& worker, base::time_point now)
+{
+    const auto silent_since = worker.unanswered_polls > 0 ? worker.silent_since : now;
+    std::vector<crashed_run> crashed;
+    for (const auto& [task, run] : worker.runs) {
+        if (run.order != order_state::unsent) {
+            crashed.push_back(
+                {run.job, run.ref, run.run, {false, crashed_at_start(run, silent_since)}});
+        }
+    }
+    const bool one_job = std::ranges::all_of(
+        crashed, [&crashed](const crashed_run& run) { return run.job == crashed.front().job; });
+    for (auto& run : crashed) {
+        run.evidence.alone = one_job;
+    }
+    return crashed;
+}
+
 void record_clock(worker_state& worker, const order_sending& sent, std::int64_t worker_ms,
                   base::time_point received)
 {
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timers.hpp"
+#include "batch/crash_history.hpp"
 #include "batch/job.hpp"
 #include "fleet/worker_clock.hpp"
 #include "fleet/worker_facts.hpp"
@@ -11,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace poplarstile::control
 {
@@ -57,6 +59,7 @@
     /// Adopted from an earlier leader and not listed by its worker yet.
     bool adopted = false;
     base::time_point planned_at{};
+    base::time_point first_sent_at{};
     base::time_point sent_at{};
     /// When the worker was first known to have accepted the run.
     base::time_point accepted_at{};
@@ -74,12 +77,28 @@
     base::time_point percent_changed_at{};
 };
 
+/// A run that was, or may have been, on a worker when its incarnation ended without notice.
+struct crashed_run {
+    std::string job{};
+    batch::task_ref ref{};
+    std::uint32_t run = 0;
+    batch::crash_evidence evidence{};
+};
+
 /// True when the run began in the worker's current incarnation and no order to start it can reach a
 /// later one, so that the run ends with that incarnation.
 [[nodiscard]] bool belongs_to_current_incarnation(const live_run& run);
 
 struct worker_state;
 
+/// Counts a poll without a reply of the worker's own.
+void count_unanswered_poll(worker_state& worker, base::time_point now);
+
+/// The runs that a crash of the worker takes with it, and what speaks for each as the cause. Runs
+/// that were never sent are not among them.
+[[nodiscard]] std::vector<crashed_run> runs_under_crash(const worker_state& worker,
+                                                        base::time_point now);
+
 /// When an order was sent, and the incarnation of the worker that was known then.
 struct order_sending {
     base::time_point at{};
@@ -126,6 +145,8 @@
     /// Polls without a reply since the last one with a reply.
     std::uint32_t unanswered_polls = 0;
     base::time_point answered_at{};
+    /// When the first poll since then had no reply; valid while `unanswered_polls` is not 0.
+    base::time_point silent_since{};
     base::time_point next_poll_at{};
     /// When another incarnation under the same id was found.
     base::time_point incarnation_changed_at{};
