Give up a task that crashes the workers that start it

Cause: batch::run_end::lost is one word for a crash and for everything else that ends a run without an end of its own, and only failed runs counted. Nothing about a crash was kept, neither in memory nor in the stored record, so the task was waiting again after each crash. Class of fault: a retry without a limit that the evidence of the harm never reaches.

Change: each task, and each gang, has a history of crashes in its stored record, counted once for each run, when the incarnation of a worker that was not draining is known to be over: it registers anew, answers with another start, or another worker answers at its address. A run that was ended in silence counts when that shows later, and not when the worker answers again. A crash counts in full only where no other job's run was on the worker and the run had just been started. With two such crashes of three or more, or after five, the job has failed. Records of the build before are read as records without crashes, and their readers ignore the new members.

Why it works: every start either leads to evidence or to an end, and the count is stored before the next start is sent.

--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -49,6 +49,7 @@
         count("poplarstile_lost_runs_total", counted.lost_runs);
         count("poplarstile_worker_crashes_total", counted.worker_crashes);
         count("poplarstile_crashed_runs_total", counted.crashed_runs);
+        count("poplarstile_jobs_failed_by_crashes_total", counted.jobs_failed_by_crashes);
         count("poplarstile_plans_total", counted.plans);
         count("poplarstile_unusable_registrations_total", counted.unreadable_workers);
         count("poplarstile_commits_total", counted.commits);
--- a/src/batch/crash_history.hpp
+++ b/src/batch/crash_history.hpp
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <cstdint>
+
+/// Which tasks are to blame for crashes of the workers that run them. A crash in company is weak
+/// evidence: any of the runs may have caused it, or none.
 namespace poplarstile::batch
 {
 
@@ -9,6 +13,30 @@
     bool alone = false;
     /// The run had only just been started.
     bool at_start = false;
+    /// The run had worked for so long that earlier crashes say nothing about it.
+    bool after_long_work = false;
+};
+
+/// Worker crashes under the runs of a task, or of a gang.
+struct crash_history {
+    std::uint32_t total = 0;
+    /// Of these, the ones that hardly anything but the run can have caused: it was alone and had
+    /// just been started.
+    std::uint32_t implicating = 0;
+    /// Newest run that is counted: a run counts once.
+    std::uint32_t last_run = 0;
+
+    bool operator==(const crash_history&) const = default;
 };
 
+/// Counts a crash under a run. Returns false when that run, or a later one, is counted already.
+bool count_crash(crash_history& history, std::uint32_t run, const crash_evidence& evidence);
+
+/// True when further runs are placed where nothing of another job runs, so that a crash there is
+/// proof and takes nothing else along.
+[[nodiscard]] bool needs_isolation(const crash_history& history);
+
+/// True when the task is given up: it crashes the workers that start it.
+[[nodiscard]] bool is_to_blame(const crash_history& history);
+
 } // namespace poplarstile::batch
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -172,6 +172,26 @@
     return true;
 }
 
+const crash_history& job::crashes_of(const task_ref& ref) const
+{
+    return spec_of(ref.step).gang ? step(ref.occurrence, ref.step).gang_crashes : task(ref).crashes;
+}
+
+bool job::record_crash(const task_ref& ref, std::uint32_t run, const crash_evidence& evidence)
+{
+    auto& step = mutable_step(ref);
+    auto& task = step.tasks.at(ref.index);
+    if (task.phase == task_phase::done || run > task.run) {
+        return false;
+    }
+    auto& history = spec_of(ref.step).gang ? step.gang_crashes : task.crashes;
+    if (!count_crash(history, run, evidence)) {
+        return false;
+    }
+    failed_ = failed_ || is_to_blame(history);
+    return true;
+}
+
 bool job::finish_earlier_run(const task_ref& ref, std::uint32_t run)
 {
     if (!open() || !has(ref) || spec_of(ref.step).long_running) {
--- a/src/batch/job.hpp
+++ b/src/batch/job.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batch/crash_history.hpp"
 #include "batch/job_spec.hpp"
 #include "batch/task_id.hpp"
 
@@ -55,6 +56,8 @@
     std::string checkpoint{};
     /// Worker of the newest run; valid only while the task is placed.
     worker_incarnation worker{};
+    /// Crashes of workers under the task's runs; those of a gang's runs are counted by its step.
+    crash_history crashes{};
 
     bool operator==(const task_state&) const = default;
 };
@@ -69,6 +72,8 @@
     /// The gang's run that failed last, so that several failed members of one run count as one
     /// attempt.
     std::uint32_t failed_run = 0;
+    /// Crashes of workers under the gang's runs, whichever member was there.
+    crash_history gang_crashes{};
 
     bool operator==(const step_state&) const = default;
 };
@@ -193,6 +198,20 @@
     /// Records the end of a placed run. Returns false when the task has no such run in progress.
     bool end_run(const task_ref& ref, std::uint32_t run, run_end how, std::string_view checkpoint);
 
+    /// Counts a crash of the worker that a run was, or may have been, on; the run may have been
+    /// given up since. The job has failed once a task is to blame. Returns false when the crash
+    /// does not count.
+    bool record_crash(const task_ref& ref, std::uint32_t run, const crash_evidence& evidence);
+
+    /// Crashes under the runs of a task, or of the gang that it belongs to.
+    [[nodiscard]] const crash_history& crashes_of(const task_ref& ref) const;
+
+    /// True when the task's runs are to be placed where nothing of another job runs.
+    [[nodiscard]] bool needs_isolation(const task_ref& ref) const
+    {
+        return batch::needs_isolation(crashes_of(ref));
+    }
+
     /// Records that a run ended well after it had been given up. Returns false when the task is
     /// done, or when the run is in progress or was never placed.
     bool finish_earlier_run(const task_ref& ref, std::uint32_t run);
--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -140,8 +140,21 @@
     std::vector<worker_incarnation> incarnations_;
 };
 
+/// Encodes a history as [crashes, implicating crashes, newest counted run].
+json encode_crashes(const crash_history& history)
+{
+    return json::array({history.total, history.implicating, history.last_run});
+}
+
+crash_history decode_crashes(const json& encoded)
+{
+    return {encoded.at(0).get<std::uint32_t>(), encoded.at(1).get<std::uint32_t>(),
+            encoded.at(2).get<std::uint32_t>()};
+}
+
 /// Encodes a done task as 1, a task that never ran as 0, and any other as
-/// [run, failures, index of the worker or -1, checkpoint]; an empty checkpoint is left out.
+/// [run, failures, index of the worker or -1, checkpoint, crashes]; without crashes the last
+/// member is left out, and an empty checkpoint with it.
 json encode_task(const task_state& task, incarnation_table& workers)
 {
     if (task.phase == task_phase::done) {
@@ -153,9 +166,13 @@
     const auto placed = task.phase == task_phase::placed;
     const auto worker = placed ? static_cast<std::int64_t>(workers.index_of(task.worker)) : -1;
     auto encoded = json::array({task.run, task.failures, worker});
-    if (!task.checkpoint.empty()) {
+    const bool crashed = task.crashes != crash_history{};
+    if (crashed || !task.checkpoint.empty()) {
         encoded.push_back(task.checkpoint);
     }
+    if (crashed) {
+        encoded.push_back(encode_crashes(task.crashes));
+    }
     return encoded;
 }
 
@@ -179,6 +196,9 @@
     if (encoded.size() > 3) {
         task.checkpoint = encoded.at(3).get<std::string>();
     }
+    if (encoded.size() > 4) {
+        task.crashes = decode_crashes(encoded.at(4));
+    }
     return task;
 }
 
@@ -188,7 +208,11 @@
     for (const auto& task : step.tasks) {
         tasks.push_back(encode_task(task, workers));
     }
-    return json::array({step.gang_failures, step.failed_run, std::move(tasks)});
+    auto encoded = json::array({step.gang_failures, step.failed_run, std::move(tasks)});
+    if (step.gang_crashes != crash_history{}) {
+        encoded.push_back(encode_crashes(step.gang_crashes));
+    }
+    return encoded;
 }
 
 step_state decode_step_state(const json& encoded, const std::vector<worker_incarnation>& workers)
@@ -199,6 +223,9 @@
     for (const auto& task : encoded.at(2)) {
         step.tasks.push_back(decode_task(task, workers));
     }
+    if (encoded.size() > 3) {
+        step.gang_crashes = decode_crashes(encoded.at(3));
+    }
     return step;
 }
 
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -23,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -91,6 +92,7 @@
     std::uint64_t worker_crashes = 0;
     /// Runs that were, or may have been, on such a worker.
     std::uint64_t crashed_runs = 0;
+    std::uint64_t jobs_failed_by_crashes = 0;
     std::array<std::uint64_t, 7> ends{};
     std::uint64_t unreadable_workers = 0;
     std::uint64_t plans = 0;
@@ -201,6 +203,9 @@
 
     enum class part_phase : std::uint8_t { acquiring, reading, active };
 
+    /// Why a job has failed: too many runs of a task failed, or workers crashed under them.
+    enum class failure_cause : std::uint8_t { failed_runs, worker_crashes };
+
     /// Who stored the end of a job.
     enum class end_origin : std::uint8_t { this_leader, earlier_leader };
 
@@ -325,9 +330,6 @@
     void apply_worker_change(const fleet::worker_change& change);
     void apply_worker_facts(const fleet::worker_change& change);
     void end_incarnation(worker_state& worker, std::string_view cause);
-    /// Notes the runs that the end of a worker's incarnation takes with it, unless the worker was
-    /// draining.
-    void note_crash(const worker_state& worker);
     void update_worker(worker_state& worker);
     void poll_worker(worker_state& worker);
     void receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
@@ -351,6 +353,16 @@
                                                         base::time_point now) const;
     void confirm_leases();
 
+    // Crashes of workers, and the runs under which they happened (leader_crashes.cpp).
+    /// The runs that the end of a worker's incarnation takes with it; none when the worker was
+    /// draining, since then it has left.
+    [[nodiscard]] std::vector<crashed_run> take_crashed_runs(worker_state& worker);
+    void record_crash(const crashed_run& crashed, const std::string& worker);
+    void record_crashes(std::span<const crashed_run> crashed, const std::string& worker);
+    /// Gives up waiting for a sign of a worker that is silent and has lost its registration.
+    void settle_silent_losses(worker_state& worker);
+    void stop_failed_job(job_entry& entry, const std::string& task, failure_cause cause);
+
     // Starts, stops and ends of runs (leader_orders.cpp).
     [[nodiscard]] std::size_t adopt_placed(job_entry& entry);
     void adopt(job_entry& entry, const batch::task_ref& ref);
--- a/src/control/leader_crashes.cpp
+++ b/src/control/leader_crashes.cpp
@@ -2,6 +2,8 @@
 
 #include "base/event_line.hpp"
 
+#include <utility>
+
 /// Crashes of workers, and the runs under which they happened.
 namespace poplarstile::control
 {
@@ -9,25 +11,82 @@
 {
 
 constexpr base::event_logger log{"workers"};
+/// A worker that has had no registration for this long, and does not answer, is gone for good.
+constexpr base::milliseconds gone_for_good{30'000};
 
 } // namespace
 
-void leader::note_crash(const worker_state& worker)
+std::vector<crashed_run> leader::take_crashed_runs(worker_state& worker)
 {
+    auto crashed = std::exchange(worker.lost_in_silence, {});
     if (worker.facts.draining) {
-        return;
+        return {};
     }
     ++counters_.worker_crashes;
-    for (const auto& crashed : runs_under_crash(worker, ports_.time->now())) {
-        ++counters_.crashed_runs;
-        const auto& ref = crashed.ref;
-        log.info("worker_crashed_under_run",
-                 {{"job", crashed.job},
-                  {"task", batch::to_text({crashed.job, ref.occurrence, ref.step, ref.index})},
-                  {"run", crashed.run},
-                  {"worker", worker.facts.life.worker},
-                  {"alone", crashed.evidence.alone},
-                  {"at_start", crashed.evidence.at_start}});
+    for (auto& run : runs_under_crash(worker, ports_.time->now())) {
+        crashed.push_back(std::move(run));
+    }
+    return crashed;
+}
+
+void leader::record_crashes(std::span<const crashed_run> crashed, const std::string& worker)
+{
+    for (const auto& run : crashed) {
+        record_crash(run, worker);
+    }
+}
+
+void leader::record_crash(const crashed_run& crashed, const std::string& worker)
+{
+    const auto found = jobs_.find(crashed.job);
+    if (found == jobs_.end()) {
+        return;
+    }
+    auto& entry = found->second;
+    const auto& ref = crashed.ref;
+    const auto task = batch::to_text({crashed.job, ref.occurrence, ref.step, ref.index});
+    const bool was_open = entry.state.open();
+    const bool counted = entry.state.record_crash(ref, crashed.run, crashed.evidence);
+    const auto& history = entry.state.crashes_of(ref);
+    log.info("worker_crashed_under_run", {{"job", crashed.job},
+                                          {"task", task},
+                                          {"run", crashed.run},
+                                          {"worker", worker},
+                                          {"alone", crashed.evidence.alone},
+                                          {"at_start", crashed.evidence.at_start},
+                                          {"counted", counted},
+                                          {"crashes", history.total},
+                                          {"implicating", history.implicating}});
+    if (!counted) {
+        return;
+    }
+    ++counters_.crashed_runs;
+    mark_dirty(crashed.job);
+    if (was_open && entry.state.failed()) {
+        stop_failed_job(entry, task, failure_cause::worker_crashes);
+    }
+}
+
+void leader::stop_failed_job(job_entry& entry, const std::string& task, failure_cause cause)
+{
+    const bool by_crashes = cause == failure_cause::worker_crashes;
+    log.warning("job_failed", {{"job", entry.state.id()},
+                               {"task", task},
+                               {"cause", by_crashes ? "worker_crashes" : "failed_runs"}});
+    counters_.jobs_failed_by_crashes += by_crashes ? 1 : 0;
+    stop_job(entry, stop_reason::failed);
+}
+
+void leader::settle_silent_losses(worker_state& worker)
+{
+    const bool gone = !worker.listed && ports_.time->now() - worker.unlisted_at >= gone_for_good;
+    if (worker.lost_in_silence.empty() || !gone) {
+        return;
+    }
+    for (auto& lost : std::exchange(worker.lost_in_silence, {})) {
+        // It may also be cut off for good, so nothing implicates the run.
+        lost.evidence = {};
+        record_crash(lost, worker.facts.life.worker);
     }
 }
 
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -41,7 +41,12 @@
 void leader::adopt(job_entry& entry, const batch::task_ref& ref)
 {
     const auto& task = entry.state.task(ref);
+    const auto& id = entry.state.id();
     auto& slot = workers_[task.worker.worker];
+    if (slot && slot->facts.life.started_at > task.worker.started_at) {
+        // Its incarnation is over; whether the worker had drained before is not known.
+        record_crash({id, ref, task.run, {}}, task.worker.worker);
+    }
     if (!slot) {
         slot = std::make_unique<worker_state>();
         slot->facts.life = task.worker;
@@ -331,8 +336,7 @@
         stop_gang_members(job, run.ref, run.run);
     }
     if (was_open && job.state.failed()) {
-        log.warning("job_failed", {{"job", run.job}, {"task", task}, {"run", run.run}});
-        stop_job(job, stop_reason::failed);
+        stop_failed_job(job, task, failure_cause::failed_runs);
     }
 }
 
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -144,7 +144,7 @@
                                      {"cause", cause},
                                      {"draining", worker.facts.draining},
                                      {"runs", worker.runs.size()}});
-    note_crash(worker);
+    const auto crashed = take_crashed_runs(worker);
     std::vector<std::string> ended_tasks;
     for (auto& [task, run] : worker.runs) {
         if (run.order != order_state::unsent && !belongs_to_current_incarnation(run)) {
@@ -174,6 +174,7 @@
     worker.greatest_lease = 0;
     worker.incarnation_changed_at = ports_.time->now();
     worker.failed_jobs.clear();
+    record_crashes(crashed, worker.facts.life.worker);
 }
 
 } // namespace poplarstile::control
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -37,8 +37,9 @@
         return true;
     }
     const bool unusable = !worker.fenced || worker.unanswered_polls > 0;
-    return !worker.runs.empty() || !worker.unknown_jobs.empty() ||
-           worker.last_received_end > worker.acknowledged || (worker.listed && unusable);
+    return !worker.runs.empty() || !worker.lost_in_silence.empty() ||
+           !worker.unknown_jobs.empty() || worker.last_received_end > worker.acknowledged ||
+           (worker.listed && unusable);
 }
 
 std::optional<std::int64_t> leader::lease_for(worker_state& worker, base::time_point now) const
@@ -150,6 +151,7 @@
     }
     worker.incarnation_uncertain = false;
     worker.displaced = false;
+    worker.lost_in_silence.clear();
     const bool first_answer = !worker.fenced;
     worker.fenced = true;
     worker.answered_at = now;
@@ -360,6 +362,9 @@
                  {"runs", worker.runs.size()},
                  {"silent_ms", base::milliseconds_between(std::max(worker.answered_at, began_),
                                                           ports_.time->now())}});
+    if (!deregistered) {
+        worker.lost_in_silence = runs_under_crash(worker, ports_.time->now());
+    }
     std::vector<std::string> expired;
     for (const auto& [task, run] : worker.runs) {
         expired.push_back(task);
@@ -374,6 +379,7 @@
 {
     const auto now = ports_.time->now();
     end_expired_runs(worker);
+    settle_silent_losses(worker);
     retry_orders(worker);
     const bool due = now >= worker.next_poll_at;
     const bool unsettled = !worker.unstored_ends.empty() || !worker.deferred_ends.empty();
@@ -383,7 +389,8 @@
     if (due && needs_poll(worker) && (idle || urgent)) {
         poll_worker(worker);
     }
-    const bool gone = !worker.listed && worker.runs.empty() && worker.polls_in_flight == 0;
+    const bool gone = !worker.listed && worker.runs.empty() && worker.lost_in_silence.empty() &&
+                      worker.polls_in_flight == 0;
     if (gone && worker.last_received_end == worker.acknowledged) {
         log.info("worker_forgotten", {{"worker", worker.facts.life.worker}});
         workers_.erase(workers_.find(worker.facts.life.worker));
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -11,12 +11,18 @@
 /// A crash this soon after a run's start may have been caused by the start. It has to cover a poll
 /// that waits at the worker while the worker crashes.
 constexpr base::milliseconds start_window{3'000};
+/// A run that has worked for this long is not suspected for what happened before.
+constexpr base::milliseconds long_work{60'000};
 
-bool crashed_at_start(const live_run& run, base::time_point silent_since)
+batch::crash_evidence evidence_of(const live_run& run, base::time_point silent_since)
 {
+    batch::crash_evidence evidence;
     // The start of an adopted run was sent by an earlier leader at an unknown time.
     const bool start_known = run.sends > 0;
-    return start_known && silent_since - run.first_sent_at <= start_window;
+    evidence.at_start = start_known && silent_since - run.first_sent_at <= start_window;
+    evidence.after_long_work =
+        run.order == order_state::accepted && silent_since - run.accepted_at >= long_work;
+    return evidence;
 }
 
 } // namespace
@@ -47,8 +53,7 @@
     std::vector<crashed_run> crashed;
     for (const auto& [task, run] : worker.runs) {
         if (run.order != order_state::unsent) {
-            crashed.push_back(
-                {run.job, run.ref, run.run, {false, crashed_at_start(run, silent_since)}});
+            crashed.push_back({run.job, run.ref, run.run, evidence_of(run, silent_since)});
         }
     }
     const bool one_job = std::ranges::all_of(
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -148,6 +148,9 @@
     /// When the first poll since then had no reply; valid while `unanswered_polls` is not 0.
     base::time_point silent_since{};
     base::time_point next_poll_at{};
+    /// Runs that were ended because the worker was silent for longer than their leases, until it
+    /// shows whether it had crashed.
+    std::vector<crashed_run> lost_in_silence{};
     /// When another incarnation under the same id was found.
     base::time_point incarnation_changed_at{};
     /// Another worker answers at its address.
