Let a successor ask a worker whose registration has gone

What callers saw: a task that crashes its workers is started again and again when leaders change in between, and after each takeover it waits until the longest lease is over, though another worker has long been answering at the address.

Cause: the stored record of a run names the worker's id and start. Where to reach it stood only in the registration, which is gone 4.5 s after the crash. A leader that takes over later can ask nobody, so it can neither learn that the incarnation is over nor count the crash. Class of fault: evidence that dies with the leader.

Change: the record's table of workers has the address as a third member, and an adopted run of an unknown worker asks there. Records without it are read as before, and readers of the build before ignore it.

--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -134,7 +134,8 @@
     return newest->run + 1;
 }
 
-void job::place(const task_ref& ref, std::uint32_t run, worker_incarnation worker)
+void job::place(const task_ref& ref, std::uint32_t run, worker_incarnation worker,
+                std::string address)
 {
     auto& step = mutable_step(ref);
     auto& task = step.tasks.at(ref.index);
@@ -145,6 +146,7 @@
     task.phase = task_phase::placed;
     task.run = run;
     task.worker = std::move(worker);
+    task.address = std::move(address);
     started_ = true;
 }
 
@@ -243,6 +245,7 @@
     }
     task.phase = task_phase::done;
     task.worker = {};
+    task.address.clear();
     task.checkpoint.clear();
     ++step.done;
     ++done_tasks_;
@@ -252,6 +255,7 @@
 {
     task.phase = task_phase::waiting;
     task.worker = {};
+    task.address.clear();
     --step.placed;
     --placed_tasks_;
 }
--- a/src/batch/job.hpp
+++ b/src/batch/job.hpp
@@ -56,6 +56,9 @@
     std::string checkpoint{};
     /// Worker of the newest run; valid only while the task is placed.
     worker_incarnation worker{};
+    /// `IP:port` of that worker, so that a successor can ask it after its registration has gone;
+    /// empty when it is not known.
+    std::string address{};
     /// Crashes of workers under the task's runs; those of a gang's runs are counted by its step.
     crash_history crashes{};
 
@@ -193,7 +196,8 @@
 
     /// Records that a run was assigned to a worker. The members of a gang are placed one by one
     /// under the same run number.
-    void place(const task_ref& ref, std::uint32_t run, worker_incarnation worker);
+    void place(const task_ref& ref, std::uint32_t run, worker_incarnation worker,
+               std::string address = {});
 
     /// Records the end of a placed run. Returns false when the task has no such run in progress.
     bool end_run(const task_ref& ref, std::uint32_t run, run_end how, std::string_view checkpoint);
--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -113,31 +113,43 @@
     return finished;
 }
 
-/// Worker incarnations, each stored once; tasks refer to them by index.
-class incarnation_table
+/// A worker incarnation and its address, which may be empty.
+struct stored_worker {
+    worker_incarnation incarnation{};
+    std::string address{};
+
+    bool operator==(const stored_worker&) const = default;
+};
+
+/// Workers, each stored once; tasks refer to them by index.
+class worker_table
 {
 public:
-    std::size_t index_of(const worker_incarnation& incarnation)
+    std::size_t index_of(const stored_worker& worker)
     {
-        const auto found = std::ranges::find(incarnations_, incarnation);
-        if (found != incarnations_.end()) {
-            return static_cast<std::size_t>(found - incarnations_.begin());
+        const auto found = std::ranges::find(workers_, worker);
+        if (found != workers_.end()) {
+            return static_cast<std::size_t>(found - workers_.begin());
         }
-        incarnations_.push_back(incarnation);
-        return incarnations_.size() - 1;
+        workers_.push_back(worker);
+        return workers_.size() - 1;
     }
 
     [[nodiscard]] json encode() const
     {
         json list = json::array();
-        for (const auto& incarnation : incarnations_) {
-            list.push_back({incarnation.worker, incarnation.started_at});
+        for (const auto& [incarnation, address] : workers_) {
+            auto entry = json::array({incarnation.worker, incarnation.started_at});
+            if (!address.empty()) {
+                entry.push_back(address);
+            }
+            list.push_back(std::move(entry));
         }
         return list;
     }
 
 private:
-    std::vector<worker_incarnation> incarnations_;
+    std::vector<stored_worker> workers_;
 };
 
 /// Encodes a history as [crashes, implicating crashes, newest counted run].
@@ -155,7 +167,7 @@
 /// Encodes a done task as 1, a task that never ran as 0, and any other as
 /// [run, failures, index of the worker or -1, checkpoint, crashes]; without crashes the last
 /// member is left out, and an empty checkpoint with it.
-json encode_task(const task_state& task, incarnation_table& workers)
+json encode_task(const task_state& task, worker_table& workers)
 {
     if (task.phase == task_phase::done) {
         return 1;
@@ -164,7 +176,8 @@
         return 0;
     }
     const auto placed = task.phase == task_phase::placed;
-    const auto worker = placed ? static_cast<std::int64_t>(workers.index_of(task.worker)) : -1;
+    const auto worker =
+        placed ? static_cast<std::int64_t>(workers.index_of({task.worker, task.address})) : -1;
     auto encoded = json::array({task.run, task.failures, worker});
     const bool crashed = task.crashes != crash_history{};
     if (crashed || !task.checkpoint.empty()) {
@@ -176,7 +189,7 @@
     return encoded;
 }
 
-task_state decode_task(const json& encoded, const std::vector<worker_incarnation>& workers)
+task_state decode_task(const json& encoded, const std::vector<stored_worker>& workers)
 {
     task_state task;
     if (encoded.is_number()) {
@@ -191,7 +204,9 @@
     const auto worker = encoded.at(2).get<std::int64_t>();
     if (worker >= 0) {
         task.phase = task_phase::placed;
-        task.worker = workers.at(static_cast<std::size_t>(worker));
+        const auto& placed_on = workers.at(static_cast<std::size_t>(worker));
+        task.worker = placed_on.incarnation;
+        task.address = placed_on.address;
     }
     if (encoded.size() > 3) {
         task.checkpoint = encoded.at(3).get<std::string>();
@@ -202,7 +217,7 @@
     return task;
 }
 
-json encode_step_state(const step_state& step, incarnation_table& workers)
+json encode_step_state(const step_state& step, worker_table& workers)
 {
     json tasks = json::array();
     for (const auto& task : step.tasks) {
@@ -215,7 +230,7 @@
     return encoded;
 }
 
-step_state decode_step_state(const json& encoded, const std::vector<worker_incarnation>& workers)
+step_state decode_step_state(const json& encoded, const std::vector<stored_worker>& workers)
 {
     step_state step;
     step.gang_failures = encoded.at(0).get<std::uint32_t>();
@@ -231,10 +246,14 @@
 
 run_record decode_record(const json& document)
 {
-    std::vector<worker_incarnation> workers;
-    for (const auto& incarnation : document.at("w")) {
-        workers.push_back(
-            {incarnation.at(0).get<std::string>(), incarnation.at(1).get<std::uint64_t>()});
+    std::vector<stored_worker> workers;
+    for (const auto& entry : document.at("w")) {
+        stored_worker worker{{entry.at(0).get<std::string>(), entry.at(1).get<std::uint64_t>()},
+                             {}};
+        if (entry.size() > 2) {
+            worker.address = entry.at(2).get<std::string>();
+        }
+        workers.push_back(std::move(worker));
     }
     run_record record;
     record.failed = document.value("f", false);
@@ -308,7 +327,7 @@
 
 std::string encode_runs(const job& current)
 {
-    incarnation_table workers;
+    worker_table workers;
     json occurrences = json::array();
     for (const auto& occurrence : current.occurrences()) {
         json steps = json::array();
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -50,6 +50,7 @@
     if (!slot) {
         slot = std::make_unique<worker_state>();
         slot->facts.life = task.worker;
+        slot->facts.address = task.address;
         slot->listed = false;
         slot->unlisted_at = began_;
     }
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -284,7 +284,7 @@
         run.checkpoint = run.start_checkpoint;
         run.planned_at = now;
         run.lease_until = lease_for(worker, now).value_or(0);
-        entry.state.place(ref, run.run, worker.facts.life);
+        entry.state.place(ref, run.run, worker.facts.life, worker.facts.address);
         const auto task = batch::to_text({origin.job, ref.occurrence, ref.step, ref.index});
         worker.used += run.need;
         entry.unsent.push_back({worker.facts.life.worker, task});
--- a/tests/batch/crash_history_test.cpp
+++ b/tests/batch/crash_history_test.cpp
@@ -167,6 +167,19 @@
     EXPECT_EQ(step.tasks.at(0).checkpoint, "saved");
 }
 
+TEST(placed_worker, KeepsItsAddressInTheRecord)
+{
+    job subject{one_step(2, false)};
+    subject.place({0, 0, 0}, 1, {"w", 9}, "10.0.0.1:80");
+    subject.place({0, 0, 1}, 1, {"v", 8});
+
+    const auto record = decode_runs(encode_runs(subject));
+
+    const auto& tasks = record.value().occurrences.front().steps.front().tasks;
+    EXPECT_EQ(tasks.at(0).address, "10.0.0.1:80");
+    EXPECT_EQ(tasks.at(1).address, "") << "as in records of the build before";
+}
+
 // A leader of the build before reads the members that it knows by their positions.
 TEST(job_crashes, StandBehindTheMembersThatTheBuildBeforeReads)
 {
