End all runs of a worker whose address another has taken

What callers saw: a task whose start was not answered, because its worker crashed with it, waited for 10 to 14 s before it was started again or given up, though another worker answered at the address after 3 s.

Cause: such a run was held until the longest lease was over, since a late order might still begin it. That holds for a worker that starts again under its id, which takes late orders. A worker with another id refuses them: each order names the id that it is for (Expect-Instance, 421), and the process that was there is gone. Class of fault: one bound for two cases, of which only one needs it.

Change: what showed the end of an incarnation is an enumeration, and only an end under the same id holds runs back.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -329,7 +329,7 @@
     void follow_workers();
     void apply_worker_change(const fleet::worker_change& change);
     void apply_worker_facts(const fleet::worker_change& change);
-    void end_incarnation(worker_state& worker, std::string_view cause);
+    void end_incarnation(worker_state& worker, incarnation_end cause);
     void update_worker(worker_state& worker);
     void poll_worker(worker_state& worker);
     void receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -113,10 +113,9 @@
         return;
     case fleet::order_outcome::other_life:
         if (!worker.displaced) {
-            end_incarnation(worker, "another_worker_at_its_address");
+            end_incarnation(worker, incarnation_end::another_worker_at_its_address);
             worker.displaced = true;
         }
-        // No reply of its own: what may still run there ends with its leases.
         count_unanswered_poll(worker, now);
         worker.next_poll_at = now + storing_poll_interval;
         return;
@@ -136,7 +135,7 @@
         return;
     }
     if (reply.born && *reply.born != born) {
-        end_incarnation(worker, "answered_with_another_birth");
+        end_incarnation(worker, incarnation_end::answered_with_another_start);
         worker.facts.life.started_at = *reply.born;
         return;
     }
--- a/tests/control/unreachable_worker_test.cpp
+++ b/tests/control/unreachable_worker_test.cpp
@@ -83,6 +83,27 @@
     EXPECT_TRUE(site.workers.doubled().empty());
 }
 
+TEST_F(unreachable_worker, WhoseAddressAnotherHasTakenHoldsNoUnansweredRun)
+{
+    add_workers({"w1", "w2"});
+    site.workers.decide = [](const std::string& /*worker*/, const std::string& order) {
+        return order == "start" ? fake_workers::fate::swallow : fake_workers::fate::serve;
+    };
+    site.submit(make_job(job, 1, small_task));
+    site.time.run_for(milliseconds{300});
+    ASSERT_TRUE(site.workers.starts().empty());
+    site.workers.decide = [](const std::string& /*worker*/, const std::string& /*order*/) {
+        return fake_workers::fate::serve;
+    };
+
+    for (const auto* const id : {"w1", "w2"}) {
+        site.workers.crash(id);
+        site.workers.displace(id, std::string{id} + "'");
+    }
+
+    EXPECT_TRUE(site.time.run_until([&] { return !site.workers.starts().empty(); }, seconds{3}));
+}
+
 TEST_F(unreachable_worker, GetsWorkAgainSoonAfterItAnswers)
 {
     add_workers({"w1"});
