Place suspected tasks where nothing else runs

Cause: a task that crashes its workers is placed next to other work again and again: each crash ends those runs too, and says little about which of them caused it.

Change: a unit can be isolated. For isolated units, earliest accepted first, a plan holds back idle workers or else the least used ones from all but guaranteed units; after all other units, it starts the isolated ones on the held workers that are idle. Workers of isolated units take nothing else. At most a quarter of a service's workers (one of two or three) is held back or closed; a gang that needs more, and tasks of a service with one worker, are placed as before. Isolated units stop nothing, and their waiting implies nothing about the success of others. Workers whose work does not end by itself are held back last.

Why it ends: a worker that is held back only gets less used, so the next plan holds it back again, or another one that is less used still.

--- a/src/planning/capacity_view.cpp
+++ b/src/planning/capacity_view.cpp
@@ -4,31 +4,31 @@
 
 namespace poplarstile::planning
 {
-namespace
+bool capacity_view::may_run(std::size_t index, const unit_kind& kind) const
 {
-
-bool may_run(const worker_candidate& worker, std::string_view service, std::string_view label)
-{
-    if (!worker.schedulable || worker.facts->service != service) {
+    const auto& [service, label, may_use_held_back] = kind;
+    const auto& worker = workers_[index];
+    if (!worker.schedulable || worker.isolated || worker.facts->service != service) {
+        return false;
+    }
+    if (!held_back_.empty() && held_back_[index] && !may_use_held_back) {
         return false;
     }
     const auto& labels = worker.facts->labels;
     return label.empty() || std::ranges::find(labels, label) != labels.end();
 }
 
-} // namespace
-
 const std::vector<rack_members>& capacity_view::racks_for(const work_unit& unit)
 {
-    const std::pair<std::string_view, std::string_view> kind{*unit.service,
-                                                             unit.spec->required_label};
+    const unit_kind kind{*unit.service, unit.spec->required_label,
+                         unit.guaranteed || held_back_.empty()};
     const auto [position, added] = racks_.try_emplace(kind);
     if (!added) {
         return position->second;
     }
     std::map<std::string_view, std::vector<std::size_t>> by_name;
     for (std::size_t index = 0; index < workers_.size(); ++index) {
-        if (may_run(workers_[index], kind.first, kind.second)) {
+        if (may_run(index, kind)) {
             by_name[workers_[index].facts->rack].push_back(index);
         }
     }
@@ -38,11 +38,21 @@
     return position->second;
 }
 
+void capacity_view::hold_back(std::span<const std::size_t> workers)
+{
+    held_back_.resize(workers_.size());
+    for (const auto index : workers) {
+        held_back_[index] = true;
+    }
+    racks_.clear();
+}
+
 void capacity_view::take(const work_unit& unit, std::span<const assignment> tasks)
 {
     for (const auto& placed : tasks) {
         workers_[placed.worker].free -= unit.spec->need;
         workers_[placed.worker].free_after_stops -= unit.spec->need;
+        workers_[placed.worker].occupied = true;
     }
 }
 
--- a/src/planning/capacity_view.hpp
+++ b/src/planning/capacity_view.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <span>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -34,10 +35,14 @@
         return workers_[index];
     }
 
-    /// Schedulable workers of the unit's service that have its required label, by rack. The caller
+    /// Schedulable workers of the unit's service that have its required label, by rack: without
+    /// those of isolated units, and without those that are held back from the unit. The caller
     /// checks whether the tasks fit.
     [[nodiscard]] const std::vector<rack_members>& racks_for(const work_unit& unit);
 
+    /// From now on, only guaranteed units may use these workers.
+    void hold_back(std::span<const std::size_t> workers);
+
     /// Subtracts the needs of the assigned tasks from both capacities of their workers.
     void take(const work_unit& unit, std::span<const assignment> tasks);
 
@@ -45,9 +50,15 @@
     void release(const victim& stopped);
 
 private:
+    /// Units with the same service, required label, and right to use workers that are held back.
+    using unit_kind = std::tuple<std::string_view, std::string_view, bool>;
+
+    [[nodiscard]] bool may_run(std::size_t index, const unit_kind& kind) const;
+
     std::vector<worker_candidate> workers_;
-    /// By service and required label.
-    std::map<std::pair<std::string_view, std::string_view>, std::vector<rack_members>> racks_{};
+    /// By worker; empty while none is held back.
+    std::vector<bool> held_back_{};
+    std::map<unit_kind, std::vector<rack_members>> racks_{};
 };
 
 } // namespace poplarstile::planning
--- a/src/planning/placement.cpp
+++ b/src/planning/placement.cpp
@@ -41,23 +41,6 @@
     return eligible;
 }
 
-/// Assigns as many tasks as fit to the members, in order.
-std::vector<assignment> assign_in_order(const work_unit& unit, std::span<const std::size_t> members,
-                                        const capacity_view& view, capacity_kind kind)
-{
-    std::vector<assignment> placed;
-    placed.reserve(unit.tasks.size());
-    auto next = unit.tasks.begin();
-    for (const auto index : members) {
-        auto slots = internal::slots_on(unit, capacity_of(view.worker(index), kind), index);
-        for (; slots > 0 && next != unit.tasks.end(); --slots) {
-            placed.push_back({*next, index});
-            ++next;
-        }
-    }
-    return placed;
-}
-
 std::optional<std::vector<assignment>> place_in_one_rack(const work_unit& unit, capacity_view& view,
                                                          capacity_kind kind)
 {
@@ -79,7 +62,8 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    return assign_in_order(unit, fullest_first(unit, best->workers, view, kind), view, kind);
+    return internal::assign_in_order(unit, fullest_first(unit, best->workers, view, kind), view,
+                                     kind);
 }
 
 } // namespace
@@ -99,6 +83,22 @@
     return std::max<std::int64_t>(slots, 0);
 }
 
+std::vector<assignment> assign_in_order(const work_unit& unit, std::span<const std::size_t> members,
+                                        const capacity_view& view, capacity_kind kind)
+{
+    std::vector<assignment> placed;
+    placed.reserve(unit.tasks.size());
+    auto next = unit.tasks.begin();
+    for (const auto index : members) {
+        auto slots = slots_on(unit, capacity_of(view.worker(index), kind), index);
+        for (; slots > 0 && next != unit.tasks.end(); --slots) {
+            placed.push_back({*next, index});
+            ++next;
+        }
+    }
+    return placed;
+}
+
 bool some_rack_can_hold(const work_unit& unit, capacity_view& view)
 {
     const auto tasks = static_cast<std::int64_t>(unit.tasks.size());
@@ -129,7 +129,7 @@
             return view.worker(index).facts->rack == unit.spec->data_rack;
         });
     }
-    return assign_in_order(unit, members, view, kind);
+    return internal::assign_in_order(unit, members, view, kind);
 }
 
 std::optional<std::vector<assignment>> place_all(const work_unit& unit, capacity_view& view,
@@ -155,7 +155,7 @@
             members.insert(members.end(), rack.workers.begin(), rack.workers.end());
         }
     }
-    return assign_in_order(unit, fullest_first(unit, members, view, kind), view, kind);
+    return internal::assign_in_order(unit, fullest_first(unit, members, view, kind), view, kind);
 }
 
 } // namespace poplarstile::planning
--- a/src/planning/placement.hpp
+++ b/src/planning/placement.hpp
@@ -37,6 +37,12 @@
 [[nodiscard]] std::int64_t slots_on(const work_unit& unit, const batch::resources& capacity,
                                     std::size_t worker);
 
+/// Assigns as many tasks as fit to the members, in order.
+[[nodiscard]] std::vector<assignment> assign_in_order(const work_unit& unit,
+                                                      std::span<const std::size_t> members,
+                                                      const capacity_view& view,
+                                                      capacity_kind kind);
+
 /// True when some rack could hold the whole unit if nothing else ran there.
 [[nodiscard]] bool some_rack_can_hold(const work_unit& unit, capacity_view& view);
 
--- a/src/planning/plan_types.hpp
+++ b/src/planning/plan_types.hpp
@@ -24,6 +24,12 @@
     batch::resources free_after_stops{};
     /// False while no new work may be placed there.
     bool schedulable = true;
+    /// Something runs or may run there.
+    bool occupied = false;
+    /// Holds work that does not end by itself.
+    bool holds_lasting_work = false;
+    /// Holds tasks of an isolated unit, next to which nothing is placed.
+    bool isolated = false;
     /// Increases with the number of different jobs that failed there; 0 without failures.
     double suspicion = 0.0;
 };
@@ -37,6 +43,8 @@
     std::vector<std::uint32_t> tasks{};
     /// Covered by its workspace's guarantee, which may preempt work that is not covered by one.
     bool guaranteed = false;
+    /// Its tasks are suspected of crashing workers, and are placed where nothing else runs.
+    bool isolated = false;
     /// Tasks of this occurrence that are already placed on a worker, as (worker, count).
     std::vector<std::pair<std::size_t, std::uint32_t>> present{};
     work_rank rank{};
@@ -68,6 +76,8 @@
 struct placed_unit {
     std::size_t unit = 0;
     std::vector<assignment> tasks{};
+    /// Nothing else runs on the workers of the tasks.
+    bool isolated = false;
 };
 
 /// Decisions of one plan.
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -1,5 +1,6 @@
 #include "planning/planner.hpp"
 
+#include "planning/isolation.hpp"
 #include "planning/placement.hpp"
 #include "planning/preemption.hpp"
 
@@ -55,16 +56,41 @@
         std::ranges::stable_sort(order, [this](std::size_t one, std::size_t other) {
             return ranks_before(units_[one].rank, units_[other].rank);
         });
+        hold_back_for_isolated_units();
+        std::erase_if(order, [this](std::size_t index) { return isolation_.isolated[index]; });
         for (const auto index : order) {
             consider(index);
         }
         for (const auto index : order) {
             consider_other_racks(index);
         }
+        start_isolated_units();
         return std::move(plan_);
     }
 
 private:
+    void hold_back_for_isolated_units()
+    {
+        isolation_ = plan_isolation(units_, view_);
+        for (const auto& held : isolation_.held) {
+            view_.hold_back(held.workers);
+        }
+    }
+
+    /// Starts isolated units after all others, on the workers that guaranteed units have left to
+    /// them.
+    void start_isolated_units()
+    {
+        for (const auto& held : isolation_.held) {
+            const auto& unit = units_[held.unit];
+            auto placed = place_isolated(unit, held.workers, view_);
+            if (!placed.empty()) {
+                start(held.unit, unit, std::move(placed));
+                plan_.starts.back().isolated = true;
+            }
+        }
+    }
+
     void consider(std::size_t index)
     {
         const auto& unit = units_[index];
@@ -193,6 +219,7 @@
     std::span<const work_unit> units_;
     capacity_view view_;
     victim_table victims_;
+    isolation_plan isolation_{};
     std::vector<failed_request> failed_{};
     plan plan_{};
 };
--- a/tests/planning/plan_fixture.hpp
+++ b/tests/planning/plan_fixture.hpp
@@ -39,6 +39,7 @@
         const batch::resources held{1'000, 1'000, accelerators};
         workers.at(worker).free -= held;
         workers.at(worker).free_after_stops -= held;
+        workers.at(worker).occupied = true;
     }
 
     /// Adds a running task that may be preempted and returns its index among the victims.
@@ -48,6 +49,7 @@
         const batch::resources held{1'000, 1'000, accelerators};
         workers.at(worker).free -= held;
         workers.at(worker).free_after_stops -= held;
+        workers.at(worker).occupied = true;
         victims.push_back({{{worker, held}}, priority, priority == 0, loss});
         return victims.size() - 1;
     }
@@ -76,6 +78,14 @@
         return units.size() - 1;
     }
 
+    /// Adds a unit of suspected tasks and returns its index.
+    std::size_t add_isolated_unit(const batch::step_spec& spec, work_rank rank)
+    {
+        const auto unit = add_unit(spec, rank);
+        units.at(unit).isolated = true;
+        return unit;
+    }
+
     [[nodiscard]] plan make() const
     {
         return make_plan(units, workers, victims);
