--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -369,9 +369,10 @@
     void collect_workers(plan_input& input, std::map<std::string, std::size_t>& worker_index) const;
     void collect_units(plan_input& input, const std::map<std::string, std::size_t>& worker_index);
     void collect_unit(plan_input& input, const std::map<std::string, std::size_t>& worker_index,
-                      const job_entry& entry, unit_origin origin, bool guaranteed) const;
+                      const job_entry& entry, const unit_origin& origin, bool guaranteed) const;
     void collect_victims(plan_input& input,
                          const std::map<std::string, std::size_t>& worker_index) const;
+    void mark_isolated_workers(plan_input& input) const;
     [[nodiscard]] bool count_guaranteed(const job_entry& entry,
                                         std::map<std::string, std::int64_t>& urgent_need) const;
     void apply_plan(const plan_input& input, const planning::plan& made);
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -23,6 +23,41 @@
 /// further failures.
 constexpr base::milliseconds recent_failure_window{8'000};
 
+/// The tasks of a step that wait for a worker, and those that have one.
+struct step_tasks {
+    std::vector<std::uint32_t> waiting{};
+    /// Waiting tasks that are placed where nothing else runs.
+    std::vector<std::uint32_t> isolated{};
+    /// Number of placed tasks by worker.
+    std::map<std::size_t, std::uint32_t> present{};
+};
+
+step_tasks tasks_of(const batch::job& job, const unit_origin& origin,
+                    const std::map<std::string, std::size_t>& worker_index)
+{
+    step_tasks result;
+    const auto& tasks = job.step(origin.occurrence, origin.step).tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const auto& task = tasks.at(index);
+        if (task.phase == batch::task_phase::waiting) {
+            const bool isolated = job.needs_isolation({origin.occurrence, origin.step, index});
+            (isolated ? result.isolated : result.waiting).push_back(index);
+        } else if (task.phase == batch::task_phase::placed) {
+            const auto found = worker_index.find(task.worker.worker);
+            if (found != worker_index.end()) {
+                ++result.present[found->second];
+            }
+        }
+    }
+    return result;
+}
+
+/// Workers with a greater value are tried after the others of their rack.
+double suspicion_of(std::ptrdiff_t recent_failures)
+{
+    return static_cast<double>(recent_failures);
+}
+
 /// Unix milliseconds from which the objective of an occurrence is measured.
 std::int64_t objective_start_ms(const batch::job& job, std::uint32_t occurrence)
 {
@@ -61,6 +96,7 @@
     if (!input.units.empty()) {
         ++counters_.plans;
         collect_victims(input, worker_index);
+        mark_isolated_workers(input);
         apply_plan(input, planning::make_plan(input.units, input.workers, input.victims));
     }
     last_plan_at_ = ports_.time->now();
@@ -88,7 +124,7 @@
             std::ranges::count_if(worker->failed_jobs, [&](const auto& failed) {
                 return now - failed.second < recent_failure_window;
             });
-        candidate.suspicion = static_cast<double>(recent_failures);
+        candidate.suspicion = suspicion_of(recent_failures);
         candidate.schedulable = worker->listed && !worker->facts.draining && worker->fenced &&
                                 worker->unanswered_polls == 0 && worker->clock.known() &&
                                 worker->unknown_jobs.empty() &&
@@ -158,33 +194,20 @@
 }
 
 void leader::collect_unit(plan_input& input, const std::map<std::string, std::size_t>& worker_index,
-                          const job_entry& entry, unit_origin origin, bool guaranteed) const
+                          const job_entry& entry, const unit_origin& origin, bool guaranteed) const
 {
     const auto& job = entry.state;
-    const auto& step = job.step(origin.occurrence, origin.step);
     const auto& spec = job.spec_of(origin.step);
+    const auto tasks = tasks_of(job, origin, worker_index);
+    const auto waiting = tasks.waiting.size() + tasks.isolated.size();
+    if (waiting == 0 || (spec.gang && waiting != spec.task_count)) {
+        return;
+    }
     planning::work_unit unit;
     unit.spec = &spec;
     unit.service = &job.accepted().policy.service;
     unit.guaranteed = guaranteed;
-    std::map<std::size_t, std::uint32_t> present;
-    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-        const auto& task = step.tasks.at(index);
-        if (task.phase == batch::task_phase::waiting) {
-            unit.tasks.push_back(index);
-        } else if (task.phase == batch::task_phase::placed) {
-            const auto found = worker_index.find(task.worker.worker);
-            if (found != worker_index.end()) {
-                ++present[found->second];
-            }
-        }
-    }
-    if (unit.tasks.empty() || (spec.gang && unit.tasks.size() != step.tasks.size())) {
-        return;
-    }
-    unit.present.assign(present.begin(), present.end());
-    unit.work = batch::core_weight(spec.need) * static_cast<double>(unit.tasks.size()) *
-                static_cast<double>(spec.estimate.count()) / milliseconds_per_second;
+    unit.present.assign(tasks.present.begin(), tasks.present.end());
     planning::ranking_input facts;
     facts.priority = job.accepted().policy.priority;
     facts.guaranteed = guaranteed;
@@ -196,8 +219,16 @@
     }
     facts.objective = job.objective();
     unit.rank = planning::rank_of(facts, since_ms);
-    input.units.push_back(std::move(unit));
-    input.origins.push_back(std::move(origin));
+    for (const bool isolated : {false, true}) {
+        unit.tasks = isolated ? tasks.isolated : tasks.waiting;
+        unit.isolated = isolated;
+        unit.work = batch::core_weight(spec.need) * static_cast<double>(unit.tasks.size()) *
+                    static_cast<double>(spec.estimate.count()) / milliseconds_per_second;
+        if (!unit.tasks.empty()) {
+            input.units.push_back(unit);
+            input.origins.push_back(origin);
+        }
+    }
 }
 
 void leader::collect_victims(plan_input& input,
@@ -295,6 +326,7 @@
                              {"step", origin.step},
                              {"tasks", placed.tasks.size()},
                              {"gang", spec.gang},
+                             {"isolated", placed.isolated},
                              {"open_jobs", jobs_.size()},
                              {"waited_ms", base::milliseconds_between(entry.known_since, now)}});
     mark_dirty(origin.job);
