Measure plans with isolated units, and keep them cheap

Change: whether a unit can be isolated is decided without sorting all workers, and nothing is searched once a service's share of workers is taken. planning_cost has plans of 300 waiting units on 350 full workers, 0 to 300 of them isolated.

--- a/bench/planning/main.cpp
+++ b/bench/planning/main.cpp
@@ -41,6 +41,7 @@
                 victims.push_back({{{index, one_accelerator}}, patient, false, lost(random)});
             }
             made.free_after_stops = made.free;
+            made.occupied = true;
             workers.push_back(made);
         }
     }
@@ -61,11 +62,29 @@
         }
     }
 
+    /// Adds units that preempt nothing: gangs and single tasks in turn, some of them isolated.
+    void add_waiting(std::size_t count, std::size_t isolated)
+    {
+        single.task_count = 1;
+        single.need = one_accelerator;
+        add_gangs(count);
+        for (std::size_t index = 0; index < count; ++index) {
+            auto& unit = units.at(index);
+            unit.rank.priority = patient;
+            unit.isolated = index < isolated;
+            if (index % 2 == 0) {
+                unit.spec = &single;
+                unit.tasks = {0};
+            }
+        }
+    }
+
     std::string service = "service";
     std::vector<fleet::worker_facts> facts{};
     std::vector<planning::worker_candidate> workers{};
     std::vector<planning::victim> victims{};
     batch::step_spec gang{};
+    batch::step_spec single{};
     std::vector<planning::work_unit> units{};
 };
 
@@ -79,6 +98,25 @@
     }
 }
 
+/// Arguments: workers, waiting units, isolated units among them.
+void waiting_units_with_isolated_ones(benchmark::State& state)
+{
+    full_site site{static_cast<std::size_t>(state.range(0))};
+    site.add_waiting(static_cast<std::size_t>(state.range(1)),
+                     static_cast<std::size_t>(state.range(2)));
+    for (auto _ : state) {
+        auto made = planning::make_plan(site.units, site.workers, site.victims);
+        benchmark::DoNotOptimize(made);
+    }
+}
+
+BENCHMARK(waiting_units_with_isolated_ones)
+    ->Args({350, 300, 0})
+    ->Args({350, 300, 10})
+    ->Args({350, 300, 100})
+    ->Args({350, 300, 300})
+    ->Unit(benchmark::kMicrosecond);
+
 BENCHMARK(urgent_gangs_on_a_full_site)
     ->Args({48, 1})
     ->Args({48, 10})
--- a/src/planning/isolation.cpp
+++ b/src/planning/isolation.cpp
@@ -45,7 +45,14 @@
     std::int64_t accelerators = 0;
     std::int64_t cpu_milli = 0;
 
-    auto operator<=>(const waiting_cost&) const = default;
+    [[nodiscard]] friend bool operator<(const waiting_cost& one, const waiting_cost& other)
+    {
+        const auto key = [](const waiting_cost& cost) {
+            return std::tie(cost.with_lasting_work, cost.occupied, cost.remote, cost.accelerators,
+                            cost.cpu_milli);
+        };
+        return key(one) < key(other);
+    }
 };
 
 /// Workers that can hold a unit once they are idle.
@@ -73,7 +80,18 @@
     [[nodiscard]] bool can_isolate(const work_unit& unit)
     {
         const auto limit = isolation_limit(services_[*unit.service].workers);
-        return limit > 0 && fewest_workers(unit, all_workers(unit), limit).has_value();
+        std::vector<std::int64_t> slots;
+        for (const auto index : all_workers(unit)) {
+            slots.push_back(slots_when_idle(unit, view_.worker(index), index));
+        }
+        if (limit == 0 || !unit.spec->gang) {
+            return limit > 0 && !slots.empty();
+        }
+        const auto most =
+            slots.begin() + static_cast<std::ptrdiff_t>(std::min(limit, slots.size()));
+        std::ranges::partial_sort(slots, most, std::ranges::greater{});
+        return std::accumulate(slots.begin(), most, std::int64_t{0}) >=
+               static_cast<std::int64_t>(unit.tasks.size());
     }
 
     /// Claims workers for the unit. When the unit has to wait because too many workers are kept for
@@ -82,7 +100,10 @@
     {
         auto& service = services_[*unit.service];
         const auto limit = isolation_limit(service.workers);
-        const auto left = limit - std::min(limit, service.closed);
+        if (service.closed >= limit) {
+            return {};
+        }
+        const auto left = limit - service.closed;
         auto chosen = unit.spec->gang ? choose_for_gang(unit, left)
                                       : choose_for_tasks(unit, all_workers(unit), left);
         if (!chosen) {
