--- a/tests/planning/isolation_model_test.cpp
+++ b/tests/planning/isolation_model_test.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <deque>
 #include <map>
-#include <ranges>
 #include <set>
 
 /// Properties of plans with isolated units: for random states, and for plans that follow each other
@@ -199,8 +198,8 @@
     const int most_plans = count * busy_service::longest_run * 8;
     for (int made = 0; made < most_plans && !suspects.empty(); ++made) {
         const auto started = site.step(suspects);
-        for (const auto index : std::views::reverse(started)) {
-            suspects.erase(suspects.begin() + static_cast<std::ptrdiff_t>(index));
+        for (auto index = started.rbegin(); index != started.rend(); ++index) {
+            suspects.erase(suspects.begin() + static_cast<std::ptrdiff_t>(*index));
         }
     }
 
