--- a/src/batch/job.hpp
+++ b/src/batch/job.hpp
@@ -191,13 +191,6 @@
     /// Unix milliseconds at which an occurrence is due; 0 for a job that does not repeat.
     [[nodiscard]] std::int64_t due_ms(std::uint32_t occurrence) const;
 
-    /// True when further runs are placed where nothing of another job runs.
-    [[nodiscard]] bool needs_isolation(const task_ref& ref) const
-    {
-        (void)ref;
-        return false;
-    }
-
     /// Number of the next run of a task; the same for all members of a gang.
     [[nodiscard]] std::uint32_t next_run(const task_ref& ref) const;
 
