--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -134,7 +134,8 @@
     return newest->run + 1;
 }
 
-void job::place(const task_ref& ref, std::uint32_t run, worker_incarnation worker)
+void job::place(const task_ref& ref, std::uint32_t run, worker_incarnation worker,
+                std::string address)
 {
     auto& step = mutable_step(ref);
     auto& task = step.tasks.at(ref.index);
@@ -145,6 +146,7 @@
     task.phase = task_phase::placed;
     task.run = run;
     task.worker = std::move(worker);
+    task.address = std::move(address);
     started_ = true;
 }
 
@@ -172,6 +174,26 @@
     return true;
 }
 
+const crash_history& job::crashes_of(const task_ref& ref) const
+{
+    return spec_of(ref.step).gang ? step(ref.occurrence, ref.step).gang_crashes : task(ref).crashes;
+}
+
+bool job::record_crash(const task_ref& ref, std::uint32_t run, const crash_evidence& evidence)
+{
+    auto& step = mutable_step(ref);
+    auto& task = step.tasks.at(ref.index);
+    if (task.phase == task_phase::done || run > task.run) {
+        return false;
+    }
+    auto& history = spec_of(ref.step).gang ? step.gang_crashes : task.crashes;
+    if (!count_crash(history, run, evidence)) {
+        return false;
+    }
+    failed_ = failed_ || is_to_blame(history);
+    return true;
+}
+
 bool job::finish_earlier_run(const task_ref& ref, std::uint32_t run)
 {
     if (!open() || !has(ref) || spec_of(ref.step).long_running) {
@@ -223,6 +245,7 @@
     }
     task.phase = task_phase::done;
     task.worker = {};
+    task.address.clear();
     task.checkpoint.clear();
     ++step.done;
     ++done_tasks_;
@@ -232,6 +255,7 @@
 {
     task.phase = task_phase::waiting;
     task.worker = {};
+    task.address.clear();
     --step.placed;
     --placed_tasks_;
 }
--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -113,36 +113,61 @@
     return finished;
 }
 
-/// Worker incarnations, each stored once; tasks refer to them by index.
-class incarnation_table
+/// A worker incarnation and its address, which may be empty.
+struct stored_worker {
+    worker_incarnation incarnation{};
+    std::string address{};
+
+    bool operator==(const stored_worker&) const = default;
+};
+
+/// Workers, each stored once; tasks refer to them by index.
+class worker_table
 {
 public:
-    std::size_t index_of(const worker_incarnation& incarnation)
+    std::size_t index_of(const stored_worker& worker)
     {
-        const auto found = std::ranges::find(incarnations_, incarnation);
-        if (found != incarnations_.end()) {
-            return static_cast<std::size_t>(found - incarnations_.begin());
+        const auto found = std::ranges::find(workers_, worker);
+        if (found != workers_.end()) {
+            return static_cast<std::size_t>(found - workers_.begin());
         }
-        incarnations_.push_back(incarnation);
-        return incarnations_.size() - 1;
+        workers_.push_back(worker);
+        return workers_.size() - 1;
     }
 
     [[nodiscard]] json encode() const
     {
         json list = json::array();
-        for (const auto& incarnation : incarnations_) {
-            list.push_back({incarnation.worker, incarnation.started_at});
+        for (const auto& [incarnation, address] : workers_) {
+            auto entry = json::array({incarnation.worker, incarnation.started_at});
+            if (!address.empty()) {
+                entry.push_back(address);
+            }
+            list.push_back(std::move(entry));
         }
         return list;
     }
 
 private:
-    std::vector<worker_incarnation> incarnations_;
+    std::vector<stored_worker> workers_;
 };
 
+/// Encodes a history as [crashes, implicating crashes, newest counted run].
+json encode_crashes(const crash_history& history)
+{
+    return json::array({history.total, history.implicating, history.last_run});
+}
+
+crash_history decode_crashes(const json& encoded)
+{
+    return {encoded.at(0).get<std::uint32_t>(), encoded.at(1).get<std::uint32_t>(),
+            encoded.at(2).get<std::uint32_t>()};
+}
+
 /// Encodes a done task as 1, a task that never ran as 0, and any other as
-/// [run, failures, index of the worker or -1, checkpoint]; an empty checkpoint is left out.
-json encode_task(const task_state& task, incarnation_table& workers)
+/// [run, failures, index of the worker or -1, checkpoint, crashes]; without crashes the last
+/// member is left out, and an empty checkpoint with it.
+json encode_task(const task_state& task, worker_table& workers)
 {
     if (task.phase == task_phase::done) {
         return 1;
@@ -151,15 +176,20 @@
         return 0;
     }
     const auto placed = task.phase == task_phase::placed;
-    const auto worker = placed ? static_cast<std::int64_t>(workers.index_of(task.worker)) : -1;
+    const auto worker =
+        placed ? static_cast<std::int64_t>(workers.index_of({task.worker, task.address})) : -1;
     auto encoded = json::array({task.run, task.failures, worker});
-    if (!task.checkpoint.empty()) {
+    const bool crashed = task.crashes != crash_history{};
+    if (crashed || !task.checkpoint.empty()) {
         encoded.push_back(task.checkpoint);
     }
+    if (crashed) {
+        encoded.push_back(encode_crashes(task.crashes));
+    }
     return encoded;
 }
 
-task_state decode_task(const json& encoded, const std::vector<worker_incarnation>& workers)
+task_state decode_task(const json& encoded, const std::vector<stored_worker>& workers)
 {
     task_state task;
     if (encoded.is_number()) {
@@ -174,24 +204,33 @@
     const auto worker = encoded.at(2).get<std::int64_t>();
     if (worker >= 0) {
         task.phase = task_phase::placed;
-        task.worker = workers.at(static_cast<std::size_t>(worker));
+        const auto& placed_on = workers.at(static_cast<std::size_t>(worker));
+        task.worker = placed_on.incarnation;
+        task.address = placed_on.address;
     }
     if (encoded.size() > 3) {
         task.checkpoint = encoded.at(3).get<std::string>();
     }
+    if (encoded.size() > 4) {
+        task.crashes = decode_crashes(encoded.at(4));
+    }
     return task;
 }
 
-json encode_step_state(const step_state& step, incarnation_table& workers)
+json encode_step_state(const step_state& step, worker_table& workers)
 {
     json tasks = json::array();
     for (const auto& task : step.tasks) {
         tasks.push_back(encode_task(task, workers));
     }
-    return json::array({step.gang_failures, step.failed_run, std::move(tasks)});
+    auto encoded = json::array({step.gang_failures, step.failed_run, std::move(tasks)});
+    if (step.gang_crashes != crash_history{}) {
+        encoded.push_back(encode_crashes(step.gang_crashes));
+    }
+    return encoded;
 }
 
-step_state decode_step_state(const json& encoded, const std::vector<worker_incarnation>& workers)
+step_state decode_step_state(const json& encoded, const std::vector<stored_worker>& workers)
 {
     step_state step;
     step.gang_failures = encoded.at(0).get<std::uint32_t>();
@@ -199,15 +238,22 @@
     for (const auto& task : encoded.at(2)) {
         step.tasks.push_back(decode_task(task, workers));
     }
+    if (encoded.size() > 3) {
+        step.gang_crashes = decode_crashes(encoded.at(3));
+    }
     return step;
 }
 
 run_record decode_record(const json& document)
 {
-    std::vector<worker_incarnation> workers;
-    for (const auto& incarnation : document.at("w")) {
-        workers.push_back(
-            {incarnation.at(0).get<std::string>(), incarnation.at(1).get<std::uint64_t>()});
+    std::vector<stored_worker> workers;
+    for (const auto& entry : document.at("w")) {
+        stored_worker worker{{entry.at(0).get<std::string>(), entry.at(1).get<std::uint64_t>()},
+                             {}};
+        if (entry.size() > 2) {
+            worker.address = entry.at(2).get<std::string>();
+        }
+        workers.push_back(std::move(worker));
     }
     run_record record;
     record.failed = document.value("f", false);
@@ -281,7 +327,7 @@
 
 std::string encode_runs(const job& current)
 {
-    incarnation_table workers;
+    worker_table workers;
     json occurrences = json::array();
     for (const auto& occurrence : current.occurrences()) {
         json steps = json::array();
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -23,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -87,6 +88,11 @@
     std::uint64_t polls = 0;
     std::uint64_t preemptions = 0;
     std::uint64_t lost_runs = 0;
+    /// Incarnations of workers that ended without notice.
+    std::uint64_t worker_crashes = 0;
+    /// Runs that were, or may have been, on such a worker.
+    std::uint64_t crashed_runs = 0;
+    std::uint64_t jobs_failed_by_crashes = 0;
     std::array<std::uint64_t, 7> ends{};
     std::uint64_t unreadable_workers = 0;
     std::uint64_t plans = 0;
@@ -197,6 +203,9 @@
 
     enum class part_phase : std::uint8_t { acquiring, reading, active };
 
+    /// Why a job has failed: too many runs of a task failed, or workers crashed under them.
+    enum class failure_cause : std::uint8_t { failed_runs, worker_crashes };
+
     /// Who stored the end of a job.
     enum class end_origin : std::uint8_t { this_leader, earlier_leader };
 
@@ -320,7 +329,7 @@
     void follow_workers();
     void apply_worker_change(const fleet::worker_change& change);
     void apply_worker_facts(const fleet::worker_change& change);
-    void end_incarnation(worker_state& worker, std::string_view cause);
+    void end_incarnation(worker_state& worker, incarnation_end cause);
     void update_worker(worker_state& worker);
     void poll_worker(worker_state& worker);
     void receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
@@ -344,6 +353,16 @@
                                                         base::time_point now) const;
     void confirm_leases();
 
+    // Crashes of workers, and the runs under which they happened (leader_crashes.cpp).
+    /// The runs that the end of a worker's incarnation takes with it; none when the worker was
+    /// draining, since then it has left.
+    [[nodiscard]] std::vector<crashed_run> take_crashed_runs(worker_state& worker);
+    void record_crash(const crashed_run& crashed, const std::string& worker);
+    void record_crashes(std::span<const crashed_run> crashed, const std::string& worker);
+    /// Gives up waiting for a sign of a worker that is silent and has lost its registration.
+    void settle_silent_losses(worker_state& worker);
+    void stop_failed_job(job_entry& entry, const std::string& task, failure_cause cause);
+
     // Starts, stops and ends of runs (leader_orders.cpp).
     [[nodiscard]] std::size_t adopt_placed(job_entry& entry);
     void adopt(job_entry& entry, const batch::task_ref& ref);
@@ -369,9 +388,10 @@
     void collect_workers(plan_input& input, std::map<std::string, std::size_t>& worker_index) const;
     void collect_units(plan_input& input, const std::map<std::string, std::size_t>& worker_index);
     void collect_unit(plan_input& input, const std::map<std::string, std::size_t>& worker_index,
-                      const job_entry& entry, unit_origin origin, bool guaranteed) const;
+                      const job_entry& entry, const unit_origin& origin, bool guaranteed) const;
     void collect_victims(plan_input& input,
                          const std::map<std::string, std::size_t>& worker_index) const;
+    void mark_isolated_workers(plan_input& input) const;
     [[nodiscard]] bool count_guaranteed(const job_entry& entry,
                                         std::map<std::string, std::int64_t>& urgent_need) const;
     void apply_plan(const plan_input& input, const planning::plan& made);
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timers.hpp"
+#include "batch/crash_history.hpp"
 #include "batch/job.hpp"
 #include "fleet/worker_clock.hpp"
 #include "fleet/worker_facts.hpp"
@@ -11,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace poplarstile::control
 {
@@ -34,6 +36,17 @@
     accepted,
 };
 
+/// What showed that a worker's incarnation is over.
+enum class incarnation_end : std::uint8_t {
+    registered_anew,
+    answered_with_another_start,
+    /// A worker with another id answers at its address. It refuses orders for the earlier id, so
+    /// none of these can begin a run any more.
+    another_worker_at_its_address,
+};
+
+[[nodiscard]] std::string_view name_of(incarnation_end cause);
+
 /// Why a run is being stopped.
 enum class stop_reason : std::uint8_t { none, cancelled, reclaimed, gang_broken, failed, moved };
 
@@ -57,6 +70,7 @@
     /// Adopted from an earlier leader and not listed by its worker yet.
     bool adopted = false;
     base::time_point planned_at{};
+    base::time_point first_sent_at{};
     base::time_point sent_at{};
     /// When the worker was first known to have accepted the run.
     base::time_point accepted_at{};
@@ -74,12 +88,28 @@
     base::time_point percent_changed_at{};
 };
 
+/// A run that was, or may have been, on a worker when its incarnation ended without notice.
+struct crashed_run {
+    std::string job{};
+    batch::task_ref ref{};
+    std::uint32_t run = 0;
+    batch::crash_evidence evidence{};
+};
+
 /// True when the run began in the worker's current incarnation and no order to start it can reach a
 /// later one, so that the run ends with that incarnation.
 [[nodiscard]] bool belongs_to_current_incarnation(const live_run& run);
 
 struct worker_state;
 
+/// Counts a poll without a reply of the worker's own.
+void count_unanswered_poll(worker_state& worker, base::time_point now);
+
+/// The runs that a crash of the worker takes with it, and what speaks for each as the cause. Runs
+/// that were never sent are not among them.
+[[nodiscard]] std::vector<crashed_run> runs_under_crash(const worker_state& worker,
+                                                        base::time_point now);
+
 /// When an order was sent, and the incarnation of the worker that was known then.
 struct order_sending {
     base::time_point at{};
@@ -126,7 +156,12 @@
     /// Polls without a reply since the last one with a reply.
     std::uint32_t unanswered_polls = 0;
     base::time_point answered_at{};
+    /// When the first poll since then had no reply; valid while `unanswered_polls` is not 0.
+    base::time_point silent_since{};
     base::time_point next_poll_at{};
+    /// Runs that were ended because the worker was silent for longer than their leases, until it
+    /// shows whether it had crashed.
+    std::vector<crashed_run> lost_in_silence{};
     /// When another incarnation under the same id was found.
     base::time_point incarnation_changed_at{};
     /// Another worker answers at its address.
