Test that no start brings a worker over a capacity that has shrunk

A worker's capacity may shrink and grow while it runs. The stand-in workers can change theirs, with a registration that tells of it later, and judge a start by the greatest capacity of the last 4.5 s.

--- a/tests/batch/job_test.cpp
+++ b/tests/batch/job_test.cpp
@@ -309,5 +309,14 @@
     EXPECT_FALSE(need.fits({1'000, 100, 1}));
 }
 
+TEST(resources, NothingFitsWhereAResourceIsExceeded)
+{
+    const resources need{1'000, 100, 0};
+    const resources exceeded{10'000, 1'000, -4};
+
+    EXPECT_EQ(need.fit_count(exceeded), 0);
+    EXPECT_FALSE(need.fits(exceeded));
+}
+
 } // namespace
 } // namespace poplarstile::batch
--- a/tests/planning/planner_test.cpp
+++ b/tests/planning/planner_test.cpp
@@ -268,5 +268,21 @@
     EXPECT_EQ(workers_of(input.make(), unit), std::set{labelled});
 }
 
+// A worker whose capacity has shrunk below what runs there gets no work that needs nothing of the
+// exceeded resource either.
+TEST(planner, AWorkerThatIsOverItsCapacityGetsNothing)
+{
+    plan_fixture input;
+    input.occupy(input.add_worker("r1"), plan_fixture::worker_capacity.accelerators + 4);
+    input.add_unit(input.add_spec(2, 0, false), in_time(1, 1));
+    input.add_unit(input.add_spec(2, 0, true), in_time(1, 1));
+
+    EXPECT_TRUE(input.make().starts.empty());
+
+    const auto other = input.add_worker("r1");
+    EXPECT_EQ(workers_of(input.make(), 0), std::set{other});
+    EXPECT_EQ(workers_of(input.make(), 1), std::set{other});
+}
+
 } // namespace
 } // namespace poplarstile::planning
--- a/tests/support/fake_workers.hpp
+++ b/tests/support/fake_workers.hpp
@@ -24,6 +24,12 @@
     base::time_point at{};
 };
 
+/// A capacity that a worker had until some time.
+struct earlier_capacity {
+    batch::resources capacity{};
+    base::time_point until{};
+};
+
 /// Workers in memory: they keep leases on clocks of their own, fence by token, run tasks for a
 /// given time, list ends until they are acknowledged, and can be cut off, crash or answer late.
 class fake_workers
@@ -52,7 +58,11 @@
     };
 
     struct machine {
+        /// As it is registered.
         fleet::worker_facts facts{};
+        /// What it has, which its registration may not tell yet.
+        batch::resources capacity{};
+        std::vector<earlier_capacity> earlier_capacities{};
         base::time_point born_at{};
         double clock_rate = 1.0;
         std::uint64_t token = 0;
@@ -100,6 +110,8 @@
     base::milliseconds call_timeout{600};
     base::milliseconds longest_lease{6'000};
     base::milliseconds stop_time{100};
+    /// A start is judged by a smaller capacity from this time after the change.
+    base::milliseconds capacity_grace{4'500};
 
     explicit fake_workers(virtual_time& time) : time_{time}
     {
@@ -114,6 +126,7 @@
         made.facts.address = "address-of-" + id;
         made.facts.failure_domain = "domain";
         made.facts.capacity = capacity;
+        made.capacity = capacity;
         made.facts.labels = {"a", rack};
         made.facts.rack = rack;
         made.born_at = time_.now();
@@ -158,6 +171,20 @@
         change(id);
     }
 
+    /// Changes what the worker has; its registration tells of it some time later.
+    void set_capacity(const std::string& id, const batch::resources& capacity,
+                      base::milliseconds registered_after = base::milliseconds{0})
+    {
+        auto& worker = machines_.at(id);
+        worker.earlier_capacities.push_back({worker.capacity, time_.now()});
+        worker.capacity = capacity;
+        time_.after(registered_after, [this, id] {
+            auto& registered = machines_.at(id);
+            registered.facts.capacity = registered.capacity;
+            change(id);
+        });
+    }
+
     [[nodiscard]] fleet::worker_orders orders()
     {
         fleet::worker_orders made;
@@ -304,7 +331,9 @@
             time_.after(late_by, [this, id, born = worker.facts.life.started_at, carry_out] {
                 const auto& later = machines_.at(id);
                 if (later.up && later.facts.life.started_at == born) {
+                    judged_grace_ = capacity_grace + late_by;
                     (void)carry_out();
+                    judged_grace_ = capacity_grace;
                 }
             });
             unanswered();
@@ -376,11 +405,21 @@
         for (const auto& [running_task, run] : worker.tasks) {
             used += need(running_task);
         }
-        if (!used.fits(worker.facts.capacity)) {
+        if (!may_hold(worker, used)) {
             overfull_.push_back(id);
         }
     }
 
+    /// True when `used` fits what the worker has, or had a short time ago.
+    [[nodiscard]] bool may_hold(const machine& worker, const batch::resources& used) const
+    {
+        return used.fits(worker.capacity) ||
+               std::ranges::any_of(worker.earlier_capacities, [&](const auto& earlier) {
+                   return time_.now() - earlier.until <= judged_grace_ &&
+                          used.fits(earlier.capacity);
+               });
+    }
+
     fleet::order_reply stop(const fleet::stop_order& order)
     {
         auto& worker = machines_.at(order.to.life.worker);
@@ -558,6 +597,8 @@
     std::map<std::string, int> done_{};
     std::vector<std::string> doubled_{};
     std::vector<std::string> overfull_{};
+    /// `capacity_grace`, and more while a start is carried out late.
+    base::milliseconds judged_grace_ = capacity_grace;
     std::size_t looks_ = 0;
 };
 
