Fit nothing into a capacity of which a resource is exceeded

Seen: a worker whose accelerators had shrunk below what runs there was given work without accelerators, which a worker that doesn't guard its capacity starts although it is over it.

Cause: fit_count set no limit by a resource of which the need is nothing, even where less than nothing of it is left; fits() refused the same case. Planner and preemption use both.

Why it works: a free capacity below zero holds no copy, so that the worker is not eligible until what runs there has ended. Free capacities below zero come only from workers that have shrunk.

--- a/src/batch/resources.cpp
+++ b/src/batch/resources.cpp
@@ -12,10 +12,13 @@
 
 std::int64_t fit_count_of_one(std::int64_t need, std::int64_t available)
 {
+    if (available < 0) {
+        return 0;
+    }
     if (need <= 0) {
         return std::numeric_limits<std::int32_t>::max();
     }
-    return std::max<std::int64_t>(available, 0) / need;
+    return available / need;
 }
 
 } // namespace
--- a/src/batch/resources.hpp
+++ b/src/batch/resources.hpp
@@ -57,7 +57,7 @@
     }
 
     /// How many copies of this fit into `capacity`. A resource of which this needs nothing sets no
-    /// limit.
+    /// limit, unless it is exceeded: nothing fits into a capacity that is below zero.
     [[nodiscard]] std::int64_t fit_count(const resources& capacity) const;
 };
 
