Look at a worker's capacity again before a planned start is sent

Seen: a start planned with the earlier capacity went out after its commit, 5 s later, though the worker's registration had told of the shrink 4.9 s before. A worker that doesn't guard its capacity starts it.

Cause: nothing looked at the capacity between the plan and the send.

Why it works: when all that may run on the worker, this start included, exceeds what it has registered, the run ends unsent (lost, so no attempt), and the task is planned anew; members of its gang are stopped. The log line start_held_back has the capacity, what is used, and their ages.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -345,6 +345,9 @@
     void confirm_leases();
 
     // Starts, stops and ends of runs (leader_orders.cpp).
+    /// True when a start that is planned or under way may still be sent; logs why not.
+    [[nodiscard]] bool may_send_start(const worker_state& worker, const std::string& task,
+                                      const live_run& run) const;
     [[nodiscard]] std::size_t adopt_placed(job_entry& entry);
     void adopt(job_entry& entry, const batch::task_ref& ref);
     void send_start(const run_key& key);
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -74,6 +74,32 @@
     return run == worker->second->runs.end() ? nullptr : &run->second;
 }
 
+bool leader::may_send_start(const worker_state& worker, const std::string& task,
+                            const live_run& run) const
+{
+    if (is_within_capacity(worker)) {
+        return true;
+    }
+    const auto now = ports_.time->now();
+    const auto& capacity = worker.facts.capacity;
+    log.warning("start_held_back",
+                {{"job", run.job},
+                 {"task", task},
+                 {"run", run.run},
+                 {"worker", worker.facts.life.worker},
+                 {"cause", "over_capacity"},
+                 {"cpu_milli", capacity.cpu_milli},
+                 {"memory_mb", capacity.memory_mb},
+                 {"accelerators", capacity.accelerators},
+                 {"used_cpu_milli", worker.used.cpu_milli},
+                 {"used_memory_mb", worker.used.memory_mb},
+                 {"used_accelerators", worker.used.accelerators},
+                 {"capacity_read_ms_ago", base::milliseconds_between(worker.registered_at, now)},
+                 {"planned_ms_ago", base::milliseconds_between(run.planned_at, now)},
+                 {"sends", run.sends}});
+    return false;
+}
+
 void leader::send_start(const run_key& key)
 {
     auto* const run = find_run(key);
@@ -87,6 +113,10 @@
         end_run(worker, key.task, batch::run_end::lost, {}, "given_up_before_sent");
         return;
     }
+    if (run->order == order_state::unsent && !may_send_start(worker, key.task, *run)) {
+        end_run(worker, key.task, batch::run_end::lost, {}, "capacity_gone_before_sent");
+        return;
+    }
     const auto now = ports_.time->now();
     run->order = order_state::sent;
     run->sent_at = now;
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -124,6 +124,7 @@
     const bool starts_draining = facts.draining && !worker.facts.draining;
     worker.displaced = worker.displaced && worker.facts.address == facts.address;
     worker.facts = facts;
+    worker.registered_at = ports_.time->now();
     worker.listed = true;
     if (first_registration || other_incarnation || starts_draining) {
         log.info("worker_listed", {{"worker", change.worker},
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -95,6 +95,8 @@
 /// The leader's state of one worker.
 struct worker_state {
     fleet::worker_facts facts{};
+    /// When its registration was last read.
+    base::time_point registered_at{};
     /// False once its registration has been removed.
     bool listed = true;
     base::time_point unlisted_at{};
@@ -140,4 +142,8 @@
     std::uint32_t done_since_failure = 0;
 };
 
+/// True when all that may run on the worker fits the capacity that it has registered, which may
+/// shrink below what runs there.
+[[nodiscard]] bool is_within_capacity(const worker_state& worker);
+
 } // namespace poplarstile::control
