Send no start again that no longer fits its worker

Seen: an unanswered start was sent three more times after the registration had told of a capacity that it exceeds.

Cause: the retries did not look at the capacity.

Why it works: such a run is stopped, as after the last unanswered send, since an earlier send may have been carried out; its resources stay reserved until the worker has acknowledged the stop.

--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -217,7 +217,7 @@
         const bool unanswered = run.order == order_state::sent && !run.adopted &&
                                 !run.start_under_way && now - run.sent_at >= start_retry;
         if (unanswered && run.stopping == stop_reason::none) {
-            if (run.sends < max_start_sends) {
+            if (run.sends < max_start_sends && may_send_start(worker, task, run)) {
                 unanswered_starts.push_back({worker.facts.life.worker, task});
             } else {
                 stop_run(worker, run, stop_reason::moved);
