Start nothing by a capacity that was read too long ago

Seen: while the registrations could not be read and commits went on, a worker that had shrunk 6 s before was brought over its capacity.

Cause: the last capacity read counted for ever.

Why it works: a shrunk capacity is registered within a heartbeat (1.5 s) and counts 3 s later, so that a start may rely on one read up to 3 s ago; 2.8 s leaves time for the order. A reply of the feed confirms the capacities as of its request, or of the end of its wait when nothing changed; the wait is 1 s instead of 2 s, so that a healthy feed is at most about 2 s behind. Until then no start is planned or sent, except where the service enforces capacity. The price: one more read a second by the leader, and no starts while only the registrations can't be read.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -320,6 +320,11 @@
     void follow_workers();
     void apply_worker_change(const fleet::worker_change& change);
     void apply_worker_facts(const fleet::worker_change& change);
+    /// Notes a reply of the directory: changes up to some time after `sent` have been applied.
+    void note_registrations(base::time_point sent, const fleet::directory_reply& reply);
+    /// True when the worker's capacity was read a short time ago, or the worker itself rejects what
+    /// exceeds it.
+    [[nodiscard]] bool is_capacity_known(const worker_state& worker) const;
     void end_incarnation(worker_state& worker, std::string_view cause);
     void update_worker(worker_state& worker);
     void poll_worker(worker_state& worker);
@@ -416,6 +421,8 @@
     /// A call that follows the feed of job rows is under way.
     bool following_jobs_ = false;
     store::row_version directory_version_ = 0;
+    /// All changes of registrations before this time have been applied.
+    base::time_point registrations_seen_at_{};
     std::map<std::string, std::unique_ptr<worker_state>> workers_{};
     leader_counters counters_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -77,7 +77,8 @@
 bool leader::may_send_start(const worker_state& worker, const std::string& task,
                             const live_run& run) const
 {
-    if (is_within_capacity(worker)) {
+    const bool fits = is_within_capacity(worker);
+    if (fits && is_capacity_known(worker)) {
         return true;
     }
     const auto now = ports_.time->now();
@@ -87,7 +88,7 @@
                  {"task", task},
                  {"run", run.run},
                  {"worker", worker.facts.life.worker},
-                 {"cause", "over_capacity"},
+                 {"cause", fits ? "registrations_too_old" : "over_capacity"},
                  {"cpu_milli", capacity.cpu_milli},
                  {"memory_mb", capacity.memory_mb},
                  {"accelerators", capacity.accelerators},
@@ -95,6 +96,7 @@
                  {"used_memory_mb", worker.used.memory_mb},
                  {"used_accelerators", worker.used.accelerators},
                  {"capacity_read_ms_ago", base::milliseconds_between(worker.registered_at, now)},
+                 {"confirmed_ms_ago", base::milliseconds_between(registrations_seen_at_, now)},
                  {"planned_ms_ago", base::milliseconds_between(run.planned_at, now)},
                  {"sends", run.sends}});
     return false;
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -91,7 +91,7 @@
         candidate.suspicion = static_cast<double>(recent_failures);
         candidate.schedulable = worker->listed && !worker->facts.draining && worker->fenced &&
                                 worker->unanswered_polls == 0 && worker->clock.known() &&
-                                worker->unknown_jobs.empty() &&
+                                worker->unknown_jobs.empty() && is_capacity_known(*worker) &&
                                 recent_failures < static_cast<std::ptrdiff_t>(failed_jobs_limit);
         worker_index.emplace(id, input.workers.size());
         input.workers.push_back(candidate);
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -14,49 +14,54 @@
 
 constexpr base::event_logger log{"workers"};
 constexpr base::milliseconds directory_retry{150};
-constexpr base::milliseconds directory_wait{2'000};
+/// Short enough that a quiet feed confirms capacities before they are too old to rely on.
+constexpr base::milliseconds directory_wait{1'000};
+/// A start relies on a capacity only while it was read less than this time ago.
+constexpr base::milliseconds longest_capacity_age{2'800};
 
 } // namespace
 
 void leader::read_workers()
 {
-    ports_.directory->read_all([this, alive = alive_](const fleet::directory_reply& reply) {
-        if (!*alive) {
-            return;
-        }
-        if (reply.outcome != store::call_outcome::done) {
-            ports_.time->after(directory_retry, [this, alive] {
-                if (*alive) {
-                    read_workers();
+    ports_.directory->read_all(
+        [this, sent = ports_.time->now(), alive = alive_](const fleet::directory_reply& reply) {
+            if (!*alive) {
+                return;
+            }
+            if (reply.outcome != store::call_outcome::done) {
+                ports_.time->after(directory_retry, [this, alive] {
+                    if (*alive) {
+                        read_workers();
+                    }
+                });
+                return;
+            }
+            std::set<std::string> listed;
+            for (const auto& change : reply.changes) {
+                listed.insert(change.worker);
+                apply_worker_change(change);
+            }
+            for (auto& [id, worker] : workers_) {
+                if (worker->listed && !listed.contains(id)) {
+                    apply_worker_change({id, std::nullopt, {}, 0});
                 }
-            });
-            return;
-        }
-        std::set<std::string> listed;
-        for (const auto& change : reply.changes) {
-            listed.insert(change.worker);
-            apply_worker_change(change);
-        }
-        for (auto& [id, worker] : workers_) {
-            if (worker->listed && !listed.contains(id)) {
-                apply_worker_change({id, std::nullopt, {}, 0});
             }
-        }
-        directory_version_ = std::max(directory_version_, reply.version);
-        if (!workers_read_) {
-            workers_read_ = true;
-            begin_work();
-        } else {
-            follow_workers();
-        }
-    });
+            directory_version_ = std::max(directory_version_, reply.version);
+            registrations_seen_at_ = sent;
+            if (!workers_read_) {
+                workers_read_ = true;
+                begin_work();
+            } else {
+                follow_workers();
+            }
+        });
 }
 
 void leader::follow_workers()
 {
     ports_.directory->follow(
         directory_version_, directory_wait,
-        [this, alive = alive_](const fleet::directory_reply& reply) {
+        [this, sent = ports_.time->now(), alive = alive_](const fleet::directory_reply& reply) {
             if (!*alive) {
                 return;
             }
@@ -77,10 +82,26 @@
                 apply_worker_change(change);
             }
             directory_version_ = std::max(directory_version_, reply.version);
+            note_registrations(sent, reply);
             follow_workers();
         });
 }
 
+void leader::note_registrations(base::time_point sent, const fleet::directory_reply& reply)
+{
+    // A reply without changes has waited at the store, which had none up to the end of that time.
+    const bool waited = reply.changes.empty() && ports_.time->now() - sent >= directory_wait;
+    registrations_seen_at_ = waited ? sent + directory_wait : sent;
+}
+
+bool leader::is_capacity_known(const worker_state& worker) const
+{
+    const auto catalog = ports_.catalog();
+    const auto* const service = catalog ? catalog->service_named(worker.facts.service) : nullptr;
+    const bool enforced = service != nullptr && service->enforces_capacity;
+    return enforced || ports_.time->now() - registrations_seen_at_ <= longest_capacity_age;
+}
+
 void leader::apply_worker_change(const fleet::worker_change& change)
 {
     if (change.facts) {
