Reject jobs whose task count is beyond 64 bits

What callers saw: a job of 2^33 tasks in three steps, repeated 2^31 times, was accepted and stored. Each leader that read its row would set out to hold its tasks, and end for want of memory, one leader after the other.

Cause: the limit compared the product of tasks and occurrences, and 2^33 times 2^31 is 0 in 64 bits.

--- a/src/frontend/job_validation.cpp
+++ b/src/frontend/job_validation.cpp
@@ -35,8 +35,10 @@
     if (spec.repeat && (spec.repeat->count == 0 || spec.repeat->interval_ms < 0)) {
         return "the job's times are not in order";
     }
-    if (tasks * spec.occurrences() > max_tasks) {
-        return fmt::format("{} tasks, at most {}", tasks * spec.occurrences(), max_tasks);
+    const std::uint64_t times = spec.occurrences();
+    // Each factor first: their product may be beyond 64 bits.
+    if (tasks > max_tasks || times > max_tasks || tasks * times > max_tasks) {
+        return fmt::format("{} times {} tasks, at most {} in all", times, tasks, max_tasks);
     }
     return std::nullopt;
 }
--- a/tests/frontend/job_validation_test.cpp
+++ b/tests/frontend/job_validation_test.cpp
@@ -46,6 +46,15 @@
     EXPECT_TRUE(validation_error(repeated));
 }
 
+TEST(job_validation, RejectsTaskCountsWhoseProductIsBeyond64Bits)
+{
+    constexpr std::uint32_t largest = 4'294'967'295U;
+    auto repeated = spec_of({step(largest), step(largest), step(2)});
+    repeated.repeat = batch::recurrence{2'147'483'648U, 0, 1};
+
+    EXPECT_TRUE(validation_error(repeated)) << "2^33 tasks, 2^31 times";
+}
+
 TEST(job_validation, RejectsNegativeRequirements)
 {
     auto negative = step(1);
