--- a/src/frontend/job_validation.cpp
+++ b/src/batch/job_validation.cpp
@@ -1,13 +1,13 @@
-#include "frontend/job_validation.hpp"
+#include "batch/job_validation.hpp"
 
 #include <fmt/format.h>
 
 #include <cstdint>
 
-namespace poplarstile::frontend
+namespace poplarstile::batch
 {
 
-std::optional<std::string> validation_error(const batch::job_spec& spec)
+std::optional<std::string> validation_error(const job_spec& spec)
 {
     if (spec.steps.empty()) {
         return "the job has no steps";
@@ -43,4 +43,4 @@
     return std::nullopt;
 }
 
-} // namespace poplarstile::frontend
+} // namespace poplarstile::batch
--- a/src/frontend/job_validation.hpp
+++ b/src/batch/job_validation.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-namespace poplarstile::frontend
+namespace poplarstile::batch
 {
 
 /// Maximum number of tasks of a job, over all its occurrences.
@@ -16,6 +16,6 @@
 /// Returns why a job could not run on any set of workers, or nothing if it is valid: steps depend
 /// on earlier steps only, every step has tasks, no requirement is negative, the repetition is
 /// valid, and there are not too many steps and tasks.
-[[nodiscard]] std::optional<std::string> validation_error(const batch::job_spec& spec);
+[[nodiscard]] std::optional<std::string> validation_error(const job_spec& spec);
 
-} // namespace poplarstile::frontend
+} // namespace poplarstile::batch
--- a/src/frontend/api_frontend.cpp
+++ b/src/frontend/api_frontend.cpp
@@ -1,8 +1,8 @@
 #include "frontend/api_frontend.hpp"
 
 #include "base/event_line.hpp"
+#include "batch/job_validation.hpp"
 #include "frontend/internal/pending_call.hpp"
-#include "frontend/job_validation.hpp"
 #include "store/row_keys.hpp"
 
 #include <algorithm>
@@ -184,7 +184,7 @@
         finish(call, call_malformed{decoded.error().detail});
         return;
     }
-    if (const auto fault = validation_error(decoded.value())) {
+    if (const auto fault = batch::validation_error(decoded.value())) {
         finish(call, call_malformed{*fault});
         return;
     }
--- a/tests/frontend/job_validation_test.cpp
+++ b/tests/batch/job_validation_test.cpp
@@ -1,22 +1,22 @@
-#include "frontend/job_validation.hpp"
+#include "batch/job_validation.hpp"
 
 #include <gtest/gtest.h>
 
-namespace poplarstile::frontend
+namespace poplarstile::batch
 {
 namespace
 {
 
-batch::job_spec spec_of(std::vector<batch::step_spec> steps)
+job_spec spec_of(std::vector<step_spec> steps)
 {
-    batch::job_spec spec;
+    job_spec spec;
     spec.steps = std::move(steps);
     return spec;
 }
 
-batch::step_spec step(std::uint32_t tasks, std::vector<std::uint32_t> after = {})
+step_spec step(std::uint32_t tasks, std::vector<std::uint32_t> after = {})
 {
-    batch::step_spec made;
+    step_spec made;
     made.task_count = tasks;
     made.after = std::move(after);
     return made;
@@ -42,7 +42,7 @@
     EXPECT_TRUE(validation_error(spec_of({step(4'294'967'295U)})));
     EXPECT_TRUE(validation_error(spec_of({step(4'294'967'295U), step(4'294'967'295U)})));
     auto repeated = spec_of({step(100)});
-    repeated.repeat = batch::recurrence{4'000'000'000U, 0, 1};
+    repeated.repeat = recurrence{4'000'000'000U, 0, 1};
     EXPECT_TRUE(validation_error(repeated));
 }
 
@@ -50,7 +50,7 @@
 {
     constexpr std::uint32_t largest = 4'294'967'295U;
     auto repeated = spec_of({step(largest), step(largest), step(2)});
-    repeated.repeat = batch::recurrence{2'147'483'648U, 0, 1};
+    repeated.repeat = recurrence{2'147'483'648U, 0, 1};
 
     EXPECT_TRUE(validation_error(repeated)) << "2^33 tasks, 2^31 times";
 }
@@ -64,4 +64,4 @@
 }
 
 } // namespace
-} // namespace poplarstile::frontend
+} // namespace poplarstile::batch
