Set aside stored jobs that no VM can use

What callers saw: nothing yet; found by reading. A row of the jobs table that parses but describes a job that can't be (a step after a step that is missing or after itself, 2^32 tasks) ended the leader that read it with an exception on the reactor thread, and each successor in turn. One with a negative need was placed and freed capacity that isn't there.

Cause: only the API frontends checked a job, at submission. Rows were trusted, also those that another build wrote or that are damaged.

Change: the decoder of job rows checks the job as the frontends do, so that leader and frontends find such a row unreadable. The leader logs it (job_row_unreadable) and goes on; callers get 504, not "pending". Rows of jobs and records of runs that can't be used are counted: poplarstile_unreadable_rows_total. The row stays stored.

Two tests of the frontend stored jobs without a step, which no frontend accepts; they store a job of one step now and check the same.

--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -49,6 +49,7 @@
         count("poplarstile_lost_runs_total", counted.lost_runs);
         count("poplarstile_plans_total", counted.plans);
         count("poplarstile_unusable_registrations_total", counted.unreadable_workers);
+        count("poplarstile_unreadable_rows_total", counted.unreadable_rows);
         count("poplarstile_commits_total", counted.commits);
         count("poplarstile_commit_retries_total", counted.commit_retries);
         count("poplarstile_end_times_stored_anew_total", counted.end_times_stored_anew);
--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -1,5 +1,7 @@
 #include "batch/job_codec.hpp"
 
+#include "batch/job_validation.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -263,7 +265,8 @@
         if (object.contains("end")) {
             return job_row{decode_finished(object)};
         }
-        return job_row{decode_submission(object)};
+        BOOST_OUTCOME_TRY(accepted, validated(decode_submission(object)));
+        return job_row{std::move(accepted)};
     } catch (const std::exception& failure) {
         return undecodable("job row", failure.what());
     }
--- a/src/batch/job_codec.hpp
+++ b/src/batch/job_codec.hpp
@@ -33,7 +33,7 @@
 [[nodiscard]] std::string encode(const submission& accepted);
 [[nodiscard]] std::string encode(const finished_job& finished);
 
-/// Error: `platform_answer_invalid` when the text is neither.
+/// Error: `platform_answer_invalid` when the text is neither, or of a job that is not valid.
 [[nodiscard]] base::result<job_row> decode_job_row(std::string_view text);
 
 /// The stored state of the runs of a job.
--- a/src/batch/job_validation.cpp
+++ b/src/batch/job_validation.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <cstdint>
+#include <utility>
 
 namespace poplarstile::batch
 {
@@ -43,4 +44,13 @@
     return std::nullopt;
 }
 
+base::result<submission> validated(submission accepted)
+{
+    if (auto fault = validation_error(accepted.spec)) {
+        return base::error{base::error_code::platform_answer_invalid, "job row", std::move(*fault),
+                           ""};
+    }
+    return accepted;
+}
+
 } // namespace poplarstile::batch
--- a/src/batch/job_validation.hpp
+++ b/src/batch/job_validation.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/result.hpp"
 #include "batch/job_spec.hpp"
 
 #include <optional>
@@ -18,4 +19,7 @@
 /// valid, and there are not too many steps and tasks.
 [[nodiscard]] std::optional<std::string> validation_error(const job_spec& spec);
 
+/// Returns a job that was read from its row, if it is valid. Error: `platform_answer_invalid`.
+[[nodiscard]] base::result<submission> validated(submission accepted);
+
 } // namespace poplarstile::batch
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -89,6 +89,8 @@
     std::uint64_t lost_runs = 0;
     std::array<std::uint64_t, 7> ends{};
     std::uint64_t unreadable_workers = 0;
+    /// Rows of jobs and records of runs that were read and could not be used.
+    std::uint64_t unreadable_rows = 0;
     std::uint64_t plans = 0;
     std::uint64_t commits = 0;
     std::uint64_t commit_retries = 0;
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -196,10 +196,12 @@
     entry.recorded = true;
     auto record = batch::decode_runs(stored.mapped());
     if (!record.has_value()) {
+        ++counters_.unreadable_rows;
         log.error("run_record_unreadable", {{"job", id}, {"detail", record.error().detail}});
         return;
     }
     if (!entry.state.restore(std::move(record.value().occurrences), record.value().failed)) {
+        ++counters_.unreadable_rows;
         log.error("run_record_of_another_shape", {{"job", id}});
         return;
     }
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -185,6 +185,7 @@
     }
     auto decoded = batch::decode_job_row(seen.value);
     if (!decoded.has_value()) {
+        ++counters_.unreadable_rows;
         log.error("job_row_unreadable", {{"job", seen.id.key}, {"detail", decoded.error().detail}});
         early_cancels_.keep(seen.id.key);
         return;
--- a/tests/frontend/api_answers_test.cpp
+++ b/tests/frontend/api_answers_test.cpp
@@ -126,6 +126,7 @@
     batch::submission open;
     open.job = id;
     open.policy.queue = "queue";
+    open.spec.steps.emplace_back().task_count = 1;
     for (std::size_t part = 0; part < parts.size(); ++part) {
         store.put(row_in(part), batch::encode(open));
         EXPECT_TRUE(answers<frontend::job_shown>(call_kind::show)) << "part " << part;
--- a/tests/frontend/job_status_test.cpp
+++ b/tests/frontend/job_status_test.cpp
@@ -48,6 +48,7 @@
         batch::submission accepted;
         accepted.job = id;
         accepted.policy.queue = "queue";
+        accepted.spec.steps.emplace_back().task_count = 1;
         store.put(row("jobs"), batch::encode(accepted));
         store.put(row("runs"), "a record of runs");
     }
