Set aside a job row that names another job than its key

What callers saw: nothing yet; found by reading. When a job is open and another part holds a row under the same key that names a second job, the leader looked for the second job among the open ones and ended with "unordered_map::at"; each successor too. Alone, such a row started a job that nobody had handed in.

Cause: the leader found the job by the key and went on with the id in the value.

Change: a row whose job is not that of its key is unreadable: it is logged and counted like any other.

Evidence: ASecondRowOfAnotherJobDoesNotStopLeaders failed before with "unordered_map::at" and passes with the change.

--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -23,6 +23,19 @@
 constexpr base::milliseconds longest_unseen{10'000};
 constexpr std::uint32_t page_rows = 500;
 
+/// The content of a row of the jobs table. Error: `platform_answer_invalid`, also when the row
+/// names another job than its key.
+base::result<batch::job_row> decode_row(const store::row& stored)
+{
+    BOOST_OUTCOME_TRY(decoded, batch::decode_job_row(stored.value));
+    const auto* const accepted = std::get_if<batch::submission>(&decoded);
+    if (accepted != nullptr && accepted->job != stored.id.key) {
+        return base::error{base::error_code::platform_answer_invalid, "job row",
+                           "names the job " + accepted->job, ""};
+    }
+    return decoded;
+}
+
 } // namespace
 
 store::row_id leader::jobs_row(std::size_t part, const std::string& key) const
@@ -183,7 +196,7 @@
     if (existing != jobs_.end() && existing->second.part == part) {
         return;
     }
-    auto decoded = batch::decode_job_row(seen.value);
+    auto decoded = decode_row(seen);
     if (!decoded.has_value()) {
         ++counters_.unreadable_rows;
         log.error("job_row_unreadable", {{"job", seen.id.key}, {"detail", decoded.error().detail}});
--- a/tests/control/unusable_rows_test.cpp
+++ b/tests/control/unusable_rows_test.cpp
@@ -127,5 +127,19 @@
     EXPECT_TRUE(std::holds_alternative<frontend::call_outcome_unknown>(*answer));
 }
 
+TEST_F(unusable_rows, ASecondRowOfAnotherJobDoesNotStopLeaders)
+{
+    ASSERT_NE(site.await_leader(), nullptr);
+    const batch::resources more_than_a_worker = worker_capacity + small_task;
+    site.submit(make_job(id, 1, more_than_a_worker));
+    const auto& other_part = site.parts.name((site.parts.home_of(id) + 1) % site.parts.size());
+    site.store.put({"jobs", other_part, id},
+                   batch::encode(make_job("0000000000000002", 1, small_task)));
+
+    expect_work_goes_on();
+
+    EXPECT_EQ(site.workers.starts().size(), 2U) << "nobody handed in the job that the row names";
+}
+
 } // namespace
 } // namespace poplarstile::tests
