Elect a leader past a lease row that can't be read

What callers saw: nothing yet; found by reading. With a lease row of the first part that is not a lease, no VM was ever elected again: each read the row, logged lease_unreadable and tried again, for ever.

Cause: the election went to the next part only when a part didn't answer.

Change: it goes on to the next part when the row can't be read, too. The leader that takes the lease there writes the unreadable one anew, as it did already for the parts other than its first. When no part has a readable lease nobody is elected, as before: the newest epoch isn't known then.

--- a/src/control/leader_election.cpp
+++ b/src/control/leader_election.cpp
@@ -181,8 +181,15 @@
     const auto& row = reply.rows.front();
     const auto decoded = store::decode_lease(row.value);
     if (!decoded.has_value()) {
-        log.error("lease_unreadable", {{"detail", decoded.error().detail}});
-        retry_after(retry_interval);
+        ++unreadable_leases_;
+        log.error("lease_unreadable",
+                  {{"store_part", options_.parts.name(part)}, {"detail", decoded.error().detail}});
+        // Whoever takes the lease of another part writes this one anew.
+        if (part + 1 < options_.parts.size()) {
+            read_lease(part + 1);
+        } else {
+            retry_after(retry_interval);
+        }
         return;
     }
     const auto& record = decoded.value();
--- a/src/control/leader_election.hpp
+++ b/src/control/leader_election.hpp
@@ -103,6 +103,11 @@
     }
     /// Time since the leader's last heartbeat; zero while this VM leads.
     [[nodiscard]] base::milliseconds leader_silence() const;
+    /// Number of times that a lease row was read and was none.
+    [[nodiscard]] std::uint64_t unreadable_leases() const
+    {
+        return unreadable_leases_;
+    }
 
 private:
     /// Collects the other VMs' replies before the lease row is taken.
@@ -150,6 +155,7 @@
     bool leading_ = false;
     bool left_ = false;
     bool attempt_in_progress_ = false;
+    std::uint64_t unreadable_leases_ = 0;
     base::time_point next_attempt_at_{};
     /// The part and version of the lease row read last, and when that version was first seen.
     std::size_t row_part_ = 0;
--- a/tests/control/unusable_rows_test.cpp
+++ b/tests/control/unusable_rows_test.cpp
@@ -141,5 +141,17 @@
     EXPECT_EQ(site.workers.starts().size(), 2U) << "nobody handed in the job that the row names";
 }
 
+TEST_F(unusable_rows, ALeaseThatCannotBeReadKeepsNobodyFromLeading)
+{
+    for (const auto& part : site.parts.names()) {
+        ASSERT_NE(site.await_leader(), nullptr);
+        site.store.put(store::lease_row(part), "not a lease");
+        site.time.run_for(seconds{5});
+
+        ASSERT_NE(site.await_leader(), nullptr) << part;
+        EXPECT_EQ(end_of_another_job(), batch::job_status::completed) << part;
+    }
+}
+
 } // namespace
 } // namespace poplarstile::tests
