Look for missing runs of a worker in n log n steps

What callers saw: nothing yet; found by reading. One job of many tasks that need little (up to 20,000 are accepted) can have all of them on one worker. For each poll's reply the leader compared each of its runs with each listed one and wrote out a task's name for each pair, on the reactor thread. The next leader would adopt the runs and do the same.

Change: the listed runs are named once and looked up.

--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
+#include <set>
+#include <string>
 #include <utility>
 
 /// Polls of workers: which runs are running, which have ended, and until when leases allow runs.
@@ -290,14 +293,13 @@
 void leader::check_missing(worker_state& worker, base::time_point sent,
                            const fleet::look_reply& reply)
 {
+    std::set<std::pair<std::string, std::uint32_t>> listed;
+    for (const auto& running : reply.running) {
+        listed.emplace(batch::to_text(running.task), running.run);
+    }
     std::vector<std::string> missing;
-    for (const auto& entry : worker.runs) {
-        const auto& task = entry.first;
-        const auto& run = entry.second;
-        const bool listed = std::ranges::any_of(reply.running, [&](const auto& running) {
-            return running.run == run.run && batch::to_text(running.task) == task;
-        });
-        if (listed) {
+    for (const auto& [task, run] : worker.runs) {
+        if (listed.contains({task, run.run})) {
             continue;
         }
         const bool should_be_listed =
