--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -52,6 +52,7 @@
         count("poplarstile_jobs_failed_by_crashes_total", counted.jobs_failed_by_crashes);
         count("poplarstile_plans_total", counted.plans);
         count("poplarstile_unusable_registrations_total", counted.unreadable_workers);
+        count("poplarstile_unreadable_rows_total", counted.unreadable_rows);
         count("poplarstile_commits_total", counted.commits);
         count("poplarstile_commit_retries_total", counted.commit_retries);
         count("poplarstile_end_times_stored_anew_total", counted.end_times_stored_anew);
@@ -96,6 +97,7 @@
     made.count("poplarstile_store_unanswered_total", link.counters().unanswered);
     made.count("poplarstile_store_relayed_total", link.counters().relayed);
     made.count("poplarstile_status_store_reads_total", frontend.counters().store_reads);
+    made.count("poplarstile_unreadable_leases_total", node.election().unreadable_leases());
     made.count("poplarstile_log_lines_left_out_total", base::event_lines_left_out());
     made.own.set_gauge("poplarstile_store_served", link.served() ? 1.0 : 0.0);
     made.own.set_gauge(
--- a/src/frontend/job_validation.cpp
+++ b/src/batch/job_validation.cpp
@@ -1,13 +1,14 @@
-#include "frontend/job_validation.hpp"
+#include "batch/job_validation.hpp"
 
 #include <fmt/format.h>
 
 #include <cstdint>
+#include <utility>
 
-namespace poplarstile::frontend
+namespace poplarstile::batch
 {
 
-std::optional<std::string> validation_error(const batch::job_spec& spec)
+std::optional<std::string> validation_error(const job_spec& spec)
 {
     if (spec.steps.empty()) {
         return "the job has no steps";
@@ -35,10 +36,21 @@
     if (spec.repeat && (spec.repeat->count == 0 || spec.repeat->interval_ms < 0)) {
         return "the job's times are not in order";
     }
-    if (tasks * spec.occurrences() > max_tasks) {
-        return fmt::format("{} tasks, at most {}", tasks * spec.occurrences(), max_tasks);
+    const std::uint64_t times = spec.occurrences();
+    // Each factor first: their product may be beyond 64 bits.
+    if (tasks > max_tasks || times > max_tasks || tasks * times > max_tasks) {
+        return fmt::format("{} times {} tasks, at most {} in all", times, tasks, max_tasks);
     }
     return std::nullopt;
 }
 
-} // namespace poplarstile::frontend
+base::result<submission> validated(submission accepted)
+{
+    if (auto fault = validation_error(accepted.spec)) {
+        return base::error{base::error_code::platform_answer_invalid, "job row", std::move(*fault),
+                           ""};
+    }
+    return accepted;
+}
+
+} // namespace poplarstile::batch
