Let the stand-in's tasks crash workers, and its workers shrink

No stand-in reached a task that crashes each worker that starts it, nor a worker whose capacity shrinks. `POST /control/capacity` leaves a part of a worker's capacity; its entry says so with its next heartbeat.

--- a/standins/site_standin/job_script.hpp
+++ b/standins/site_standin/job_script.hpp
@@ -22,6 +22,8 @@
     bool gang = false;
     /// Every run ends as failed.
     bool fails = false;
+    /// The first task crashes its worker so long after each start of it.
+    std::optional<base::milliseconds> crashes_after{};
     /// Earlier steps that must be done first.
     std::vector<std::uint32_t> after{};
 };
--- a/standins/site_standin/site_control.cpp
+++ b/standins/site_standin/site_control.cpp
@@ -33,6 +33,10 @@
         return outcome(host.act_on_worker(body.at("worker").get<std::string>(),
                                           body.at("action").get<std::string>()));
     }
+    if (path == "/control/capacity") {
+        return outcome(host.set_capacity(body.at("worker").get<std::string>(),
+                                         body.at("percent").get<std::int64_t>()));
+    }
     if (path == "/control/configuration") {
         host.set_configuration(body.dump());
         return outcome({});
--- a/standins/site_standin/site_host.hpp
+++ b/standins/site_standin/site_host.hpp
@@ -43,7 +43,10 @@
                                              bool only_writes);
     void set_away_parts(std::set<std::string> parts);
     void forget_history();
-    [[nodiscard]] std::string act_on_worker(const std::string& worker, const std::string& action);
+    /// `place` is the worker's name in the settings; another worker may have taken its address.
+    [[nodiscard]] std::string act_on_worker(const std::string& place, const std::string& action);
+    /// Its entry tells of it with its next heartbeat. Error text, empty for none.
+    [[nodiscard]] std::string set_capacity(const std::string& place, std::int64_t percent);
     void set_configuration(const std::string& document);
 
     /// What was seen so far.
@@ -60,21 +63,28 @@
     [[nodiscard]] base::result<void> serve(const site_config& config, std::uint16_t port,
                                            net::http_handler handler);
     void connect_judge();
+    void add_worker(const std::string& place, const std::string& worker);
     void advance();
     void beat(const std::string& worker);
     void publish(const std::string& worker);
     void crash(const std::string& worker);
     void come_back(const std::string& worker);
+    void displace(const std::string& worker);
+    /// Crashes the worker where the started task does that to it.
+    void crash_by(const fleet::start_order& order);
+    /// It comes back, or another one does at its address.
+    void replace_later(const std::string& worker, std::uint64_t born);
     void drain(const std::string& worker);
     [[nodiscard]] json stored_jobs() const;
     [[nodiscard]] json ages_of_last_done() const;
     void handle_store(const vm_config& vm, const net::http_request& request,
                       const net::http_responder& responder);
-    void handle_worker(const std::string& worker, const net::http_request& request,
+    void handle_worker(const std::string& place, const net::http_request& request,
                        const net::http_responder& responder);
     [[nodiscard]] std::vector<store::row> rename_workers(const vm_config& vm,
                                                          std::vector<store::row> rows) const;
 
+    std::string address_;
     asio::io_context context_{1};
     asio::steady_timer tick_{context_};
     std::chrono::steady_clock::time_point last_tick_{};
@@ -89,6 +99,11 @@
     std::map<std::string, store_faults> store_faults_{};
     std::map<std::string, tests::fake_workers::fate> worker_faults_{};
     std::map<std::string, std::uint64_t> sequences_{};
+    std::map<std::string, worker_config> places_{};
+    /// By place, the worker that answers at its address, and the reverse for all that ever did.
+    std::map<std::string, std::string> occupants_{};
+    std::map<std::string, std::string> place_of_{};
+    std::size_t crashes_by_tasks_ = 0;
     std::vector<std::unique_ptr<net::http_server>> servers_{};
 };
 
--- a/standins/site_standin/site_judge.cpp
+++ b/standins/site_standin/site_judge.cpp
@@ -6,6 +6,15 @@
 
 namespace poplarstile::standins::site_standin
 {
+namespace
+{
+
+std::string job_of(const std::string& task)
+{
+    return task.substr(0, task.find('.'));
+}
+
+} // namespace
 
 const step_script* site_judge::step_of(const std::string& task) const
 {
@@ -30,6 +39,7 @@
     scripts_.try_emplace(order.task.job, *std::move(script));
     check_not_done(task);
     check_attempts(task);
+    check_crashes(task);
     if (const auto* const step = step_of(task)) {
         check_steps_before(order.task, *step);
     }
@@ -81,6 +91,23 @@
     }
 }
 
+void site_judge::check_crashes(const std::string& task)
+{
+    const auto found = crashes_.find(task);
+    if (found == crashes_.end() || found->second.crashes < crashes_that_bound) {
+        return;
+    }
+    if (++found->second.starts_after_limit > starts_after_crashes) {
+        violations_.push_back(
+            fmt::format("{}: started after it crashed {} workers", task, found->second.crashes));
+    }
+}
+
+void site_judge::crashed_its_worker(const std::string& task)
+{
+    ++crashes_[task].crashes;
+}
+
 void site_judge::ended(const std::string& worker, const fleet::ended_task& ended)
 {
     if (ended.how != batch::run_end::done) {
@@ -110,11 +137,20 @@
     }
 }
 
+std::map<std::string, std::uint64_t> site_judge::crashes() const
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto& [task, count] : crashes_) {
+        counts[job_of(task)] += count.crashes;
+    }
+    return counts;
+}
+
 std::map<std::string, std::uint64_t> site_judge::done_tasks() const
 {
     std::map<std::string, std::uint64_t> counts;
     for (const auto& task : done_) {
-        ++counts[task.substr(0, task.find('.'))];
+        ++counts[job_of(task)];
     }
     return counts;
 }
--- a/standins/site_standin/site_judge.hpp
+++ b/standins/site_standin/site_judge.hpp
@@ -12,8 +12,13 @@
 namespace poplarstile::standins::site_standin
 {
 
+/// Once a task has crashed so many workers, it is started only so many times more.
+constexpr std::uint32_t crashes_that_bound = 3;
+constexpr std::uint32_t starts_after_crashes = 2;
+
 /// Holds what the workers saw against what the scheduler promises: a task whose end is known is not
-/// run again, steps keep their order, attempts are bounded, and only what was handed in is run.
+/// run again, steps keep their order, attempts and crashes are bounded, and only what was handed in
+/// is run.
 class site_judge
 {
 public:
@@ -26,6 +31,9 @@
     void ended(const std::string& worker, const fleet::ended_task& ended);
     void acknowledged(const std::string& worker, const fleet::ended_task& ended);
 
+    /// The task has crashed the worker that ran it.
+    void crashed_its_worker(const std::string& task);
+
     /// The worker's ends that weren't acknowledged can't be known any more: its life is over, or it
     /// was without a lease for a while.
     void forgot_ends(const std::string& worker);
@@ -39,6 +47,8 @@
     {
         return starts_;
     }
+    /// How many workers each job has crashed.
+    [[nodiscard]] std::map<std::string, std::uint64_t> crashes() const;
     /// How many tasks of each job have ended as done.
     [[nodiscard]] std::map<std::string, std::uint64_t> done_tasks() const;
 
@@ -47,6 +57,7 @@
     void check_not_done(const std::string& task);
     void check_steps_before(const batch::task_id& task, const step_script& step);
     void check_attempts(const std::string& task);
+    void check_crashes(const std::string& task);
 
     std::uint32_t max_attempts_;
     std::map<std::string, job_script> scripts_{};
@@ -59,6 +70,11 @@
     /// By worker, tasks started anew while their end as done there wasn't acknowledged.
     std::map<std::string, std::set<std::string>> started_after_done_{};
     std::map<std::string, std::uint32_t> known_failures_{};
+    struct crash_count {
+        std::uint32_t crashes = 0;
+        std::uint32_t starts_after_limit = 0;
+    };
+    std::map<std::string, crash_count> crashes_{};
     std::vector<std::string> violations_{};
 };
 
