Let the soak play deadly jobs and shrinking workers

The soak had no job that crashes its workers and no worker that shrinks, so neither a task started without end nor a start over a capacity that shrank could show. `--deadly_jobs` makes up to three jobs of a run deadly, `--capacity_changes` lets workers shrink to 0, 25, 50 or 75 % for 1 to 9 s. Both are off by default and drawn by generators of their own: plan_faults and make_job are untouched, and seeds replay the plans and jobs that they had. An entry of regressions.json may set `deadly_jobs` and `capacity_changes`.

The judge holds that a deadly job ends as `failed` within 60 s of the last fault and that no job which can be done is shown as `failed`; the workers judge the starts. With deadly jobs the others have the same 60 s.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -24,6 +24,8 @@
           "how long the state of an ended job is promised");
 ABSL_FLAG(bool, await_removal, false,
           "each of --seeds goes on until the rows of ended jobs have to be gone");
+ABSL_FLAG(bool, deadly_jobs, false, "some jobs of --seeds crash each worker that starts them");
+ABSL_FLAG(bool, capacity_changes, false, "workers of --seeds shrink and grow");
 ABSL_FLAG(std::string, folder, "", "where logs go; a folder of the build by default");
 ABSL_FLAG(std::string, regressions, "", "file with the seeds that ever failed; played first");
 
@@ -36,6 +38,8 @@
     std::uint64_t seed = 0;
     std::int64_t seconds = 0;
     bool await_removal = false;
+    bool deadly_jobs = false;
+    bool capacity_changes = false;
 };
 
 /// Nothing when a part of the text is neither a number nor a range.
@@ -50,7 +54,9 @@
             return std::nullopt;
         }
         for (auto seed = first; seed <= last; ++seed) {
-            cases.push_back({seed, seconds, absl::GetFlag(FLAGS_await_removal)});
+            cases.push_back({seed, seconds, absl::GetFlag(FLAGS_await_removal),
+                             absl::GetFlag(FLAGS_deadly_jobs),
+                             absl::GetFlag(FLAGS_capacity_changes)});
         }
     }
     return cases;
@@ -62,7 +68,8 @@
     const auto document = nlohmann::json::parse(std::ifstream{path}, nullptr, false);
     for (const auto& entry : document) {
         cases.push_back(
-            {entry.at("seed").get<std::uint64_t>(), entry.at("seconds").get<std::int64_t>()});
+            {entry.at("seed").get<std::uint64_t>(), entry.at("seconds").get<std::int64_t>(), false,
+             entry.value("deadly_jobs", false), entry.value("capacity_changes", false)});
     }
     return cases;
 }
@@ -76,6 +83,8 @@
     options.shape = {absl::GetFlag(FLAGS_vms), absl::GetFlag(FLAGS_workers),
                      std::chrono::seconds{absl::GetFlag(FLAGS_retention_s)}};
     options.await_removal = played.await_removal;
+    options.deadly_jobs = played.deadly_jobs;
+    options.capacity_changes = played.capacity_changes;
     options.callers = absl::GetFlag(FLAGS_callers);
     const auto base_folder = absl::GetFlag(FLAGS_folder);
     options.folder = fmt::format("{}/seed-{}-{}s",
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -24,6 +24,10 @@
 constexpr base::milliseconds visible_after{3'000};
 /// After so many of its jobs a caller asks for an earlier one of any caller.
 constexpr double earlier_job_share = 0.5;
+constexpr double deadly_job_share = 0.1;
+constexpr double unanswered_start_share = 0.5;
+constexpr int longest_until_crash_ms = 20;
+constexpr std::uint64_t crashes_salt = 0x9e3779b97f4a7c15;
 
 int between(std::mt19937_64& random, int least, int most)
 {
@@ -95,7 +99,14 @@
 
 bool job_note::can_be_done() const
 {
-    return std::ranges::none_of(script.steps, [](const auto& step) { return step.fails; });
+    return !is_deadly() &&
+           std::ranges::none_of(script.steps, [](const auto& step) { return step.fails; });
+}
+
+bool job_note::is_deadly() const
+{
+    return std::ranges::any_of(script.steps,
+                               [](const auto& step) { return step.crashes_after.has_value(); });
 }
 
 std::uint64_t job_note::tasks() const
@@ -112,8 +123,9 @@
     return clock::now() >= open_at + retention;
 }
 
-caller_crowd::caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers)
-    : site_{site}, seed_{seed}
+caller_crowd::caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers,
+                           std::size_t most_deadly_jobs)
+    : site_{site}, seed_{seed}, deadly_jobs_left_{most_deadly_jobs}
 {
     for (std::size_t index = 0; index < callers; ++index) {
         threads_.emplace_back([this, index] { work(seed_ * 1'000 + index); });
@@ -161,10 +173,11 @@
 void caller_crowd::work(std::uint64_t seed)
 {
     std::mt19937_64 random{seed};
-    // Of its own, so that a seed's jobs do not depend on these questions.
+    // Of their own, so that a seed's jobs do not depend on these questions and crashes.
     std::mt19937_64 questions{~seed};
+    std::mt19937_64 crashes{seed ^ crashes_salt};
     while (!stopping_) {
-        live_one_job(random);
+        live_one_job(random, crashes);
         if (chance(questions, earlier_job_share)) {
             ask_for_earlier_job(questions);
         }
@@ -204,9 +217,21 @@
     return job;
 }
 
-void caller_crowd::live_one_job(std::mt19937_64& random)
+void caller_crowd::make_deadly(std::mt19937_64& random, job_note& job)
+{
+    if (deadly_jobs_left_ == 0 || !chance(random, deadly_job_share)) {
+        return;
+    }
+    --deadly_jobs_left_;
+    const bool before_its_answer = chance(random, unanswered_start_share);
+    job.script.steps.front().crashes_after =
+        base::milliseconds{before_its_answer ? 0 : between(random, 1, longest_until_crash_ms)};
+}
+
+void caller_crowd::live_one_job(std::mt19937_64& random, std::mt19937_64& crashes)
 {
     auto job = make_job(random);
+    make_deadly(crashes, job);
     const auto id = job.script.job;
     job.open_at = clock::now();
     {
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -37,6 +37,8 @@
     std::chrono::steady_clock::time_point final_at{};
 
     [[nodiscard]] bool can_be_done() const;
+    /// A task of it crashes its workers.
+    [[nodiscard]] bool is_deadly() const;
     [[nodiscard]] std::uint64_t tasks() const;
     /// Whether the retention may be over, counted from the earliest moment at which it may have
     /// ended.
@@ -47,7 +49,8 @@
 class caller_crowd
 {
 public:
-    caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers);
+    caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers,
+                 std::size_t most_deadly_jobs = 0);
     /// Ends the callers.
     ~caller_crowd();
     caller_crowd(const caller_crowd&) = delete;
@@ -77,7 +80,8 @@
     };
 
     void work(std::uint64_t seed);
-    void live_one_job(std::mt19937_64& random);
+    void live_one_job(std::mt19937_64& random, std::mt19937_64& crashes);
+    void make_deadly(std::mt19937_64& random, job_note& job);
     void ask_for_earlier_job(std::mt19937_64& random);
     [[nodiscard]] job_note make_job(std::mt19937_64& random);
     [[nodiscard]] attempt_outcome hand_in(std::mt19937_64& random, const job_note& job);
@@ -90,6 +94,7 @@
     std::atomic<bool> stopping_ = false;
     std::atomic<std::uint64_t> next_job_ = 1;
     std::uint64_t seed_;
+    std::atomic<std::size_t> deadly_jobs_left_;
     std::mutex mutex_;
     std::map<std::string, job_note> notes_;
     std::vector<std::string> violations_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -40,6 +41,10 @@
 constexpr std::array<const char*, 4> store_variants{"refuse", "swallow", "lose_answer", "late"};
 constexpr std::array<const char*, 4> worker_variants{"unavailable", "swallow", "lose_answer",
                                                      "late"};
+constexpr std::array<int, 4> shrunk_percents{0, 25, 50, 75};
+constexpr int longest_shrink_gap_ms = 2'000;
+constexpr int shortest_shrink_ms = 1'000;
+constexpr int longest_shrink_ms = 9'000;
 constexpr double mean_gap_ms = 600;
 constexpr int shortest_ms = 200;
 constexpr int longest_ms = 4'000;
@@ -161,7 +166,7 @@
             return entry.name;
         }
     }
-    return "unknown";
+    return kind == fault_kind::worker_shrunk ? "worker_shrunk" : "unknown";
 }
 
 std::vector<planned_fault> plan_faults(std::uint64_t seed, std::span<const std::string> vms,
@@ -176,8 +181,44 @@
     return faults;
 }
 
+std::vector<planned_fault> plan_capacity_changes(std::uint64_t seed,
+                                                 std::span<const std::string> workers,
+                                                 base::milliseconds span)
+{
+    std::mt19937_64 random{~seed};
+    const auto between = [&random](int least, int most) {
+        return std::uniform_int_distribution{least, most}(random);
+    };
+    std::vector<planned_fault> faults;
+    for (base::milliseconds at{between(1, longest_shrink_gap_ms)}; at < span;
+         at += base::milliseconds{between(1, longest_shrink_gap_ms)}) {
+        planned_fault fault;
+        fault.at = at;
+        fault.kind = fault_kind::worker_shrunk;
+        fault.lasts = base::milliseconds{between(shortest_shrink_ms, longest_shrink_ms)};
+        const auto last = static_cast<int>(workers.size()) - 1;
+        fault.worker = workers[static_cast<std::size_t>(between(0, last))];
+        fault.percent = shrunk_percents.at(
+            static_cast<std::size_t>(between(0, static_cast<int>(shrunk_percents.size()) - 1)));
+        faults.push_back(std::move(fault));
+    }
+    return faults;
+}
+
+std::vector<planned_fault> merge_plans(std::vector<planned_fault> faults,
+                                       const std::vector<planned_fault>& more)
+{
+    faults.insert(faults.end(), more.begin(), more.end());
+    std::ranges::stable_sort(faults, {}, &planned_fault::at);
+    return faults;
+}
+
 std::string describe(const planned_fault& fault)
 {
+    if (fault.kind == fault_kind::worker_shrunk) {
+        return fmt::format("at {} ms for {} ms: worker_shrunk worker={} to {} %", fault.at.count(),
+                           fault.lasts.count(), fault.worker, fault.percent);
+    }
     return fmt::format("at {} ms for {} ms: {} vm={} worker={} variant={} delay={} ms",
                        fault.at.count(), fault.lasts.count(), name_of(fault.kind), fault.vm,
                        fault.worker, fault.variant, fault.delay.count());
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -30,6 +30,8 @@
     worker_reborn,
     worker_drained,
     worker_calls,
+    /// Its capacity shrinks for a while.
+    worker_shrunk,
 };
 
 [[nodiscard]] std::string_view name_of(fault_kind kind);
@@ -49,6 +51,8 @@
     /// What a link, the store or a worker does meanwhile, by its name on the control ports.
     std::string variant{};
     base::milliseconds delay{0};
+    /// What is left of a worker's capacity.
+    int percent = 100;
 };
 
 /// Faults of a run, in order of time, until `span`; the same seed gives the same plan. They come
@@ -58,6 +62,16 @@
                                                      std::span<const std::string> workers,
                                                      base::milliseconds span);
 
+/// Workers that shrink and grow again, in order of time; drawn apart, so that the other faults of a
+/// seed stay what they are.
+[[nodiscard]] std::vector<planned_fault> plan_capacity_changes(std::uint64_t seed,
+                                                               std::span<const std::string> workers,
+                                                               base::milliseconds span);
+
+/// Both plans as one, in order of time.
+[[nodiscard]] std::vector<planned_fault> merge_plans(std::vector<planned_fault> faults,
+                                                     const std::vector<planned_fault>& more);
+
 /// One line for the journal of a run.
 [[nodiscard]] std::string describe(const planned_fault& fault);
 
--- a/tests/soak/soak_faults_test.cpp
+++ b/tests/soak/soak_faults_test.cpp
@@ -3,6 +3,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace
@@ -75,4 +76,39 @@
     }
 }
 
+TEST(plan_capacity_changes, same_seed_gives_the_same_plan_apart_from_the_other_faults)
+{
+    const auto faults = soak::plan_faults(7, vms, workers, span);
+    const auto changes = soak::plan_capacity_changes(7, workers, span);
+    const auto both = soak::merge_plans(faults, changes);
+    std::vector<std::string> others;
+
+    for (const auto& fault : both) {
+        if (fault.kind != fault_kind::worker_shrunk) {
+            others.push_back(describe(fault));
+        }
+    }
+
+    ASSERT_FALSE(changes.empty());
+    EXPECT_EQ(describe(changes.front()),
+              describe(soak::plan_capacity_changes(7, workers, span).front()));
+    ASSERT_EQ(others.size(), faults.size());
+    for (std::size_t index = 0; index < faults.size(); ++index) {
+        EXPECT_EQ(others.at(index), describe(faults.at(index)));
+    }
+}
+
+TEST(plan_capacity_changes, workers_shrink_in_order_within_the_span)
+{
+    const auto both = soak::merge_plans(soak::plan_faults(3, vms, workers, span),
+                                        soak::plan_capacity_changes(3, workers, span));
+
+    EXPECT_TRUE(std::ranges::is_sorted(both, {}, &soak::planned_fault::at));
+    for (const auto& fault : soak::plan_capacity_changes(3, workers, span)) {
+        EXPECT_THAT(workers, testing::Contains(fault.worker));
+        EXPECT_LT(fault.percent, 100);
+        EXPECT_LT(fault.at, span);
+    }
+}
+
 } // namespace
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -17,6 +17,8 @@
 
 /// After that every accepted job ends within this time.
 constexpr base::milliseconds finish_bound{14'000};
+/// The same where tasks crash workers: each crash is noticed late, and takes others' work with it.
+constexpr base::milliseconds finish_bound_with_crashes{60'000};
 /// The row of an ended job is gone so long after its retention; the leader waits for 10 s of it.
 constexpr base::milliseconds removal_bound{15'000};
 /// Answer to a question for a job that does not exist.
@@ -41,6 +43,12 @@
     return jobs_where(callers, [](const auto& note) { return note.accepted && !note.cancelled; });
 }
 
+bool has_deadly_jobs(const caller_crowd& callers)
+{
+    return std::ranges::any_of(callers.notes(),
+                               [](const auto& entry) { return entry.second.is_deadly(); });
+}
+
 base::milliseconds since(clock::time_point started)
 {
     return std::chrono::duration_cast<base::milliseconds>(clock::now() - started);
@@ -55,13 +63,13 @@
 /// Asks for the jobs, at each of the VMs in turn, until `holds` is true of each one's state or the
 /// bound is over. The jobs left, with their last states.
 template <class Condition>
-std::map<std::string, std::string> ask_until(caller_crowd& callers,
-                                             const std::vector<std::string>& vms,
-                                             std::vector<std::string> jobs, const Condition& holds)
+std::map<std::string, std::string>
+ask_until(caller_crowd& callers, const std::vector<std::string>& vms, std::vector<std::string> jobs,
+          const Condition& holds, base::milliseconds bound = finish_bound)
 {
     const auto started = clock::now();
     std::map<std::string, std::string> last_state;
-    for (std::size_t turn = 0; !jobs.empty() && !stop_requested() && since(started) < finish_bound;
+    for (std::size_t turn = 0; !jobs.empty() && !stop_requested() && since(started) < bound;
          ++turn) {
         std::erase_if(jobs, [&](const std::string& job) {
             last_state[job] = callers.ask_state(vms.at(turn % vms.size()), job);
@@ -116,17 +124,18 @@
 void await_ends(soak_site& site, caller_crowd& callers, run_result& result)
 {
     const auto started = clock::now();
-    const auto open =
-        ask_until(callers, site.vms(), owed_jobs(callers),
-                  [&](const std::string& job, const std::string& state) {
-                      const auto& note = callers.notes().at(job);
-                      const std::string wanted = note.can_be_done() ? "completed" : "failed";
-                      // Its time may be over though no caller happened to see its end.
-                      const bool ended = note.final_state.empty() ? could_end(site.report(), note)
-                                                                  : note.final_state == wanted;
-                      return state == wanted || (state == unknown_job && ended &&
-                                                 note.may_be_removed(site.status_retention()));
-                  });
+    const auto open = ask_until(
+        callers, site.vms(), owed_jobs(callers),
+        [&](const std::string& job, const std::string& state) {
+            const auto& note = callers.notes().at(job);
+            const std::string wanted = note.can_be_done() ? "completed" : "failed";
+            // Its time may be over though no caller happened to see its end.
+            const bool ended = note.final_state.empty() ? could_end(site.report(), note)
+                                                        : note.final_state == wanted;
+            return state == wanted ||
+                   (state == unknown_job && ended && note.may_be_removed(site.status_retention()));
+        },
+        has_deadly_jobs(callers) ? finish_bound_with_crashes : finish_bound);
     result.settled_after = since(started);
     for (const auto& [job, state] : open) {
         result.violations.push_back(
@@ -200,6 +209,9 @@
         }
     }
     for (const auto& [job, note] : callers.notes()) {
+        if (note.final_state == "failed" && note.can_be_done()) {
+            result.violations.push_back(job + ": shown as failed, and could be done");
+        }
         const auto found = done.find(job);
         const auto ended = found == done.end() ? 0 : found->second;
         if (note.final_state == "completed" && ended != note.tasks()) {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -25,6 +25,10 @@
 
 std::atomic<bool> stopping = false;
 
+/// Each crashes several workers.
+constexpr std::size_t most_deadly_jobs = 3;
+constexpr int whole_percent = 100;
+
 /// Begins and ends faults on time. Those that take a while have threads of their own.
 class fault_player
 {
@@ -60,6 +64,7 @@
         site_.control_site("/control/parts", {{"away", nlohmann::json::array()}});
         for (const auto& worker : site_.workers()) {
             site_.control_site("/control/worker", {{"worker", worker}, {"action", "serve"}});
+            set_capacity(worker, whole_percent);
         }
         for (const auto& worker : gone_workers_) {
             site_.control_site("/control/worker", {{"worker", worker}, {"action", "come_back"}});
@@ -208,6 +213,11 @@
         case fault_kind::worker_drained:
             lose_worker(fault, "drain");
             return;
+        case fault_kind::worker_shrunk:
+            set_capacity(fault.worker, fault.percent);
+            end_later(fault.lasts,
+                      [this, worker = fault.worker] { set_capacity(worker, whole_percent); });
+            return;
         default:
             act(fault.worker, fault.variant);
             end_later(fault.lasts, [this, worker = fault.worker] { act(worker, "serve"); });
@@ -215,6 +225,11 @@
         }
     }
 
+    void set_capacity(const std::string& worker, int percent)
+    {
+        site_.control_site("/control/capacity", {{"worker", worker}, {"percent", percent}});
+    }
+
     void act(const std::string& worker, const std::string& action)
     {
         site_.control_site("/control/worker", {{"worker", worker}, {"action", action}});
@@ -289,6 +304,16 @@
     std::vector<std::string> violations_;
 };
 
+std::vector<planned_fault> plan(const run_options& options, const soak_site& site)
+{
+    auto faults = plan_faults(options.seed, site.vms(), site.workers(), options.span);
+    if (!options.capacity_changes) {
+        return faults;
+    }
+    return merge_plans(std::move(faults),
+                       plan_capacity_changes(options.seed, site.workers(), options.span));
+}
+
 void count_jobs(const caller_crowd& callers, run_result& result)
 {
     result.jobs = callers.notes().size();
@@ -317,9 +342,10 @@
     std::ofstream journal{options.folder + "/faults.log"};
     BOOST_OUTCOME_TRY(site, soak_site::start(options.shape, options.folder));
     run_result result;
-    const auto faults = plan_faults(options.seed, site->vms(), site->workers(), options.span);
+    const auto faults = plan(options, *site);
     result.faults = faults.size();
-    caller_crowd callers{*site, options.seed, options.callers};
+    caller_crowd callers{*site, options.seed, options.callers,
+                         options.deadly_jobs ? most_deadly_jobs : 0};
     fault_player player{*site, journal};
     player.play(faults, options.span);
     player.heal();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -17,6 +17,10 @@
     std::size_t callers = 8;
     /// Goes on until the rows of all ended jobs have to be gone.
     bool await_removal = false;
+    /// Some jobs have a task that crashes each worker that starts it.
+    bool deadly_jobs = false;
+    /// Workers shrink and grow.
+    bool capacity_changes = false;
     /// Logs and settings of the run go here.
     std::string folder{};
 };
