Isolate no task where no worker can become idle

Found by the reviewer's reading: a suspect would wait for ever in a service whose workers all hold work that does not end by itself, and an idle worker that had just crashed was preferred to a sound one. Workers with lasting work no longer count as ones that can be emptied, and those that crashed or failed recently come after busy ones. planning_test passes; no test of its own was seen to fail before.

--- a/src/planning/isolation.cpp
+++ b/src/planning/isolation.cpp
@@ -82,7 +82,10 @@
         const auto limit = isolation_limit(services_[*unit.service].workers);
         std::vector<std::int64_t> slots;
         for (const auto index : all_workers(unit)) {
-            slots.push_back(slots_when_idle(unit, view_.worker(index), index));
+            // A worker with work that does not end by itself may never become idle.
+            if (!view_.worker(index).holds_lasting_work) {
+                slots.push_back(slots_when_idle(unit, view_.worker(index), index));
+            }
         }
         if (limit == 0 || !unit.spec->gang) {
             return limit > 0 && !slots.empty();
@@ -184,16 +187,17 @@
         return take_first(unit, members, most);
     }
 
-    /// The members that are idle first; those that failed or crashed recently are tried last.
+    /// Members with work that does not end by itself come last, before them those that failed or
+    /// crashed recently; otherwise the idle ones come first.
     [[nodiscard]] std::optional<worker_choice> choose_for_tasks(const work_unit& unit,
                                                                 std::vector<std::size_t> members,
                                                                 std::size_t most) const
     {
         std::ranges::stable_sort(members, {}, [&](std::size_t index) {
             const auto cost = cost_of(unit, index);
-            return std::tuple{
-                cost.with_lasting_work, cost.occupied, view_.worker(index).suspicion, cost.remote,
-                cost.accelerators,      cost.cpu_milli};
+            return std::tuple{cost.with_lasting_work, view_.worker(index).suspicion,
+                              cost.occupied,          cost.remote,
+                              cost.accelerators,      cost.cpu_milli};
         });
         if (auto chosen = take_first(unit, members, most)) {
             return chosen;
