Count crashes of workers that never return, and none of runs sent afterwards

Crashed workers that do not return were counted 30 s after their registration had gone, when the task had been started twice more: crashing_task_base.ThatNoWorkerComesBackFrom* failed with 6 starts even after the wait was cut to 5 s. So the cap is four crashes, which leaves one that comes to be known late. A start that was sent to a worker which had already fallen silent counted against the run; a worker that had drained counted after a takeover; a second list of runs lost in silence replaced the first; a worker that goes down and up by turns could implicate whatever it was given. The last is guarded by worker_crashes.FailNoJobWhenOneWorkerGoesDownAndUp*, the first by AreNotBlamedOnRunsThatAreSentAfterwards; these two were not run on the code before.

--- a/src/batch/crash_history.cpp
+++ b/src/batch/crash_history.cpp
@@ -10,9 +10,9 @@
 /// A task is to blame after this many crashes if enough of them implicate it.
 constexpr std::uint32_t min_crashes = 3;
 constexpr std::uint32_t min_implicating_crashes = 2;
-/// After this many crashes a task is given up whoever caused them: the platform forbids a sixth
-/// start of a task whose starts all crash.
-constexpr std::uint32_t max_crashes = 5;
+/// After this many crashes a task is given up whoever caused them. The platform forbids a sixth
+/// start of a task whose starts all crash, and a crash may come to be known after the next start.
+constexpr std::uint32_t max_crashes = 4;
 
 } // namespace
 
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -364,6 +364,8 @@
     /// The runs that the end of a worker's incarnation takes with it; none when the worker was
     /// draining, since then it has left.
     [[nodiscard]] std::vector<crashed_run> take_crashed_runs(worker_state& worker);
+    /// True when a worker at the same address crashed a short time ago.
+    [[nodiscard]] bool crashed_recently(const worker_state& worker) const;
     void record_crash(const crashed_run& crashed, const std::string& worker);
     void record_crashes(std::span<const crashed_run> crashed, const std::string& worker);
     /// Gives up waiting for a sign of a worker that is silent and has lost its registration.
@@ -446,6 +448,8 @@
     /// All changes of registrations before this time have been applied.
     base::time_point registrations_seen_at_{};
     std::map<std::string, std::unique_ptr<worker_state>> workers_{};
+    /// When a worker at this address crashed last.
+    std::map<std::string, base::time_point> crashed_addresses_{};
     leader_counters counters_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/control/leader_crashes.cpp
+++ b/src/control/leader_crashes.cpp
@@ -11,8 +11,11 @@
 {
 
 constexpr base::event_logger log{"workers"};
-/// A worker that has had no registration for this long, and does not answer, is gone for good.
-constexpr base::milliseconds gone_for_good{30'000};
+/// A worker whose leases have expired in silence, and that has had no registration for this long,
+/// has crashed, as far as anybody can tell.
+constexpr base::milliseconds gone_for_good{5'000};
+/// A worker that crashed less than this time ago may crash again by itself.
+constexpr base::milliseconds recent_crash_window{30'000};
 
 } // namespace
 
@@ -23,12 +26,22 @@
         return {};
     }
     ++counters_.worker_crashes;
+    const bool crashes_again = crashed_recently(worker);
+    crashed_addresses_[worker.facts.address] = ports_.time->now();
     for (auto& run : runs_under_crash(worker, ports_.time->now())) {
+        run.evidence.at_start = run.evidence.at_start && !crashes_again;
         crashed.push_back(std::move(run));
     }
     return crashed;
 }
 
+bool leader::crashed_recently(const worker_state& worker) const
+{
+    const auto found = crashed_addresses_.find(worker.facts.address);
+    return found != crashed_addresses_.end() &&
+           ports_.time->now() - found->second < recent_crash_window;
+}
+
 void leader::record_crashes(std::span<const crashed_run> crashed, const std::string& worker)
 {
     for (const auto& run : crashed) {
@@ -79,6 +92,9 @@
 
 void leader::settle_silent_losses(worker_state& worker)
 {
+    if (worker.facts.draining) {
+        worker.lost_in_silence.clear();
+    }
     const bool gone = !worker.listed && ports_.time->now() - worker.unlisted_at >= gone_for_good;
     if (worker.lost_in_silence.empty() || !gone) {
         return;
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -53,9 +53,9 @@
 }
 
 /// Workers with a greater value are tried after the others of their rack.
-double suspicion_of(std::ptrdiff_t recent_failures)
+double suspicion_of(std::ptrdiff_t recent_failures, bool crashed_recently)
 {
-    return static_cast<double>(recent_failures);
+    return static_cast<double>(recent_failures) + (crashed_recently ? 1.0 : 0.0);
 }
 
 /// Unix milliseconds from which the objective of an occurrence is measured.
@@ -124,7 +124,7 @@
             std::ranges::count_if(worker->failed_jobs, [&](const auto& failed) {
                 return now - failed.second < recent_failure_window;
             });
-        candidate.suspicion = suspicion_of(recent_failures);
+        candidate.suspicion = suspicion_of(recent_failures, crashed_recently(*worker));
         candidate.schedulable = worker->listed && !worker->facts.draining && worker->fenced &&
                                 worker->unanswered_polls == 0 && worker->clock.known() &&
                                 worker->unknown_jobs.empty() && is_capacity_known(*worker) &&
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
@@ -364,7 +365,8 @@
                  {"silent_ms", base::milliseconds_between(std::max(worker.answered_at, began_),
                                                           ports_.time->now())}});
     if (!deregistered) {
-        worker.lost_in_silence = runs_under_crash(worker, ports_.time->now());
+        std::ranges::move(runs_under_crash(worker, ports_.time->now()),
+                          std::back_inserter(worker.lost_in_silence));
     }
     std::vector<std::string> expired;
     for (const auto& [task, run] : worker.runs) {
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -14,6 +14,13 @@
 /// A run that has worked for this long is not suspected for what happened before.
 constexpr base::milliseconds long_work{60'000};
 
+/// True when the start was sent only after the worker had fallen silent: the run never began, or
+/// in a later incarnation.
+bool sent_in_silence(const live_run& run, const worker_state& worker, base::time_point silent_since)
+{
+    return worker.unanswered_polls > 0 && run.sends > 0 && run.first_sent_at >= silent_since;
+}
+
 batch::crash_evidence evidence_of(const live_run& run, base::time_point silent_since)
 {
     batch::crash_evidence evidence;
@@ -59,7 +66,7 @@
     const auto silent_since = worker.unanswered_polls > 0 ? worker.silent_since : now;
     std::vector<crashed_run> crashed;
     for (const auto& [task, run] : worker.runs) {
-        if (run.order != order_state::unsent) {
+        if (run.order != order_state::unsent && !sent_in_silence(run, worker, silent_since)) {
             crashed.push_back({run.job, run.ref, run.run, evidence_of(run, silent_since)});
         }
     }
--- a/tests/control/crashing_task_test.cpp
+++ b/tests/control/crashing_task_test.cpp
@@ -105,6 +105,27 @@
     comeback returning = comeback::same_id;
 };
 
+TEST_F(crashing_task_base, ThatNoWorkerComesBackFromIsNotStartedForEver)
+{
+    constexpr seconds longer_than_leases{15};
+    for (const auto* const id : {"w7", "w8", "w9"}) {
+        site.workers.add(id, "r1-1", worker_capacity);
+    }
+    site.workers.on_start = [this](const fleet::start_order& order) {
+        ++starts[batch::to_text(order.task)];
+        const auto worker = order.to.life.worker;
+        site.time.after(crash_delay, [this, worker] { site.workers.crash(worker); });
+        site.time.after(registration_expiry,
+                        [this, worker] { site.workers.set_listed(worker, false); });
+    };
+    site.submit(make_job(deadly_job, 1, small_task));
+
+    EXPECT_EQ(site.await_end(deadly_job, max_starts * longer_than_leases),
+              batch::job_status::failed);
+
+    EXPECT_LE(starts[std::string{deadly_job} + ".0.0.0"], max_starts);
+}
+
 class crashing_task : public crashing_task_base, public testing::WithParamInterface<comeback>
 {
 protected:
@@ -246,6 +267,48 @@
     }
 }
 
+// Workers that are back for a short time only take the runs of the same jobs again and again.
+TEST_F(worker_crashes, FailNoJobWhenOneWorkerGoesDownAndUpByTurns)
+{
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{3}; };
+    std::vector<std::string> jobs;
+    for (std::uint64_t index = 1; index <= 5; ++index) {
+        jobs.push_back(fmt::format("{:016x}", index));
+        site.submit(make_job(jobs.back(), 8, small_task));
+    }
+
+    for (int crash = 0; crash < 8; ++crash) {
+        site.time.run_for(milliseconds{1'500});
+        crash_soon("w1", milliseconds{0});
+        crash_soon("w2", milliseconds{0});
+        site.time.run_for(away + milliseconds{200});
+    }
+
+    for (const auto& job : jobs) {
+        EXPECT_EQ(site.await_end(job, seconds{120}), batch::job_status::completed) << job;
+    }
+}
+
+// The store is slow: the start is sent when the worker has been gone for a while.
+TEST_F(worker_crashes, AreNotBlamedOnRunsThatAreSentAfterwards)
+{
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{20}; };
+    site.submit(make_job("0000000000000001", 48, small_task));
+    site.time.run_for(seconds{1});
+    ASSERT_EQ(site.workers.starts().size(), 48U);
+    const auto before = site.at("vm1").node->local_leader()->counters().crashed_runs;
+    site.workers.decide = [](const std::string& /*worker*/, const std::string& order) {
+        return order == "start" ? fake_workers::fate::swallow : fake_workers::fate::serve;
+    };
+
+    for (const auto* const id : {"w1", "w2"}) {
+        crash_soon(id, milliseconds{0});
+    }
+    site.time.run_for(seconds{5});
+
+    EXPECT_EQ(site.at("vm1").node->local_leader()->counters().crashed_runs - before, 16U);
+}
+
 TEST_F(worker_crashes, DoNotIncludeWorkersThatWereOnlyCutOff)
 {
     constexpr seconds longer_than_leases{13};
