Store long records of runs in several rows

Cause: a record of runs that is longer than the platform's limit of a row (row_bytes) was sent with the other rows of its part, lease row included. A caller reaches it with one wide job.

Change: the record is divided over rows of one transaction, the first of which says how many there are; rows that a shorter record no longer needs are removed with it. A record beyond half a megabyte is stored without checkpoints, so that it always fits one transaction. A submission whose own row would be too long is rejected at once; it was sent and answered as unknown before. The limit comes from the settings (store.row_bytes).

--- a/apps/poplarstiled/site_wiring.cpp
+++ b/apps/poplarstiled/site_wiring.cpp
@@ -179,6 +179,7 @@
     frontend::frontend_options frontend_options;
     const store::part_map parts_of_store{settings.store.part, settings.store.parts};
     frontend_options.parts = parts_of_store;
+    frontend_options.max_row_bytes = settings.store.row_bytes;
     frontend_options.oldest_configuration =
         bounds.configuration_time + bounds.configuration_stretch - base::milliseconds{500};
     frontend = std::make_unique<frontend::api_frontend>(
@@ -193,6 +194,7 @@
     options.self = self;
     options.seeds = settings.seeds;
     options.leader.parts = parts_of_store;
+    options.leader.max_row_bytes = settings.store.row_bytes;
     options.leader.longest_lease = bounds.longest_lease;
     options.leader.stop_time = bounds.stop_time;
     options.leader.worker_heartbeat = bounds.worker_heartbeat;
--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -169,7 +169,7 @@
 /// Encodes a done task as 1, a task that never ran as 0, and any other as
 /// [run, failures, index of the worker or -1, checkpoint, crashes]; without crashes the last
 /// member is left out, and an empty checkpoint with it.
-json encode_task(const task_state& task, worker_table& workers)
+json encode_task(const task_state& task, stored_checkpoints checkpoints, worker_table& workers)
 {
     if (task.phase == task_phase::done) {
         return 1;
@@ -182,8 +182,9 @@
         placed ? static_cast<std::int64_t>(workers.index_of({task.worker, task.address})) : -1;
     auto encoded = json::array({task.run, task.failures, worker});
     const bool crashed = task.crashes != crash_history{};
-    if (crashed || !task.checkpoint.empty()) {
-        encoded.push_back(task.checkpoint);
+    const bool resumes = checkpoints == stored_checkpoints::kept && !task.checkpoint.empty();
+    if (crashed || resumes) {
+        encoded.push_back(resumes ? task.checkpoint : std::string{});
     }
     if (crashed) {
         encoded.push_back(encode_crashes(task.crashes));
@@ -219,11 +220,12 @@
     return task;
 }
 
-json encode_step_state(const step_state& step, worker_table& workers)
+json encode_step_state(const step_state& step, stored_checkpoints checkpoints,
+                       worker_table& workers)
 {
     json tasks = json::array();
     for (const auto& task : step.tasks) {
-        tasks.push_back(encode_task(task, workers));
+        tasks.push_back(encode_task(task, checkpoints, workers));
     }
     auto encoded = json::array({step.gang_failures, step.failed_run, std::move(tasks)});
     if (step.gang_crashes != crash_history{}) {
@@ -328,14 +330,14 @@
     });
 }
 
-std::string encode_runs(const job& current)
+std::string encode_runs(const job& current, stored_checkpoints checkpoints)
 {
     worker_table workers;
     json occurrences = json::array();
     for (const auto& occurrence : current.occurrences()) {
         json steps = json::array();
         for (const auto& step : occurrence.steps) {
-            steps.push_back(encode_step_state(step, workers));
+            steps.push_back(encode_step_state(step, checkpoints, workers));
         }
         occurrences.push_back(std::move(steps));
     }
--- a/src/batch/job_codec.hpp
+++ b/src/batch/job_codec.hpp
@@ -45,8 +45,12 @@
     [[nodiscard]] bool any_run() const;
 };
 
-/// Encodes the runs of `current` for its row in the runs table.
-[[nodiscard]] std::string encode_runs(const job& current);
+/// Whether a record contains the checkpoints of the tasks.
+enum class stored_checkpoints : std::uint8_t { kept, dropped };
+
+/// Encodes the runs of `current` as one text.
+[[nodiscard]] std::string encode_runs(const job& current,
+                                      stored_checkpoints checkpoints = stored_checkpoints::kept);
 
 /// Error: `platform_answer_invalid` when the text is not a run record.
 [[nodiscard]] base::result<run_record> decode_runs(std::string_view text);
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -3,6 +3,7 @@
 #include "base/timers.hpp"
 #include "batch/job.hpp"
 #include "batch/job_codec.hpp"
+#include "batch/run_rows.hpp"
 #include "catalog/catalog.hpp"
 #include "cluster/job_view.hpp"
 #include "control/early_cancels.hpp"
@@ -51,6 +52,8 @@
     base::milliseconds worker_heartbeat{1'500};
     /// How far past its newest confirmed commit a leader extends leases at workers.
     base::milliseconds lease_horizon{9'000};
+    /// Longest value of a row that the store takes, in bytes.
+    std::size_t max_row_bytes = 65'536;
 };
 
 /// A duration of the leader's work, exported to operators as a histogram.
@@ -225,8 +228,10 @@
     struct part_state {
         part_phase phase = part_phase::acquiring;
         std::unique_ptr<store::journal> journal{};
-        /// Stored records of runs whose jobs have not been read yet, by job.
+        /// Rows of stored records of runs whose jobs have not been read yet, by key.
         std::map<std::string, std::string> unclaimed_records{};
+        /// Number of rows of each stored record of runs that has more than one, by job.
+        std::map<std::string, std::size_t> record_rows{};
         /// The earliest noted first.
         std::vector<unsettled_end> unsettled_ends{};
         /// Version of the store up to which this leader has seen the part's job rows.
@@ -248,6 +253,8 @@
                    base::time_point sent);
     void read_runs(std::size_t part, const std::string& from);
     void read_jobs(std::size_t part, const std::string& from);
+    /// Notes a row of a stored record of runs until the row of its job is read.
+    void note_record_row(std::size_t part, const store::row& stored);
     /// Restores the runs of a job from their stored record, if there is one.
     void restore_runs(job_entry& entry);
     void part_failed(std::size_t part, std::function<void()> again);
@@ -284,6 +291,12 @@
     /// Calls `done` once everything added to the journals so far is durable.
     void when_durable(const std::function<void()>& done);
     void write_job(const std::string& id, job_entry& entry);
+    /// The writes that store a job's record of runs, and remove the rows that it no longer needs.
+    [[nodiscard]] std::vector<store::journal_write> record_writes(std::size_t part,
+                                                                  const batch::job& current);
+    /// The writes that remove a job's record of runs.
+    [[nodiscard]] std::vector<store::journal_write> record_removals(std::size_t part,
+                                                                    const std::string& id);
     void publish_status(const std::string& id, job_entry& entry, batch::job_status status);
     [[nodiscard]] store::row_id jobs_row(std::size_t part, const std::string& key) const;
     [[nodiscard]] store::row_id runs_row(std::size_t part, const std::string& key) const;
--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -3,6 +3,8 @@
 #include "base/event_line.hpp"
 #include "store/row_keys.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -40,7 +42,7 @@
                                   sent.ended_at = store_clock_->estimate(ports_.time->now());
                                   return batch::encode(sent);
                               }});
-    written.writes.push_back({runs_row(part, id), store::row_removal{}});
+    std::ranges::move(record_removals(part, id), std::back_inserter(written.writes));
     if (entry.cancel_parts.contains(part)) {
         const auto row = jobs_row(part, id + std::string{cancel_suffix});
         written.writes.push_back({row, store::row_removal{}});
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -147,9 +147,8 @@
                        part_failed(part, [this, part, from] { read_runs(part, from); });
                        return;
                    }
-                   auto& records = parts_.at(part).unclaimed_records;
                    for (const auto& stored : reply.rows) {
-                       records.insert_or_assign(stored.id.key, stored.value);
+                       note_record_row(part, stored);
                    }
                    if (reply.truncated && !reply.rows.empty()) {
                        read_runs(part, after_key(reply.rows.back().id.key));
@@ -186,15 +185,26 @@
                });
 }
 
+void leader::note_record_row(std::size_t part, const store::row& stored)
+{
+    auto& state = parts_.at(part);
+    state.unclaimed_records.insert_or_assign(stored.id.key, stored.value);
+    const auto number = batch::run_row_number(stored.id.key);
+    if (number > 0) {
+        auto& rows = state.record_rows[std::string{batch::job_of_run_row(stored.id.key)}];
+        rows = std::max(rows, number + 1);
+    }
+}
+
 void leader::restore_runs(job_entry& entry)
 {
     const auto& id = entry.state.id();
-    const auto stored = parts_.at(entry.part).unclaimed_records.extract(id);
-    if (stored.empty()) {
+    const auto stored = batch::take_record(parts_.at(entry.part).unclaimed_records, id);
+    if (!stored) {
         return;
     }
     entry.recorded = true;
-    auto record = batch::decode_runs(stored.mapped());
+    auto record = batch::decode_runs(*stored);
     if (!record.has_value()) {
         ++counters_.unreadable_rows;
         log.error("run_record_unreadable", {{"job", id}, {"detail", record.error().detail}});
@@ -214,7 +224,9 @@
     auto& read = parts_.at(part);
     read.phase = part_phase::active;
     for (const auto& unclaimed : std::exchange(read.unclaimed_records, {})) {
-        log.warning("run_record_without_job", {{"job", unclaimed.first}});
+        if (batch::run_row_number(unclaimed.first) == 0) {
+            log.warning("run_record_without_job", {{"job", unclaimed.first}});
+        }
     }
     if (active_) {
         log.info("part_taken_later",
--- a/src/control/leader_second_rows.cpp
+++ b/src/control/leader_second_rows.cpp
@@ -56,7 +56,7 @@
     const bool second_runs = parts_.at(part).unclaimed_records.contains(id);
     const bool first_runs = first.recorded || first.state.placed_tasks() > 0;
     if (first_runs || first.closing || !second_runs) {
-        parts_.at(part).unclaimed_records.erase(id);
+        (void)batch::take_record(parts_.at(part).unclaimed_records, id);
         drop_duplicate(part, id);
         return;
     }
@@ -80,9 +80,9 @@
     if (parts_.at(part).journal) {
         // A successor that finds only this row takes it for a new job.
         ended_.hold(id);
-        parts_.at(part).journal->add({{{jobs_row(part, id), store::row_removal{}},
-                                       {runs_row(part, id), store::row_removal{}}},
-                                      [this, id, part] {
+        auto writes = record_removals(part, id);
+        writes.push_back({jobs_row(part, id), store::row_removal{}});
+        parts_.at(part).journal->add({std::move(writes), [this, id, part] {
                                           ended_.release(id);
                                           ++counters_.duplicate_rows_removed;
                                           log.info("job_row_removed",
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -310,13 +310,42 @@
     }
 }
 
+std::vector<store::journal_write> leader::record_writes(std::size_t part,
+                                                        const batch::job& current)
+{
+    const auto& id = current.id();
+    auto writes = record_removals(part, id);
+    auto rows = batch::encode_run_rows(current, options_.max_row_bytes);
+    if (rows.size() > writes.size()) {
+        writes.resize(rows.size());
+    }
+    for (std::size_t row = 0; row < rows.size(); ++row) {
+        writes.at(row) = {runs_row(part, batch::run_row_key(id, row)), std::move(rows.at(row))};
+    }
+    if (rows.size() > 1) {
+        parts_.at(part).record_rows[id] = rows.size();
+    }
+    return writes;
+}
+
+std::vector<store::journal_write> leader::record_removals(std::size_t part, const std::string& id)
+{
+    const auto stored = parts_.at(part).record_rows.extract(id);
+    const auto rows = stored.empty() ? std::size_t{1} : stored.mapped();
+    std::vector<store::journal_write> writes;
+    for (std::size_t row = 0; row < rows; ++row) {
+        writes.push_back({runs_row(part, batch::run_row_key(id, row)), store::row_removal{}});
+    }
+    return writes;
+}
+
 void leader::write_job(const std::string& id, job_entry& entry)
 {
     entry.recorded = true;
     const auto status = entry.state.status();
     auto orders = std::exchange(entry.unsent, {});
     store::journal_entry written;
-    written.writes.push_back({runs_row(entry.part, id), batch::encode_runs(entry.state)});
+    written.writes = record_writes(entry.part, entry.state);
     written.on_durable = [this, id, status, orders = std::move(orders)] {
         const auto found = jobs_.find(id);
         // How the job ends is settled only once its end is stored.
--- a/src/frontend/api_frontend.cpp
+++ b/src/frontend/api_frontend.cpp
@@ -5,6 +5,8 @@
 #include "frontend/internal/pending_call.hpp"
 #include "store/row_keys.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <map>
@@ -195,6 +197,12 @@
     accepted.spec = std::move(decoded).value();
     accepted.accepted_ms = ports_.time->unix_ms();
     call->encoded_submission = batch::encode(accepted);
+    if (call->encoded_submission.size() > options_.max_row_bytes) {
+        finish(call,
+               call_malformed{fmt::format("the job takes {} bytes to store, at most {}",
+                                          call->encoded_submission.size(), options_.max_row_bytes)});
+        return;
+    }
     store_submission(call);
 }
 
--- a/src/frontend/api_frontend.hpp
+++ b/src/frontend/api_frontend.hpp
@@ -81,6 +81,8 @@
     base::milliseconds oldest_configuration{6'500};
     /// Time left before the caller's timeout when the final answer is given.
     base::milliseconds answer_margin{400};
+    /// Longest value of a row that the store takes, in bytes.
+    std::size_t max_row_bytes = 65'536;
 };
 
 struct frontend_ports {
--- a/src/frontend/api_frontend_queries.cpp
+++ b/src/frontend/api_frontend_queries.cpp
@@ -1,6 +1,7 @@
 #include "frontend/api_frontend.hpp"
 
 #include "base/event_line.hpp"
+#include "batch/run_rows.hpp"
 #include "frontend/internal/pending_call.hpp"
 #include "store/row_keys.hpp"
 
@@ -36,12 +37,6 @@
 constexpr std::uint32_t max_rows_per_read = 500;
 
 /// True when a record of runs shows that a task was placed; one that can't be read counts as such.
-bool shows_a_run(const store::row& record)
-{
-    const auto decoded = batch::decode_runs(record.value);
-    return !decoded.has_value() || decoded.value().any_run();
-}
-
 /// Adds the ids of those jobs of a queue that have not ended.
 void collect_open_jobs(const std::vector<store::row>& rows, const std::string& queue,
                        std::set<std::string>& open)
@@ -152,7 +147,7 @@
                           if (reply.outcome != store::call_outcome::done) {
                               repeat_read(call, part,
                                           [this, call, part] { show_open_job(call, part); });
-                          } else if (reply.rows.empty() || !shows_a_run(reply.rows.front())) {
+                          } else if (reply.rows.empty() || !batch::shows_a_run(reply.rows.front().value)) {
                               show_unstarted_job(call, part);
                           } else {
                               finish(call, job_shown{batch::job_status::running});
@@ -248,7 +243,8 @@
                 return;
             }
             for (const auto& record : runs.rows) {
-                if (shows_a_run(record)) {
+                if (batch::run_row_number(record.id.key) == 0 &&
+                    batch::shows_a_run(record.value)) {
                     count->unstarted.erase(record.id.key);
                 }
             }
--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -21,6 +21,9 @@
 constexpr double one_minute_ms = 60'000;
 constexpr double one_day_s = 86'400;
 constexpr double most_parts = 16;
+/// A record of runs in rows of this length fits into one transaction.
+constexpr double least_row_bytes = 8'192;
+constexpr double most_row_bytes = 1'048'576;
 constexpr double most_remote_factor = 1'000;
 constexpr double most_processors = 1'024;
 constexpr double least_descriptors = 256;
@@ -44,6 +47,7 @@
     {"address", &site_store_settings::address, required, 1, longest_text, "", endpoint, "address of the row store"},
     {"part", &site_store_settings::part, optional, 1, longest_text, "characters", name, "name of the parts of the tables that hold this site's rows"},
     {"parts", &site_store_settings::parts, optional, 1, most_parts, "parts", name, "number of these parts; the same on all VMs"},
+    {"row_bytes", &site_store_settings::row_bytes, optional, least_row_bytes, most_row_bytes, "bytes", name, "longest value of a row that the store takes"},
 });
 
 constexpr auto bound_members = std::to_array<member<site_bound_settings>>({
--- a/src/settings/site_settings.hpp
+++ b/src/settings/site_settings.hpp
@@ -28,6 +28,8 @@
     std::string part = "site";
     /// How many parts the site's jobs are spread over; the same on all VMs.
     std::uint32_t parts = 4;
+    /// Longest value of a row that the store takes.
+    std::uint32_t row_bytes = 65'536;
 };
 
 /// Times that the platform and its workers keep, and that callers were promised.
--- a/tests/control/row_limit_test.cpp
+++ b/tests/control/row_limit_test.cpp
@@ -20,6 +20,7 @@
     row_limit() : row_retention_test{seconds{1}}
     {
         site.workers.need = [](const std::string& /*task*/) { return batch::resources{}; };
+        site.leading.max_row_bytes = longest_value;
         for (const auto* const name : {"vm1", "vm2"}) {
             limit_rows(site.start(name));
         }
@@ -41,6 +42,14 @@
         };
     }
 
+    [[nodiscard]] std::size_t stored_rows_of(const std::string& job) const
+    {
+        const auto rows = site.store.all("runs");
+        return static_cast<std::size_t>(std::ranges::count_if(rows, [&](const auto& stored) {
+            return batch::job_of_run_row(stored.id.key) == job;
+        }));
+    }
+
     [[nodiscard]] std::string another_job_in(const std::string& part) const
     {
         int number = 2;
@@ -63,5 +72,30 @@
     EXPECT_EQ(site.await_end(other, seconds{20}), batch::job_status::completed);
 }
 
+TEST_F(row_limit, AJobWhoseRecordOfRunsIsTooLongEndsAndLeavesNoRows)
+{
+    ASSERT_NE(site.await_leader(), nullptr);
+    const std::string wide{"0000000000000001"};
+    site.submit(make_job(wide, 1'000, {}));
+    ASSERT_TRUE(site.time.run_until([&] { return stored_rows_of(wide) > 1; }, seconds{10}));
+
+    EXPECT_EQ(site.await_end(wide, seconds{60}), batch::job_status::completed);
+    EXPECT_EQ(stored_rows_of(wide), 0U);
+}
+
+TEST_F(row_limit, ASuccessorRunsNoTaskOfALongRecordAgain)
+{
+    ASSERT_NE(site.await_leader(), nullptr);
+    const std::string wide{"0000000000000001"};
+    site.submit(make_job(wide, 1'000, {}));
+    ASSERT_TRUE(site.time.run_until([&] { return stored_rows_of(wide) > 1; }, seconds{10}));
+
+    replace_leader();
+
+    EXPECT_EQ(site.await_end(wide, seconds{60}), batch::job_status::completed);
+    EXPECT_EQ(stored_rows_of(wide), 0U);
+    EXPECT_TRUE(site.workers.doubled().empty());
+}
+
 } // namespace
 } // namespace poplarstile::tests
