Count the calls of a VM by purpose

Cause: which messages fill a leader's link and processor could not be seen: one counter held all calls to the store, none those to workers and other VMs.

Change: the reactor's client keeps an account of calls and bytes both ways by purpose (heartbeat, hello, start, stop, poll, store read, write and feed, relay). Metrics with a label for the purpose, and a traffic line for each every 5 s in the leader's log. Workers get a client of their own, with at most four connections each.

--- a/apps/poplarstiled/metrics.cpp
+++ b/apps/poplarstiled/metrics.cpp
@@ -27,6 +27,17 @@
     prometheus::Family<prometheus::Histogram>* latency = nullptr;
     prometheus::Family<prometheus::Histogram>* stages = nullptr;
     prometheus::Family<prometheus::Counter>* control_bytes = nullptr;
+
+    void set_counter(std::string_view name, const prometheus::Labels& of, double value)
+    {
+        auto& counter = prometheus::BuildCounter()
+                            .Name(std::string{name})
+                            .Help("See docs/OPERATIONS.md")
+                            .Labels(labels)
+                            .Register(registry)
+                            .Add(of);
+        counter.Increment(value - counter.Value());
+    }
 };
 
 daemon_metrics::daemon_metrics(std::string_view vm, std::string_view failure_domain)
@@ -89,13 +100,12 @@
 
 void daemon_metrics::set_counter(std::string_view name, double value)
 {
-    auto& counter = prometheus::BuildCounter()
-                        .Name(std::string{name})
-                        .Help("See docs/OPERATIONS.md")
-                        .Labels(impl_->labels)
-                        .Register(impl_->registry)
-                        .Add({});
-    counter.Increment(value - counter.Value());
+    impl_->set_counter(name, {}, value);
+}
+
+void daemon_metrics::set_counter_of(std::string_view purpose, std::string_view name, double value)
+{
+    impl_->set_counter(name, {{"purpose", std::string{purpose}}}, value);
 }
 
 std::string daemon_metrics::text() const
--- a/apps/poplarstiled/metrics.hpp
+++ b/apps/poplarstiled/metrics.hpp
@@ -28,6 +28,8 @@
 
     void set_gauge(std::string_view name, double value);
     void set_counter(std::string_view name, double value);
+    /// The counter of one purpose among those with this name.
+    void set_counter_of(std::string_view purpose, std::string_view name, double value);
 
     /// Text for `/metrics`.
     [[nodiscard]] std::string text() const;
--- a/apps/poplarstiled/site_daemon.cpp
+++ b/apps/poplarstiled/site_daemon.cpp
@@ -19,6 +19,7 @@
 constexpr base::event_logger log{"daemon"};
 constexpr base::milliseconds flush_interval{50};
 constexpr base::milliseconds settings_poll{2'000};
+constexpr base::milliseconds traffic_interval{5'000};
 /// The balancer needs two questions, a second apart, to learn that this VM leaves.
 constexpr base::milliseconds leave_notice{2'500};
 /// Kept free at the end of the grace for the exit itself.
@@ -145,6 +146,8 @@
 {
     net::http_response response;
     response.content_type = "text/plain; version=0.0.4";
+    metrics->record_traffic(client->account());
+    metrics->record_traffic(worker_client->account());
     response.body = metrics->text(*frontend, *node, *link, *configuration);
     responder.send(std::move(response));
 }
@@ -238,10 +241,30 @@
 {
     time.after(flush_interval, [this] {
         base::flush_event_lines();
+        report_traffic();
         flush_later();
     });
 }
 
+void site_daemon::parts::report_traffic()
+{
+    const auto now = time.now();
+    if (node->local_leader() == nullptr || now - traffic_reported_at < traffic_interval) {
+        return;
+    }
+    traffic_reported_at = now;
+    for (const auto* const reported : {client.get(), worker_client.get()}) {
+        for (const auto& [purpose, counted] : reported->account().by_purpose()) {
+            log.info("traffic", {{"purpose", purpose},
+                                 {"calls", counted.calls},
+                                 {"sent_bytes", counted.sent_bytes},
+                                 {"received_bytes", counted.received_bytes}});
+        }
+    }
+    log.info("connections", {{"opened_to_workers", worker_client->connections_opened()},
+                             {"opened_to_others", client->connections_opened()}});
+}
+
 void site_daemon::parts::poll_settings()
 {
     time.after(settings_poll, [this] {
--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -87,6 +87,18 @@
                             static_cast<double>(took.count()) / milliseconds_per_second);
 }
 
+void site_metrics::record_traffic(const net::traffic_account& account)
+{
+    auto& own = impl_->own;
+    for (const auto& [purpose, counted] : account.by_purpose()) {
+        own.set_counter_of(purpose, "poplarstile_calls_total", static_cast<double>(counted.calls));
+        own.set_counter_of(purpose, "poplarstile_sent_bytes_total",
+                           static_cast<double>(counted.sent_bytes));
+        own.set_counter_of(purpose, "poplarstile_received_bytes_total",
+                           static_cast<double>(counted.received_bytes));
+    }
+}
+
 std::string site_metrics::text(const frontend::api_frontend& frontend,
                                const control::cluster_node& node, const store::store_link& link,
                                const catalog::configuration_cache& configuration)
--- a/apps/poplarstiled/site_metrics.hpp
+++ b/apps/poplarstiled/site_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include "control/cluster_node.hpp"
 #include "frontend/api_frontend.hpp"
+#include "net/traffic_account.hpp"
 #include "store/store_link.hpp"
 
 #include <cstdint>
@@ -28,6 +29,9 @@
     /// A span of the leader's work.
     void record_span(control::leader_span span, base::milliseconds took);
 
+    /// The calls that a client of this VM has made, by purpose.
+    void record_traffic(const net::traffic_account& account);
+
     /// Text for the metrics address.
     [[nodiscard]] std::string text(const frontend::api_frontend& frontend,
                                    const control::cluster_node& node, const store::store_link& link,
--- a/apps/poplarstiled/site_parts.hpp
+++ b/apps/poplarstiled/site_parts.hpp
@@ -44,6 +44,8 @@
     void leave();
     void poll_left();
     void flush_later();
+    /// Logs the leader's calls by purpose every few seconds.
+    void report_traffic();
     void poll_settings();
     void reload(std::string_view why);
     [[nodiscard]] bool ready() const;
@@ -54,7 +56,10 @@
     std::string settings_text;
     base::timers time;
     cluster::vm_entry self;
+    /// For the store and the other VMs.
     std::unique_ptr<net::reactor_client> client;
+    /// For the workers, of which there are many with a few connections each.
+    std::unique_ptr<net::reactor_client> worker_client;
     std::unique_ptr<store::store_link> link;
     store::row_store rows;
     fleet::worker_directory directory;
@@ -75,6 +80,7 @@
     bool leaving = false;
     bool lease_returned = false;
     base::time_point left_at{};
+    base::time_point traffic_reported_at{};
 };
 
 } // namespace poplarstile::daemon
--- a/apps/poplarstiled/site_wiring.cpp
+++ b/apps/poplarstiled/site_wiring.cpp
@@ -10,7 +10,9 @@
 #include <ctime>
 
 #include <algorithm>
+#include <array>
 #include <utility>
+#include <variant>
 
 /// How the parts of a VM are connected: the ports of the libraries to the store, the workers and
 /// the other VMs.
@@ -67,7 +69,17 @@
 {
     net::reactor_client_options options;
     options.max_idle_connections =
-        std::min(options.max_idle_connections, static_cast<long>(limits.descriptors / 2));
+        std::min(options.max_idle_connections, static_cast<long>(limits.descriptors / 8));
+    return options;
+}
+
+/// Half of the descriptors, so that callers and new connections find some. One connection to a
+/// worker waits for the end of a run, the others are for orders.
+net::reactor_client_options worker_client_options(const settings::site_limit_settings& limits)
+{
+    net::reactor_client_options options;
+    options.max_idle_connections = static_cast<long>(limits.descriptors / 2);
+    options.max_connections_per_target = 4;
     return options;
 }
 
@@ -77,6 +89,21 @@
 }
 
 } // namespace
+std::string_view purpose_of(store::call_kind kind)
+{
+    static constexpr std::array<std::string_view, 3> names{"store_read", "store_write",
+                                                           "store_feed"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+std::string_view purpose_of(const cluster::message& sent)
+{
+    static constexpr std::array<std::string_view, std::variant_size_v<cluster::message>> names{
+        "heartbeat",     "heartbeat_reply", "hello",       "hello_answer", "configuration",
+        "configuration", "store_relay",     "store_relay", "stored_row",   "uncertain_submission"};
+    return names.at(sent.index());
+}
+
 
 site_daemon::parts::parts(settings::site_settings site)
     : settings{std::move(site)}, time{make_timers(context)}
@@ -101,7 +128,7 @@
         made.body = call.body;
         made.connect_timeout = std::min(store_connect_timeout, timeout);
         made.timeout = timeout;
-        made.purpose = "store";
+        made.purpose = purpose_of(call.kind);
         client->send(std::move(made), [handler](net::http_reply reply) {
             handler({reply.outcome, reply.status, std::move(reply.body)});
         });
@@ -148,7 +175,7 @@
         call.body = std::move(bytes).value();
         call.connect_timeout = std::min(peer_connect_timeout, timeout);
         call.timeout = timeout;
-        call.purpose = "peers";
+        call.purpose = purpose_of(sent);
         client->send(std::move(call), [handler](const net::http_reply& reply) {
             if (!reply.ok()) {
                 handler(std::nullopt);
@@ -171,7 +198,7 @@
     client = std::move(made);
     connect_peers();
     connect_store();
-    orders = platform::make_worker_orders(*client);
+    orders = platform::make_worker_orders(*worker_client);
     configuration = std::make_unique<catalog::configuration_cache>(configuration_source, time);
     views = std::make_unique<frontend::job_views>(time, views_fresh_for, most_final_views);
     const auto& bounds = settings.bounds;
@@ -179,6 +206,9 @@
     frontend::frontend_options frontend_options;
     const store::part_map parts_of_store{settings.store.part, settings.store.parts};
     frontend_options.parts = parts_of_store;
+    BOOST_OUTCOME_TRY(for_workers,
+                      net::reactor_client::create(context, worker_client_options(settings.limits)));
+    worker_client = std::move(for_workers);
     frontend_options.max_row_bytes = settings.store.row_bytes;
     frontend_options.oldest_configuration =
         bounds.configuration_time + bounds.configuration_stretch - base::milliseconds{500};
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -54,6 +54,8 @@
     base::microseconds elapsed{0};
     /// Bytes of the exchange on the wire, headers included, both ways.
     std::size_t wire_bytes = 0;
+    /// Those of them that were sent.
+    std::size_t sent_bytes = 0;
 
     [[nodiscard]] bool ok() const
     {
--- a/src/net/internal/exchange.cpp
+++ b/src/net/internal/exchange.cpp
@@ -144,8 +144,9 @@
     current.reply.outcome = outcome_of(current, code);
     current.reply.status = static_cast<std::uint16_t>(status);
     current.reply.elapsed = base::microseconds{elapsed_us};
-    current.reply.wire_bytes = static_cast<std::size_t>(request_bytes + header_bytes) +
-                               current.body_offset + current.reply.body.size();
+    current.reply.sent_bytes = static_cast<std::size_t>(request_bytes) + current.body_offset;
+    current.reply.wire_bytes = current.reply.sent_bytes + static_cast<std::size_t>(header_bytes) +
+                               current.reply.body.size();
     if (code != CURLE_OK) {
         current.reply.failure = curl_easy_strerror(code);
         current.reply.body.clear();
--- a/src/net/reactor_client.cpp
+++ b/src/net/reactor_client.cpp
@@ -117,6 +117,9 @@
         idle_handles.push_back(std::move(current->easy));
         // Handlers may send again; the library must not be entered from inside itself.
         asio::post(context, [handler = std::move(current->on_reply),
+        const auto& reply = current->reply;
+        account.record(current->call.purpose, reply.sent_bytes,
+                       reply.wire_bytes - reply.sent_bytes);
                              reply = std::move(current->reply), running = alive]() mutable {
             if (*running) {
                 handler(std::move(reply));
@@ -239,6 +242,7 @@
 };
 
 reactor_client::reactor_client(std::unique_ptr<implementation> impl) : impl_{std::move(impl)} {}
+    traffic_account account{};
 
 base::result<std::unique_ptr<reactor_client>>
 reactor_client::create(asio::io_context& context, const reactor_client_options& options)
@@ -264,3 +268,8 @@
 }
 
 } // namespace poplarstile::net
+const traffic_account& reactor_client::account() const
+{
+    return impl_->account;
+}
+
--- a/src/net/reactor_client.hpp
+++ b/src/net/reactor_client.hpp
@@ -2,6 +2,7 @@
 
 #include "base/result.hpp"
 #include "net/http_client.hpp"
+#include "net/traffic_account.hpp"
 
 #include <asio/io_context.hpp>
 
@@ -46,6 +47,9 @@
     /// Connections opened since the start.
     [[nodiscard]] std::size_t connections_opened() const;
 
+    /// Finished calls since the start.
+    [[nodiscard]] const traffic_account& account() const;
+
 private:
     struct implementation;
     explicit reactor_client(std::unique_ptr<implementation> impl);
