Send lists of VMs by change, and loads counted once

Cause: each heartbeat of the leader to each VM carried the whole list of VMs, so its bytes grew with the square of their number (97 VMs: half of what the leader sent), and the waiting jobs of all queues, counted anew over all jobs for each VM. The end of any job started a round to all VMs 10 ms later. A list of more than 256 VMs was cut in silence.

Change: the list has a version; a heartbeat carries what changed since the version that the receiver confirmed, or the whole list to one that has none of this leader's. Loads are counted at most five times a second. Status changes wait up to the next heartbeat that is due with many VMs, and 10 ms with a few. The list holds 4,096 VMs, and one that does not fit is logged. VMs of the version before confirm no version and get the whole list each time.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -8,6 +8,7 @@
   3: string address
   4: string failure_domain
   5: i32 processor_millis
+  6: i32 link_kbit
 }
 
 struct job_change {
@@ -39,6 +40,9 @@
   13: i64 lease_version
   14: i32 lease_part
   15: bool partial
+  16: i64 vms_base
+  17: i64 vms_version
+  18: list<string> vms_removed
 }
 
 struct beat_answer {
@@ -47,6 +51,7 @@
   3: bool wants_snapshot
   4: i64 configuration
   5: bool leaving
+  6: i64 vms_version
 }
 
 struct hello {
--- a/src/cluster/cluster_codec.cpp
+++ b/src/cluster/cluster_codec.cpp
@@ -48,13 +48,18 @@
     wire.__set_address(value.address);
     wire.__set_failure_domain(value.failure_domain);
     wire.__set_processor_millis(static_cast<std::int32_t>(value.processor_millis));
+    wire.__set_link_kbit(static_cast<std::int32_t>(value.link_kbit));
     return wire;
 }
 
 vm_entry from_wire(const gen::vm_entry& wire)
 {
-    return {wire.vm, from_wire(wire.born), wire.address, wire.failure_domain,
-            static_cast<std::uint32_t>(std::max(wire.processor_millis, 0))};
+    return {wire.vm,
+            from_wire(wire.born),
+            wire.address,
+            wire.failure_domain,
+            static_cast<std::uint32_t>(std::max(wire.processor_millis, 0)),
+            static_cast<std::uint32_t>(std::max(wire.link_kbit, 0))};
 }
 
 std::vector<gen::vm_entry> to_wire(const std::vector<vm_entry>& values)
@@ -104,7 +109,10 @@
         }
         heartbeat.__set_configuration(to_wire(value.configuration));
         heartbeat.__set_confirmed_ms_ago(static_cast<std::int32_t>(value.confirmed_ms_ago));
-        heartbeat.__set_vms(to_wire(value.vms));
+        heartbeat.__set_vms(to_wire(value.vms.added));
+        heartbeat.__set_vms_base(to_wire(value.vms.base));
+        heartbeat.__set_vms_version(to_wire(value.vms.version));
+        heartbeat.__set_vms_removed(value.vms.removed);
         heartbeat.__set_vacant(value.vacant);
         heartbeat.__set_successor(value.successor);
         heartbeat.__set_lease_version(to_wire(value.lease_version));
@@ -121,6 +129,7 @@
         answer.__set_wants_snapshot(value.wants_snapshot);
         answer.__set_leaving(value.leaving);
         answer.__set_configuration(to_wire(value.configuration));
+        answer.__set_vms_version(to_wire(value.vms_version));
         wire_->__set_beat_reply(answer);
     }
 
@@ -222,7 +231,8 @@
     }
     heartbeat.configuration = from_wire(wire.configuration);
     heartbeat.confirmed_ms_ago = static_cast<std::uint32_t>(wire.confirmed_ms_ago);
-    heartbeat.vms = from_wire(wire.vms);
+    heartbeat.vms = {from_wire(wire.vms_base), from_wire(wire.vms_version), from_wire(wire.vms),
+                     wire.vms_removed};
     heartbeat.vacant = wire.vacant;
     heartbeat.configuration_ms_ago = static_cast<std::uint32_t>(wire.configuration_ms_ago);
     heartbeat.successor = wire.successor;
@@ -255,7 +265,7 @@
         const auto& reply = wire.beat_reply;
         return message{heartbeat_reply{from_wire(reply.from_vm), from_wire(reply.epoch),
                                        reply.wants_snapshot, from_wire(reply.configuration),
-                                       reply.leaving}};
+                                       reply.leaving, from_wire(reply.vms_version)}};
     }
     if (isset.hello_message) {
         return message{hello{from_wire(wire.hello_message.from_vm)}};
--- a/src/cluster/cluster_message.hpp
+++ b/src/cluster/cluster_message.hpp
@@ -22,10 +22,25 @@
     std::string failure_domain{};
     /// CPU limit of the VM, in thousandths of a core.
     std::uint32_t processor_millis = 0;
+    /// Bandwidth of the VM's link, in kbit/s; 0 when it is not known.
+    std::uint32_t link_kbit = 0;
 
     bool operator==(const vm_entry&) const = default;
 };
 
+/// A change of a leader's list of VMs.
+struct vm_list_change {
+    /// Version of the list that this change follows on; 0 when `added` is the whole list.
+    std::uint64_t base = 0;
+    /// Version of the list once the change is applied.
+    std::uint64_t version = 0;
+    std::vector<vm_entry> added{};
+    /// Peer addresses of VMs that are no longer listed.
+    std::vector<std::string> removed{};
+
+    bool operator==(const vm_list_change&) const = default;
+};
+
 /// The leader's heartbeat, with every job status change since the last heartbeat to the receiver.
 struct leader_heartbeat {
     vm_entry leader{};
@@ -44,7 +59,9 @@
     std::uint32_t configuration_ms_ago = 0;
     /// Age of the leader's newest confirmed commit.
     std::uint32_t confirmed_ms_ago = 0;
-    std::vector<vm_entry> vms{};
+    /// What has changed in the list of all VMs, the leader included, since the version that the
+    /// receiver has confirmed.
+    vm_list_change vms{};
     /// The leader has released its lease; any other VM may take it.
     bool vacant = false;
     /// VM that may take the vacant lease first, and the lease row's version that it should expect.
@@ -63,6 +80,8 @@
     std::uint64_t configuration = 0;
     /// The VM is shutting down and will not lead.
     bool leaving = false;
+    /// Version that it has of the leader's list of VMs; 0 when it has none.
+    std::uint64_t vms_version = 0;
 
     bool operator==(const heartbeat_reply&) const = default;
 };
--- a/src/cluster/gen/cluster_types.cpp
+++ b/src/cluster/gen/cluster_types.cpp
@@ -37,6 +37,10 @@
 void vm_entry::__set_processor_millis(const int32_t val) {
   this->processor_millis = val;
 }
+
+void vm_entry::__set_link_kbit(const int32_t val) {
+  this->link_kbit = val;
+}
 std::ostream& operator<<(std::ostream& out, const vm_entry& obj)
 {
   obj.printTo(out);
@@ -105,6 +109,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->link_kbit);
+          this->__isset.link_kbit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -142,6 +154,10 @@
   xfer += oprot->writeI32(this->processor_millis);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("link_kbit", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->link_kbit);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -154,6 +170,7 @@
   swap(a.address, b.address);
   swap(a.failure_domain, b.failure_domain);
   swap(a.processor_millis, b.processor_millis);
+  swap(a.link_kbit, b.link_kbit);
   swap(a.__isset, b.__isset);
 }
 
@@ -163,6 +180,7 @@
   address = other0.address;
   failure_domain = other0.failure_domain;
   processor_millis = other0.processor_millis;
+  link_kbit = other0.link_kbit;
   __isset = other0.__isset;
 }
 vm_entry& vm_entry::operator=(const vm_entry& other1) {
@@ -171,6 +189,7 @@
   address = other1.address;
   failure_domain = other1.failure_domain;
   processor_millis = other1.processor_millis;
+  link_kbit = other1.link_kbit;
   __isset = other1.__isset;
   return *this;
 }
@@ -182,6 +201,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "failure_domain=" << to_string(failure_domain);
   out << ", " << "processor_millis=" << to_string(processor_millis);
+  out << ", " << "link_kbit=" << to_string(link_kbit);
   out << ")";
 }
 
@@ -533,6 +553,18 @@
 void leader_beat::__set_partial(const bool val) {
   this->partial = val;
 }
+
+void leader_beat::__set_vms_base(const int64_t val) {
+  this->vms_base = val;
+}
+
+void leader_beat::__set_vms_version(const int64_t val) {
+  this->vms_version = val;
+}
+
+void leader_beat::__set_vms_removed(const std::vector<std::string> & val) {
+  this->vms_removed = val;
+}
 std::ostream& operator<<(std::ostream& out, const leader_beat& obj)
 {
   obj.printTo(out);
@@ -717,6 +749,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->vms_base);
+          this->__isset.vms_base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->vms_version);
+          this->__isset.vms_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->vms_removed.clear();
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->vms_removed.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
+            {
+              xfer += iprot->readString(this->vms_removed[_i25]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.vms_removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -753,10 +821,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<job_change> ::const_iterator _iter21;
-    for (_iter21 = this->changes.begin(); _iter21 != this->changes.end(); ++_iter21)
+    std::vector<job_change> ::const_iterator _iter26;
+    for (_iter26 = this->changes.begin(); _iter26 != this->changes.end(); ++_iter26)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter26).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -765,10 +833,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<queue_load> ::const_iterator _iter22;
-    for (_iter22 = this->loads.begin(); _iter22 != this->loads.end(); ++_iter22)
+    std::vector<queue_load> ::const_iterator _iter27;
+    for (_iter27 = this->loads.begin(); _iter27 != this->loads.end(); ++_iter27)
     {
-      xfer += (*_iter22).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -785,10 +853,10 @@
   xfer += oprot->writeFieldBegin("vms", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vms.size()));
-    std::vector<vm_entry> ::const_iterator _iter23;
-    for (_iter23 = this->vms.begin(); _iter23 != this->vms.end(); ++_iter23)
+    std::vector<vm_entry> ::const_iterator _iter28;
+    for (_iter28 = this->vms.begin(); _iter28 != this->vms.end(); ++_iter28)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter28).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -818,6 +886,26 @@
   xfer += oprot->writeBool(this->partial);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("vms_base", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->vms_base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("vms_version", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->vms_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("vms_removed", ::apache::thrift::protocol::T_LIST, 18);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->vms_removed.size()));
+    std::vector<std::string> ::const_iterator _iter29;
+    for (_iter29 = this->vms_removed.begin(); _iter29 != this->vms_removed.end(); ++_iter29)
+    {
+      xfer += oprot->writeString((*_iter29));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -840,44 +928,53 @@
   swap(a.lease_version, b.lease_version);
   swap(a.lease_part, b.lease_part);
   swap(a.partial, b.partial);
+  swap(a.vms_base, b.vms_base);
+  swap(a.vms_version, b.vms_version);
+  swap(a.vms_removed, b.vms_removed);
   swap(a.__isset, b.__isset);
 }
 
-leader_beat::leader_beat(const leader_beat& other24) {
-  leader = other24.leader;
-  epoch = other24.epoch;
-  sequence = other24.sequence;
-  snapshot = other24.snapshot;
-  changes = other24.changes;
-  loads = other24.loads;
-  configuration = other24.configuration;
-  confirmed_ms_ago = other24.confirmed_ms_ago;
-  vms = other24.vms;
-  vacant = other24.vacant;
-  configuration_ms_ago = other24.configuration_ms_ago;
-  successor = other24.successor;
-  lease_version = other24.lease_version;
-  lease_part = other24.lease_part;
-  partial = other24.partial;
-  __isset = other24.__isset;
-}
-leader_beat& leader_beat::operator=(const leader_beat& other25) {
-  leader = other25.leader;
-  epoch = other25.epoch;
-  sequence = other25.sequence;
-  snapshot = other25.snapshot;
-  changes = other25.changes;
-  loads = other25.loads;
-  configuration = other25.configuration;
-  confirmed_ms_ago = other25.confirmed_ms_ago;
-  vms = other25.vms;
-  vacant = other25.vacant;
-  configuration_ms_ago = other25.configuration_ms_ago;
-  successor = other25.successor;
-  lease_version = other25.lease_version;
-  lease_part = other25.lease_part;
-  partial = other25.partial;
-  __isset = other25.__isset;
+leader_beat::leader_beat(const leader_beat& other30) {
+  leader = other30.leader;
+  epoch = other30.epoch;
+  sequence = other30.sequence;
+  snapshot = other30.snapshot;
+  changes = other30.changes;
+  loads = other30.loads;
+  configuration = other30.configuration;
+  confirmed_ms_ago = other30.confirmed_ms_ago;
+  vms = other30.vms;
+  vacant = other30.vacant;
+  configuration_ms_ago = other30.configuration_ms_ago;
+  successor = other30.successor;
+  lease_version = other30.lease_version;
+  lease_part = other30.lease_part;
+  partial = other30.partial;
+  vms_base = other30.vms_base;
+  vms_version = other30.vms_version;
+  vms_removed = other30.vms_removed;
+  __isset = other30.__isset;
+}
+leader_beat& leader_beat::operator=(const leader_beat& other31) {
+  leader = other31.leader;
+  epoch = other31.epoch;
+  sequence = other31.sequence;
+  snapshot = other31.snapshot;
+  changes = other31.changes;
+  loads = other31.loads;
+  configuration = other31.configuration;
+  confirmed_ms_ago = other31.confirmed_ms_ago;
+  vms = other31.vms;
+  vacant = other31.vacant;
+  configuration_ms_ago = other31.configuration_ms_ago;
+  successor = other31.successor;
+  lease_version = other31.lease_version;
+  lease_part = other31.lease_part;
+  partial = other31.partial;
+  vms_base = other31.vms_base;
+  vms_version = other31.vms_version;
+  vms_removed = other31.vms_removed;
+  __isset = other31.__isset;
   return *this;
 }
 void leader_beat::printTo(std::ostream& out) const {
@@ -898,6 +995,9 @@
   out << ", " << "lease_version=" << to_string(lease_version);
   out << ", " << "lease_part=" << to_string(lease_part);
   out << ", " << "partial=" << to_string(partial);
+  out << ", " << "vms_base=" << to_string(vms_base);
+  out << ", " << "vms_version=" << to_string(vms_version);
+  out << ", " << "vms_removed=" << to_string(vms_removed);
   out << ")";
 }
 
@@ -925,6 +1025,10 @@
 void beat_answer::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void beat_answer::__set_vms_version(const int64_t val) {
+  this->vms_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const beat_answer& obj)
 {
   obj.printTo(out);
@@ -993,6 +1097,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->vms_version);
+          this->__isset.vms_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1030,6 +1142,10 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("vms_version", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->vms_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1042,24 +1158,27 @@
   swap(a.wants_snapshot, b.wants_snapshot);
   swap(a.configuration, b.configuration);
   swap(a.leaving, b.leaving);
+  swap(a.vms_version, b.vms_version);
   swap(a.__isset, b.__isset);
 }
 
-beat_answer::beat_answer(const beat_answer& other26) {
-  from_vm = other26.from_vm;
-  epoch = other26.epoch;
-  wants_snapshot = other26.wants_snapshot;
-  configuration = other26.configuration;
-  leaving = other26.leaving;
-  __isset = other26.__isset;
-}
-beat_answer& beat_answer::operator=(const beat_answer& other27) {
-  from_vm = other27.from_vm;
-  epoch = other27.epoch;
-  wants_snapshot = other27.wants_snapshot;
-  configuration = other27.configuration;
-  leaving = other27.leaving;
-  __isset = other27.__isset;
+beat_answer::beat_answer(const beat_answer& other32) {
+  from_vm = other32.from_vm;
+  epoch = other32.epoch;
+  wants_snapshot = other32.wants_snapshot;
+  configuration = other32.configuration;
+  leaving = other32.leaving;
+  vms_version = other32.vms_version;
+  __isset = other32.__isset;
+}
+beat_answer& beat_answer::operator=(const beat_answer& other33) {
+  from_vm = other33.from_vm;
+  epoch = other33.epoch;
+  wants_snapshot = other33.wants_snapshot;
+  configuration = other33.configuration;
+  leaving = other33.leaving;
+  vms_version = other33.vms_version;
+  __isset = other33.__isset;
   return *this;
 }
 void beat_answer::printTo(std::ostream& out) const {
@@ -1070,6 +1189,7 @@
   out << ", " << "wants_snapshot=" << to_string(wants_snapshot);
   out << ", " << "configuration=" << to_string(configuration);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "vms_version=" << to_string(vms_version);
   out << ")";
 }
 
@@ -1149,13 +1269,13 @@
   swap(a.__isset, b.__isset);
 }
 
-hello::hello(const hello& other28) {
-  from_vm = other28.from_vm;
-  __isset = other28.__isset;
+hello::hello(const hello& other34) {
+  from_vm = other34.from_vm;
+  __isset = other34.__isset;
 }
-hello& hello::operator=(const hello& other29) {
-  from_vm = other29.from_vm;
-  __isset = other29.__isset;
+hello& hello::operator=(const hello& other35) {
+  from_vm = other35.from_vm;
+  __isset = other35.__isset;
   return *this;
 }
 void hello::printTo(std::ostream& out) const {
@@ -1257,14 +1377,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vms.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->vms.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->vms.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->vms[_i34].read(iprot);
+              xfer += this->vms[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1317,10 +1437,10 @@
   xfer += oprot->writeFieldBegin("vms", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vms.size()));
-    std::vector<vm_entry> ::const_iterator _iter35;
-    for (_iter35 = this->vms.begin(); _iter35 != this->vms.end(); ++_iter35)
+    std::vector<vm_entry> ::const_iterator _iter41;
+    for (_iter41 = this->vms.begin(); _iter41 != this->vms.end(); ++_iter41)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1346,23 +1466,23 @@
   swap(a.__isset, b.__isset);
 }
 
-hello_answer::hello_answer(const hello_answer& other36) {
-  from_vm = other36.from_vm;
-  leader = other36.leader;
-  epoch = other36.epoch;
-  leader_heard_ms_ago = other36.leader_heard_ms_ago;
-  vms = other36.vms;
-  configuration = other36.configuration;
-  __isset = other36.__isset;
-}
-hello_answer& hello_answer::operator=(const hello_answer& other37) {
-  from_vm = other37.from_vm;
-  leader = other37.leader;
-  epoch = other37.epoch;
-  leader_heard_ms_ago = other37.leader_heard_ms_ago;
-  vms = other37.vms;
-  configuration = other37.configuration;
-  __isset = other37.__isset;
+hello_answer::hello_answer(const hello_answer& other42) {
+  from_vm = other42.from_vm;
+  leader = other42.leader;
+  epoch = other42.epoch;
+  leader_heard_ms_ago = other42.leader_heard_ms_ago;
+  vms = other42.vms;
+  configuration = other42.configuration;
+  __isset = other42.__isset;
+}
+hello_answer& hello_answer::operator=(const hello_answer& other43) {
+  from_vm = other43.from_vm;
+  leader = other43.leader;
+  epoch = other43.epoch;
+  leader_heard_ms_ago = other43.leader_heard_ms_ago;
+  vms = other43.vms;
+  configuration = other43.configuration;
+  __isset = other43.__isset;
   return *this;
 }
 void hello_answer::printTo(std::ostream& out) const {
@@ -1453,13 +1573,13 @@
   swap(a.__isset, b.__isset);
 }
 
-configuration_request::configuration_request(const configuration_request& other38) noexcept {
-  have = other38.have;
-  __isset = other38.__isset;
+configuration_request::configuration_request(const configuration_request& other44) noexcept {
+  have = other44.have;
+  __isset = other44.__isset;
 }
-configuration_request& configuration_request::operator=(const configuration_request& other39) noexcept {
-  have = other39.have;
-  __isset = other39.__isset;
+configuration_request& configuration_request::operator=(const configuration_request& other45) noexcept {
+  have = other45.have;
+  __isset = other45.__isset;
   return *this;
 }
 void configuration_request::printTo(std::ostream& out) const {
@@ -1579,17 +1699,17 @@
   swap(a.__isset, b.__isset);
 }
 
-configuration_reply::configuration_reply(const configuration_reply& other40) {
-  version = other40.version;
-  document = other40.document;
-  confirmed_ms_ago = other40.confirmed_ms_ago;
-  __isset = other40.__isset;
+configuration_reply::configuration_reply(const configuration_reply& other46) {
+  version = other46.version;
+  document = other46.document;
+  confirmed_ms_ago = other46.confirmed_ms_ago;
+  __isset = other46.__isset;
 }
-configuration_reply& configuration_reply::operator=(const configuration_reply& other41) {
-  version = other41.version;
-  document = other41.document;
-  confirmed_ms_ago = other41.confirmed_ms_ago;
-  __isset = other41.__isset;
+configuration_reply& configuration_reply::operator=(const configuration_reply& other47) {
+  version = other47.version;
+  document = other47.document;
+  confirmed_ms_ago = other47.confirmed_ms_ago;
+  __isset = other47.__isset;
   return *this;
 }
 void configuration_reply::printTo(std::ostream& out) const {
@@ -1745,21 +1865,21 @@
   swap(a.__isset, b.__isset);
 }
 
-store_call::store_call(const store_call& other42) {
-  method = other42.method;
-  target = other42.target;
-  body = other42.body;
-  wait_ms = other42.wait_ms;
-  scope = other42.scope;
-  __isset = other42.__isset;
+store_call::store_call(const store_call& other48) {
+  method = other48.method;
+  target = other48.target;
+  body = other48.body;
+  wait_ms = other48.wait_ms;
+  scope = other48.scope;
+  __isset = other48.__isset;
 }
-store_call& store_call::operator=(const store_call& other43) {
-  method = other43.method;
-  target = other43.target;
-  body = other43.body;
-  wait_ms = other43.wait_ms;
-  scope = other43.scope;
-  __isset = other43.__isset;
+store_call& store_call::operator=(const store_call& other49) {
+  method = other49.method;
+  target = other49.target;
+  body = other49.body;
+  wait_ms = other49.wait_ms;
+  scope = other49.scope;
+  __isset = other49.__isset;
   return *this;
 }
 void store_call::printTo(std::ostream& out) const {
@@ -1883,17 +2003,17 @@
   swap(a.__isset, b.__isset);
 }
 
-store_answer::store_answer(const store_answer& other44) {
-  delivery = other44.delivery;
-  status = other44.status;
-  body = other44.body;
-  __isset = other44.__isset;
+store_answer::store_answer(const store_answer& other50) {
+  delivery = other50.delivery;
+  status = other50.status;
+  body = other50.body;
+  __isset = other50.__isset;
 }
-store_answer& store_answer::operator=(const store_answer& other45) {
-  delivery = other45.delivery;
-  status = other45.status;
-  body = other45.body;
-  __isset = other45.__isset;
+store_answer& store_answer::operator=(const store_answer& other51) {
+  delivery = other51.delivery;
+  status = other51.status;
+  body = other51.body;
+  __isset = other51.__isset;
   return *this;
 }
 void store_answer::printTo(std::ostream& out) const {
@@ -2032,19 +2152,19 @@
   swap(a.__isset, b.__isset);
 }
 
-stored_row::stored_row(const stored_row& other46) {
-  key = other46.key;
-  value = other46.value;
-  version = other46.version;
-  part = other46.part;
-  __isset = other46.__isset;
+stored_row::stored_row(const stored_row& other52) {
+  key = other52.key;
+  value = other52.value;
+  version = other52.version;
+  part = other52.part;
+  __isset = other52.__isset;
 }
-stored_row& stored_row::operator=(const stored_row& other47) {
-  key = other47.key;
-  value = other47.value;
-  version = other47.version;
-  part = other47.part;
-  __isset = other47.__isset;
+stored_row& stored_row::operator=(const stored_row& other53) {
+  key = other53.key;
+  value = other53.value;
+  version = other53.version;
+  part = other53.part;
+  __isset = other53.__isset;
   return *this;
 }
 void stored_row::printTo(std::ostream& out) const {
@@ -2133,13 +2253,13 @@
   swap(a.__isset, b.__isset);
 }
 
-doubtful_job::doubtful_job(const doubtful_job& other48) {
-  job = other48.job;
-  __isset = other48.__isset;
+doubtful_job::doubtful_job(const doubtful_job& other54) {
+  job = other54.job;
+  __isset = other54.__isset;
 }
-doubtful_job& doubtful_job::operator=(const doubtful_job& other49) {
-  job = other49.job;
-  __isset = other49.__isset;
+doubtful_job& doubtful_job::operator=(const doubtful_job& other55) {
+  job = other55.job;
+  __isset = other55.__isset;
   return *this;
 }
 void doubtful_job::printTo(std::ostream& out) const {
@@ -2398,31 +2518,31 @@
   swap(a.__isset, b.__isset);
 }
 
-message::message(const message& other50) {
-  beat = other50.beat;
-  beat_reply = other50.beat_reply;
-  hello_message = other50.hello_message;
-  hello_reply = other50.hello_reply;
-  configuration_ask = other50.configuration_ask;
-  configuration_given = other50.configuration_given;
-  store_ask = other50.store_ask;
-  store_given = other50.store_given;
-  row_stored = other50.row_stored;
-  job_in_doubt = other50.job_in_doubt;
-  __isset = other50.__isset;
-}
-message& message::operator=(const message& other51) {
-  beat = other51.beat;
-  beat_reply = other51.beat_reply;
-  hello_message = other51.hello_message;
-  hello_reply = other51.hello_reply;
-  configuration_ask = other51.configuration_ask;
-  configuration_given = other51.configuration_given;
-  store_ask = other51.store_ask;
-  store_given = other51.store_given;
-  row_stored = other51.row_stored;
-  job_in_doubt = other51.job_in_doubt;
-  __isset = other51.__isset;
+message::message(const message& other56) {
+  beat = other56.beat;
+  beat_reply = other56.beat_reply;
+  hello_message = other56.hello_message;
+  hello_reply = other56.hello_reply;
+  configuration_ask = other56.configuration_ask;
+  configuration_given = other56.configuration_given;
+  store_ask = other56.store_ask;
+  store_given = other56.store_given;
+  row_stored = other56.row_stored;
+  job_in_doubt = other56.job_in_doubt;
+  __isset = other56.__isset;
+}
+message& message::operator=(const message& other57) {
+  beat = other57.beat;
+  beat_reply = other57.beat_reply;
+  hello_message = other57.hello_message;
+  hello_reply = other57.hello_reply;
+  configuration_ask = other57.configuration_ask;
+  configuration_given = other57.configuration_given;
+  store_ask = other57.store_ask;
+  store_given = other57.store_given;
+  row_stored = other57.row_stored;
+  job_in_doubt = other57.job_in_doubt;
+  __isset = other57.__isset;
   return *this;
 }
 void message::printTo(std::ostream& out) const {
@@ -2534,15 +2654,15 @@
   swap(a.__isset, b.__isset);
 }
 
-envelope::envelope(const envelope& other52) {
-  version = other52.version;
-  body = other52.body;
-  __isset = other52.__isset;
+envelope::envelope(const envelope& other58) {
+  version = other58.version;
+  body = other58.body;
+  __isset = other58.__isset;
 }
-envelope& envelope::operator=(const envelope& other53) {
-  version = other53.version;
-  body = other53.body;
-  __isset = other53.__isset;
+envelope& envelope::operator=(const envelope& other59) {
+  version = other59.version;
+  body = other59.body;
+  __isset = other59.__isset;
   return *this;
 }
 void envelope::printTo(std::ostream& out) const {
--- a/src/cluster/gen/cluster_types.h
+++ b/src/cluster/gen/cluster_types.h
@@ -52,12 +52,13 @@
 class envelope;
 
 typedef struct _vm_entry__isset {
-  _vm_entry__isset() : vm(false), born(false), address(false), failure_domain(false), processor_millis(false) {}
+  _vm_entry__isset() : vm(false), born(false), address(false), failure_domain(false), processor_millis(false), link_kbit(false) {}
   bool vm :1;
   bool born :1;
   bool address :1;
   bool failure_domain :1;
   bool processor_millis :1;
+  bool link_kbit :1;
 } _vm_entry__isset;
 
 class vm_entry : public virtual ::apache::thrift::TBase {
@@ -70,7 +71,8 @@
              born(0),
              address(),
              failure_domain(),
-             processor_millis(0) {
+             processor_millis(0),
+             link_kbit(0) {
   }
 
   virtual ~vm_entry() noexcept;
@@ -79,6 +81,7 @@
   std::string address;
   std::string failure_domain;
   int32_t processor_millis;
+  int32_t link_kbit;
 
   _vm_entry__isset __isset;
 
@@ -92,6 +95,8 @@
 
   void __set_processor_millis(const int32_t val);
 
+  void __set_link_kbit(const int32_t val);
+
   bool operator == (const vm_entry & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -104,6 +109,8 @@
       return false;
     if (!(processor_millis == rhs.processor_millis))
       return false;
+    if (!(link_kbit == rhs.link_kbit))
+      return false;
     return true;
   }
   bool operator != (const vm_entry &rhs) const {
@@ -244,7 +251,7 @@
 std::ostream& operator<<(std::ostream& out, const queue_load& obj);
 
 typedef struct _leader_beat__isset {
-  _leader_beat__isset() : leader(false), epoch(false), sequence(false), snapshot(false), changes(false), loads(false), configuration(false), confirmed_ms_ago(false), vms(false), vacant(false), configuration_ms_ago(false), successor(false), lease_version(false), lease_part(false), partial(false) {}
+  _leader_beat__isset() : leader(false), epoch(false), sequence(false), snapshot(false), changes(false), loads(false), configuration(false), confirmed_ms_ago(false), vms(false), vacant(false), configuration_ms_ago(false), successor(false), lease_version(false), lease_part(false), partial(false), vms_base(false), vms_version(false), vms_removed(false) {}
   bool leader :1;
   bool epoch :1;
   bool sequence :1;
@@ -260,6 +267,9 @@
   bool lease_version :1;
   bool lease_part :1;
   bool partial :1;
+  bool vms_base :1;
+  bool vms_version :1;
+  bool vms_removed :1;
 } _leader_beat__isset;
 
 class leader_beat : public virtual ::apache::thrift::TBase {
@@ -278,7 +288,9 @@
                 successor(),
                 lease_version(0),
                 lease_part(0),
-                partial(0) {
+                partial(0),
+                vms_base(0),
+                vms_version(0) {
   }
 
   virtual ~leader_beat() noexcept;
@@ -297,6 +309,9 @@
   int64_t lease_version;
   int32_t lease_part;
   bool partial;
+  int64_t vms_base;
+  int64_t vms_version;
+  std::vector<std::string>  vms_removed;
 
   _leader_beat__isset __isset;
 
@@ -330,6 +345,12 @@
 
   void __set_partial(const bool val);
 
+  void __set_vms_base(const int64_t val);
+
+  void __set_vms_version(const int64_t val);
+
+  void __set_vms_removed(const std::vector<std::string> & val);
+
   bool operator == (const leader_beat & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -362,6 +383,12 @@
       return false;
     if (!(partial == rhs.partial))
       return false;
+    if (!(vms_base == rhs.vms_base))
+      return false;
+    if (!(vms_version == rhs.vms_version))
+      return false;
+    if (!(vms_removed == rhs.vms_removed))
+      return false;
     return true;
   }
   bool operator != (const leader_beat &rhs) const {
@@ -381,12 +408,13 @@
 std::ostream& operator<<(std::ostream& out, const leader_beat& obj);
 
 typedef struct _beat_answer__isset {
-  _beat_answer__isset() : from_vm(false), epoch(false), wants_snapshot(false), configuration(false), leaving(false) {}
+  _beat_answer__isset() : from_vm(false), epoch(false), wants_snapshot(false), configuration(false), leaving(false), vms_version(false) {}
   bool from_vm :1;
   bool epoch :1;
   bool wants_snapshot :1;
   bool configuration :1;
   bool leaving :1;
+  bool vms_version :1;
 } _beat_answer__isset;
 
 class beat_answer : public virtual ::apache::thrift::TBase {
@@ -398,7 +426,8 @@
               : epoch(0),
                 wants_snapshot(0),
                 configuration(0),
-                leaving(0) {
+                leaving(0),
+                vms_version(0) {
   }
 
   virtual ~beat_answer() noexcept;
@@ -407,6 +436,7 @@
   bool wants_snapshot;
   int64_t configuration;
   bool leaving;
+  int64_t vms_version;
 
   _beat_answer__isset __isset;
 
@@ -420,6 +450,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_vms_version(const int64_t val);
+
   bool operator == (const beat_answer & rhs) const
   {
     if (!(from_vm == rhs.from_vm))
@@ -432,6 +464,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(vms_version == rhs.vms_version))
+      return false;
     return true;
   }
   bool operator != (const beat_answer &rhs) const {
--- a/src/control/cluster_heartbeats.cpp
+++ b/src/control/cluster_heartbeats.cpp
@@ -1,4 +1,5 @@
 #include "control/cluster_node.hpp"
+#include "control/heartbeat_pacing.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -9,13 +10,12 @@
 namespace
 {
 
-constexpr base::milliseconds heartbeat_interval{300};
-/// Status changes within this time are sent in one heartbeat.
-constexpr base::milliseconds heartbeat_batch_delay{10};
 constexpr base::milliseconds heartbeat_timeout{700};
 /// Interval of the heartbeats to a VM that doesn't reply.
 constexpr base::milliseconds silent_vm_heartbeat_interval{1'000};
 constexpr base::milliseconds silent_after{2'000};
+/// The loads of the queues are counted anew after this time.
+constexpr base::milliseconds loads_interval{200};
 
 } // namespace
 
@@ -36,7 +36,7 @@
         return;
     }
     heartbeat_scheduled_ = true;
-    ports_.time->after(heartbeat_batch_delay, [this, alive = alive_] {
+    ports_.time->after(heartbeat_batch_delay(vms_.size()), [this, alive = alive_] {
         if (*alive) {
             heartbeat_scheduled_ = false;
             send_heartbeats(false);
@@ -49,6 +49,7 @@
     if (!leader_) {
         return;
     }
+    update_listed_vms();
     const auto now = ports_.time->now();
     for (auto& [address, peer] : vms_) {
         const bool silent = now - peer.answered_at > silent_after;
@@ -60,6 +61,26 @@
     }
 }
 
+void cluster_node::update_listed_vms()
+{
+    if (vms_changed_) {
+        auto listed = vms();
+        listed.push_back(options_.self);
+        listed_vms_.set(listed);
+        vms_changed_ = false;
+    }
+}
+
+const std::vector<cluster::queue_load>& cluster_node::current_loads()
+{
+    const auto now = ports_.time->now();
+    if (loads_at_ == base::time_point{} || now - loads_at_ >= loads_interval) {
+        loads_ = leader_->loads();
+        loads_at_ = now;
+    }
+    return loads_;
+}
+
 cluster::leader_heartbeat cluster_node::make_heartbeat(peer_state& to)
 {
     cluster::leader_heartbeat heartbeat;
@@ -74,13 +95,12 @@
     for (const auto& [job, view] : to.unsent) {
         heartbeat.changes.push_back(view);
     }
-    heartbeat.loads = leader_->loads();
+    heartbeat.loads = current_loads();
     heartbeat.configuration = ports_.configuration->version();
     heartbeat.configuration_ms_ago = configuration_ms_ago();
     heartbeat.confirmed_ms_ago = static_cast<std::uint32_t>(std::max<std::int64_t>(
         base::milliseconds_between(leader_->confirmed_at(), ports_.time->now()), 0));
-    heartbeat.vms = vms();
-    heartbeat.vms.push_back(options_.self);
+    heartbeat.vms = listed_vms_.since(to.vms_version);
     heartbeat.vacant = vacant_;
     if (vacant_) {
         heartbeat.successor = successor_;
@@ -126,6 +146,7 @@
     }
     peer.answered_at = ports_.time->now();
     peer.leaving = reply->leaving;
+    peer.vms_version = reply->vms_version;
     peer.wants_snapshot = reply->wants_snapshot || (peer.wants_snapshot && !snapshot);
     update_vm(reply->from);
     if (reply->configuration > ports_.configuration->version()) {
@@ -144,15 +165,18 @@
     const bool accepted = election_->receive_heartbeat(received);
     if (accepted) {
         answer.wants_snapshot = !ports_.views->apply_heartbeat(received);
-        for (const auto& vm : received.vms) {
-            update_vm(vm);
+        if (received_vms_.apply(received.epoch, received.vms)) {
+            for (const auto& vm : received.vms.added) {
+                update_vm(vm);
+            }
         }
         const auto found = vms_.find(received.leader.address);
         if (found != vms_.end()) {
             found->second.answered_at = ports_.time->now();
         }
-        forget_unlisted_vms(received.vms);
+        forget_unlisted_vms();
     }
+    answer.vms_version = received_vms_.version(received.epoch);
     answer.epoch = election_->epoch();
     answer.leaving = left_;
     answer.configuration = ports_.configuration->version();
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -18,7 +18,8 @@
 constexpr base::milliseconds hello_timeout{400};
 constexpr base::milliseconds hello_interval{500};
 constexpr base::milliseconds configuration_timeout{600};
-constexpr std::size_t max_vms = 256;
+/// Bounds the memory that false entries can take.
+constexpr std::size_t max_vms = 4'096;
 /// A VM is chosen as successor only if it replied within this time.
 constexpr base::milliseconds max_successor_silence{900};
 /// A new leader waits this long before it looks for a larger VM to lead.
@@ -65,18 +66,26 @@
 
 void cluster_node::update_vm(const cluster::vm_entry& vm)
 {
-    if (vm.address.empty() || vm.address == options_.self.address ||
-        (vms_.size() >= max_vms && !vms_.contains(vm.address))) {
+    if (vm.address.empty() || vm.address == options_.self.address) {
+        return;
+    }
+    if (vms_.size() >= max_vms && !vms_.contains(vm.address)) {
+        log.error("vm_not_added", {{"peer", vm.vm}, {"address", vm.address}, {"most", max_vms}});
         return;
     }
     auto& peer = vms_[vm.address];
     if (!vm.vm.empty() && (peer.entry.vm != vm.vm || peer.entry.incarnation != vm.incarnation)) {
         log.info("vm_known", {{"peer", vm.vm}, {"address", vm.address}, {"life", vm.incarnation}});
         peer.entry = vm;
+        peer.vms_version = 0;
         peer.wants_snapshot = true;
+        vms_changed_ = true;
         peer.answered_at = ports_.time->now();
     }
-    peer.entry.address = vm.address;
+    if (peer.entry.address.empty()) {
+        peer.entry.address = vm.address;
+        vms_changed_ = true;
+    }
     if (peer.answered_at == base::time_point{}) {
         peer.answered_at = ports_.time->now();
     }
@@ -161,8 +170,10 @@
         peer.wants_snapshot = true;
         peer.unsent.clear();
         peer.sequence = 0;
+        peer.vms_version = 0;
         peer.in_flight = false;
     }
+    loads_at_ = {};
     vacant_ = false;
     yielding_ = false;
     views_complete_.reset();
@@ -208,25 +219,27 @@
 void cluster_node::forget_silent_vms()
 {
     // Before its term this VM expected no replies.
-    std::erase_if(vms_, [this](const auto& entry) {
+    const auto forgotten = std::erase_if(vms_, [this](const auto& entry) {
         const auto since = std::max(entry.second.answered_at, elected_at_);
         return ports_.time->now() - since > forget_after;
     });
+    vms_changed_ = vms_changed_ || forgotten > 0;
 }
 
-void cluster_node::forget_unlisted_vms(const std::vector<cluster::vm_entry>& listed)
+void cluster_node::forget_unlisted_vms()
 {
     const auto now = ports_.time->now();
-    for (const auto& vm : listed) {
-        const auto found = vms_.find(vm.address);
+    for (const auto& [address, vm] : received_vms_.vms()) {
+        const auto found = vms_.find(address);
         if (found != vms_.end()) {
             found->second.listed_at = now;
         }
     }
-    std::erase_if(vms_, [now](const auto& entry) {
+    const auto forgotten = std::erase_if(vms_, [now](const auto& entry) {
         const auto& peer = entry.second;
         return now - std::max(peer.listed_at, peer.answered_at) > forget_after;
     });
+    vms_changed_ = vms_changed_ || forgotten > 0;
 }
 
 void cluster_node::update_local_views()
@@ -236,7 +249,7 @@
         ports_.views->replace_open_jobs(leader_->views(), whole);
         views_complete_ = whole;
     }
-    ports_.views->set_loads(leader_->loads(), whole);
+    ports_.views->set_loads(current_loads(), whole);
 }
 
 void cluster_node::request_configuration(const std::string& address)
--- a/src/control/cluster_node.hpp
+++ b/src/control/cluster_node.hpp
@@ -3,6 +3,7 @@
 #include "base/timers.hpp"
 #include "catalog/configuration_cache.hpp"
 #include "cluster/cluster_message.hpp"
+#include "cluster/vm_list.hpp"
 #include "control/leader.hpp"
 #include "control/leader_election.hpp"
 #include "frontend/job_views.hpp"
@@ -102,12 +103,18 @@
         /// It has reported that it is shutting down.
         bool leaving = false;
         std::uint64_t sequence = 0;
+        /// Version that it has confirmed of this leader's list of VMs.
+        std::uint64_t vms_version = 0;
         std::map<std::string, cluster::job_view> unsent{};
     };
 
     void update_vm(const cluster::vm_entry& vm);
     /// Forgets the VMs that the leader has not listed for long; only called when it is heard.
-    void forget_unlisted_vms(const std::vector<cluster::vm_entry>& listed);
+    void forget_unlisted_vms();
+    /// Brings the list of VMs that heartbeats send up to date.
+    void update_listed_vms();
+    /// The loads of the queues, as they were a short time ago.
+    [[nodiscard]] const std::vector<cluster::queue_load>& current_loads();
     /// Forgets the VMs that have not replied to this leader for long.
     void forget_silent_vms();
     void send_hellos();
@@ -146,6 +153,12 @@
     cluster_node_options options_;
     /// By peer address.
     std::map<std::string, peer_state> vms_{};
+    /// Whether `vms_` has changed since `listed_vms_` was set.
+    bool vms_changed_ = true;
+    cluster::listed_vms listed_vms_{};
+    cluster::received_vms received_vms_{};
+    std::vector<cluster::queue_load> loads_{};
+    base::time_point loads_at_{};
     std::unique_ptr<leader_election> election_;
     std::unique_ptr<leader> leader_;
     bool vacant_ = false;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -108,7 +108,7 @@
 
 std::vector<cluster::queue_load> leader::loads() const
 {
-    std::map<std::string, std::uint32_t> waiting;
+    std::map<std::string_view, std::uint32_t> waiting;
     for (const auto& [id, entry] : jobs_) {
         auto& count = waiting[entry.state.accepted().policy.queue];
         count += entry.state.open() && !entry.state.started() ? 1 : 0;
@@ -116,7 +116,7 @@
     std::vector<cluster::queue_load> loads;
     loads.reserve(waiting.size());
     for (const auto& [queue, count] : waiting) {
-        loads.push_back({queue, count, 0});
+        loads.push_back({std::string{queue}, count, 0});
     }
     return loads;
 }
--- a/tests/cluster/cluster_codec_test.cpp
+++ b/tests/cluster/cluster_codec_test.cpp
@@ -22,7 +22,7 @@
     heartbeat.configuration = 8;
     heartbeat.configuration_ms_ago = 9;
     heartbeat.confirmed_ms_ago = 10;
-    heartbeat.vms = {vm};
+    heartbeat.vms = {3, 4, {vm}, {"10.0.0.9:8526"}};
     heartbeat.vacant = true;
     heartbeat.successor = "vm-2";
     heartbeat.lease_version = 11;
@@ -33,7 +33,7 @@
 std::vector<message> all_messages()
 {
     return {full_heartbeat(),
-            heartbeat_reply{vm, 5, true, 8, true},
+            heartbeat_reply{vm, 5, true, 8, true, 4},
             hello{vm},
             hello_answer{vm, vm, 5, 100, {vm}, 8},
             configuration_request{8},
