--- a/src/frontend/api_frontend.cpp
+++ b/src/frontend/api_frontend.cpp
@@ -198,9 +198,9 @@
     accepted.accepted_ms = ports_.time->unix_ms();
     call->encoded_submission = batch::encode(accepted);
     if (call->encoded_submission.size() > options_.max_row_bytes) {
-        finish(call,
-               call_malformed{fmt::format("the job takes {} bytes to store, at most {}",
-                                          call->encoded_submission.size(), options_.max_row_bytes)});
+        finish(call, call_malformed{fmt::format("the job takes {} bytes to store, at most {}",
+                                                call->encoded_submission.size(),
+                                                options_.max_row_bytes)});
         return;
     }
     store_submission(call);
--- a/src/frontend/api_frontend_queries.cpp
+++ b/src/frontend/api_frontend_queries.cpp
@@ -139,20 +139,20 @@
 void api_frontend::show_open_job(const call_ptr& call, const std::string& part)
 {
     // The record of a job's runs shows whether a task has started.
-    ports_.rows->read({"runs", part, call->job, store::after_key(call->job), 1},
-                      [this, call, part, alive = alive_](const store::read_reply& reply) {
-                          if (!*alive) {
-                              return;
-                          }
-                          if (reply.outcome != store::call_outcome::done) {
-                              repeat_read(call, part,
-                                          [this, call, part] { show_open_job(call, part); });
-                          } else if (reply.rows.empty() || !batch::shows_a_run(reply.rows.front().value)) {
-                              show_unstarted_job(call, part);
-                          } else {
-                              finish(call, job_shown{batch::job_status::running});
-                          }
-                      });
+    ports_.rows->read(
+        {"runs", part, call->job, store::after_key(call->job), 1},
+        [this, call, part, alive = alive_](const store::read_reply& reply) {
+            if (!*alive) {
+                return;
+            }
+            if (reply.outcome != store::call_outcome::done) {
+                repeat_read(call, part, [this, call, part] { show_open_job(call, part); });
+            } else if (reply.rows.empty() || !batch::shows_a_run(reply.rows.front().value)) {
+                show_unstarted_job(call, part);
+            } else {
+                finish(call, job_shown{batch::job_status::running});
+            }
+        });
 }
 
 void api_frontend::show_unstarted_job(const call_ptr& call, const std::string& part)
@@ -243,8 +243,7 @@
                 return;
             }
             for (const auto& record : runs.rows) {
-                if (batch::run_row_number(record.id.key) == 0 &&
-                    batch::shows_a_run(record.value)) {
+                if (batch::run_row_number(record.id.key) == 0 && batch::shows_a_run(record.value)) {
                     count->unstarted.erase(record.id.key);
                 }
             }
--- a/tests/control/row_limit_test.cpp
+++ b/tests/control/row_limit_test.cpp
@@ -45,9 +45,8 @@
     [[nodiscard]] std::size_t stored_rows_of(const std::string& job) const
     {
         const auto rows = site.store.all("runs");
-        return static_cast<std::size_t>(std::ranges::count_if(rows, [&](const auto& stored) {
-            return batch::job_of_run_row(stored.id.key) == job;
-        }));
+        return static_cast<std::size_t>(std::ranges::count_if(
+            rows, [&](const auto& stored) { return batch::job_of_run_row(stored.id.key) == job; }));
     }
 
     [[nodiscard]] std::string another_job_in(const std::string& part) const
