Choose the leader by its link as well as by its processor

Cause: the VM with the most processor led, whatever its link. A leader sends with each thousandth of a core what takes some 40 kbit/s, so a VM with half a core behind a link of 2 Mbit/s is bound by its link.

Change: VMs tell each other the bandwidth of their link (limits.link_mbit of the settings). What a VM can carry as leader is its processor, or what its link has bandwidth for if that is less; the successor and the VM that a leader yields to are chosen by it. An unknown link counts as wide.

Result: leader_choice.AVmWithAThinLinkYieldsToOneWithLessCpuThatCanSend; on the code before there is no such setting, and the VM with more processor leads.

--- a/apps/poplarstiled/site_wiring.cpp
+++ b/apps/poplarstiled/site_wiring.cpp
@@ -64,7 +64,13 @@
     return static_cast<std::uint32_t>(limits.processor_share * limits.processors * millis_per_core);
 }
 
-/// Half of the descriptors, so that callers and new connections find some.
+std::uint32_t link_kbit(const settings::site_limit_settings& limits)
+{
+    constexpr double kbit_per_mbit = 1'000.0;
+    return static_cast<std::uint32_t>(limits.link_mbit * kbit_per_mbit);
+}
+
+/// An eighth of the descriptors, since the other VMs and the store need few connections.
 net::reactor_client_options client_options(const settings::site_limit_settings& limits)
 {
     net::reactor_client_options options;
@@ -111,8 +117,12 @@
     const auto& listen_at = settings.listen;
     const auto& reached_at =
         listen_at.peers_advertised.empty() ? listen_at.peers : listen_at.peers_advertised;
-    self = {settings.vm.id, make_born(), reached_at, settings.vm.failure_domain,
-            processor_millis(settings.limits)};
+    self = {settings.vm.id,
+            make_born(),
+            reached_at,
+            settings.vm.failure_domain,
+            processor_millis(settings.limits),
+            link_kbit(settings.limits)};
 }
 
 void site_daemon::parts::connect_store()
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -26,8 +26,8 @@
 constexpr base::milliseconds min_term_before_yield{1'000};
 /// The lease is only handed over if the store confirmed a commit within this time.
 constexpr base::milliseconds max_commit_age_before_yield{500};
-/// The lease is handed over to a VM with at least this many times the CPU.
-constexpr std::uint32_t yield_processor_ratio = 2;
+/// The lease is handed over to a VM with at least this many times the capacity for leading.
+constexpr std::uint32_t yield_capacity_ratio = 2;
 
 } // namespace
 
@@ -354,7 +354,7 @@
     const peer_state* best = nullptr;
     const auto rank = [](const peer_state& vm) {
         // Of VMs of equal size the newest incarnation: a rolling restart has already passed it.
-        return std::pair{vm.entry.processor_millis, vm.entry.incarnation};
+        return std::pair{leading_capacity(vm.entry), vm.entry.incarnation};
     };
     for (const auto& [address, peer] : vms_) {
         const bool replied = now - peer.answered_at <= max_successor_silence;
@@ -387,15 +387,17 @@
         return;
     }
     const auto* const next = choose_successor();
-    const auto own = options_.self.processor_millis;
-    if (next == nullptr || next->entry.processor_millis < yield_processor_ratio * own) {
+    const auto own = leading_capacity(options_.self);
+    if (next == nullptr || leading_capacity(next->entry) < yield_capacity_ratio * own) {
         return;
     }
     yielding_ = true;
     log.info("yielding", {{"epoch", leader_->epoch()},
                           {"to", next->entry.vm},
                           {"its_processor_millis", next->entry.processor_millis},
-                          {"own_processor_millis", own}});
+                          {"its_link_kbit", next->entry.link_kbit},
+                          {"own_processor_millis", options_.self.processor_millis},
+                          {"own_link_kbit", options_.self.link_kbit}});
     leader_->hand_back([this, alive = alive_] {
         if (*alive) {
             finish_yield();
--- a/src/control/cluster_node.hpp
+++ b/src/control/cluster_node.hpp
@@ -139,7 +139,7 @@
 
     /// The VM that should lead next, among those that reply; null when there is none.
     [[nodiscard]] const peer_state* choose_successor() const;
-    /// Hands the lease over to a VM with much more CPU than this one.
+    /// Hands the lease over to a VM with much more CPU, or a much faster link, than this one.
     void yield_to_larger_vm();
     void finish_yield();
     /// Tells all VMs that the lease is vacant and which VM may take it first.
--- a/src/control/leader_election.cpp
+++ b/src/control/leader_election.cpp
@@ -24,13 +24,26 @@
 constexpr base::milliseconds successor_head_start{300};
 /// Delay between the attempts of successive candidates, so that they don't try at the same time.
 constexpr base::milliseconds candidate_delay_step{40};
+/// Bandwidth that a leader uses with each thousandth of a core.
+constexpr std::uint32_t link_kbit_per_processor_milli = 40;
 
 } // namespace
 
+std::uint32_t leading_capacity(const cluster::vm_entry& vm)
+{
+    if (vm.link_kbit == 0) {
+        return vm.processor_millis;
+    }
+    return std::min(vm.processor_millis, vm.link_kbit / link_kbit_per_processor_milli);
+}
+
 bool is_better_leader(const cluster::vm_entry& one, const cluster::vm_entry& other)
 {
-    if (one.processor_millis != other.processor_millis) {
-        return one.processor_millis > other.processor_millis;
+    const auto key = [](const cluster::vm_entry& vm) {
+        return std::pair{leading_capacity(vm), vm.processor_millis};
+    };
+    if (key(one) != key(other)) {
+        return key(one) > key(other);
     }
     return one.vm < other.vm;
 }
--- a/src/control/leader_election.hpp
+++ b/src/control/leader_election.hpp
@@ -25,9 +25,13 @@
         ask{};
 };
 
-/// Whether `one` tries before `other` when there is no leader. The VM with more CPU is preferred,
-/// since a leader's work grows with the number of workers while an API frontend's does not; ties
-/// are broken by name.
+/// How much of a leader's work a VM can carry, in thousandths of a core: its CPU, or what its link
+/// has bandwidth for if that is less.
+[[nodiscard]] std::uint32_t leading_capacity(const cluster::vm_entry& vm);
+
+/// Whether `one` tries before `other` when there is no leader. The VM that can carry more of the
+/// work is preferred, since a leader's work grows with the number of workers while an API
+/// frontend's does not; ties are broken by CPU, then by name.
 [[nodiscard]] bool is_better_leader(const cluster::vm_entry& one, const cluster::vm_entry& other);
 
 /// Settings of a `leader_election`.
--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -26,6 +26,7 @@
 constexpr double most_row_bytes = 1'048'576;
 constexpr double most_remote_factor = 1'000;
 constexpr double most_processors = 1'024;
+constexpr double most_link_mbit = 1'000'000;
 constexpr double least_descriptors = 256;
 constexpr double most_descriptors = 1'048'576;
 constexpr auto required = presence::required;
@@ -66,6 +67,7 @@
     {"processor_share", &site_limit_settings::processor_share, optional, 0, most_processors, "cores", name, "share of a core that the VM may use"},
     {"processors", &site_limit_settings::processors, optional, 1, most_processors, "cores", name, "cores whose speed the share is counted in"},
     {"descriptors", &site_limit_settings::descriptors, optional, least_descriptors, most_descriptors, "descriptors", name, "file descriptors that the process may have open"},
+    {"link_mbit", &site_limit_settings::link_mbit, optional, 0, most_link_mbit, "Mbit/s", name, "bandwidth of the VM's link; 0 when it is not known"},
 });
 // clang-format on
 
--- a/src/settings/site_settings.hpp
+++ b/src/settings/site_settings.hpp
@@ -58,6 +58,8 @@
     std::uint32_t processors = 1;
     /// File descriptors that the process may have open.
     std::uint32_t descriptors = 4'096;
+    /// Bandwidth of the VM's link, in Mbit/s; 0 when it is not known.
+    double link_mbit = 0.0;
 };
 
 struct site_settings {
--- a/tests/control/leader_choice_test.cpp
+++ b/tests/control/leader_choice_test.cpp
@@ -105,5 +105,17 @@
     EXPECT_EQ(site.at("c-large").node->local_leader(), nullptr);
 }
 
+TEST_F(leader_choice, AVmWithAThinLinkYieldsToOneWithLessCpuThatCanSend)
+{
+    constexpr std::uint32_t thin_link_kbit = 2'000;
+    constexpr std::uint32_t wide_link_kbit = 100'000;
+    site.start("thin", large_vm, thin_link_kbit);
+    ASSERT_EQ(leader_after(seconds{3}), "thin");
+
+    site.start("wide", small_vm, wide_link_kbit);
+
+    EXPECT_EQ(leader_after(seconds{5}), "wide");
+}
+
 } // namespace
 } // namespace poplarstile::tests
--- a/tests/support/site_fixture.hpp
+++ b/tests/support/site_fixture.hpp
@@ -71,7 +71,8 @@
     }
 
     /// Starts a VM, or starts it anew with nothing of before.
-    vm& start(const std::string& name, std::uint32_t processor_millis = 250)
+    vm& start(const std::string& name, std::uint32_t processor_millis = 250,
+              std::uint32_t link_kbit = 0)
     {
         stop(name);
         auto made = std::make_unique<vm>();
@@ -101,7 +102,7 @@
                                      [this](std::string_view /*body*/) { return submitted.spec; }},
             frontend_options);
         control::cluster_node_options options;
-        options.self = {name, made->born, address_of(name), "domain", processor_millis};
+        options.self = {name, made->born, address_of(name), "domain", processor_millis, link_kbit};
         for (const auto& [other, known] : vms_) {
             options.seeds.push_back(address_of(other));
         }
