Lower what a plan, a record and a call cost the leader

Cause: on a site of 97 VMs and 540 workers the leader's processor was full. A record of runs was built as a document and then written as text each time one of its tasks changed. The feed of jobs was asked again for each row.

--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -32,6 +32,12 @@
     });
 }
 
+bool has_crash(const step_state& step)
+{
+    const auto crashed = [](const task_state& task) { return task.crashes != crash_history{}; };
+    return step.gang_crashes != crash_history{} || std::ranges::any_of(step.tasks, crashed);
+}
+
 } // namespace
 
 std::string_view name_of(run_end how)
@@ -190,6 +196,7 @@
     if (!count_crash(history, run, evidence)) {
         return false;
     }
+    any_crash_ = true;
     failed_ = failed_ || is_to_blame(history);
     return true;
 }
@@ -301,8 +308,10 @@
     done_tasks_ = 0;
     placed_tasks_ = 0;
     started_ = false;
+    any_crash_ = false;
     for (auto& occurrence : occurrences_) {
         for (auto& step : occurrence.steps) {
+            any_crash_ = any_crash_ || has_crash(step);
             const auto in_phase = [&step](task_phase phase) {
                 return static_cast<std::uint32_t>(
                     std::ranges::count(step.tasks, phase, &task_state::phase));
--- a/src/batch/job.hpp
+++ b/src/batch/job.hpp
@@ -210,6 +210,12 @@
     /// Crashes under the runs of a task, or of the gang that it belongs to.
     [[nodiscard]] const crash_history& crashes_of(const task_ref& ref) const;
 
+    /// True once a worker has crashed under a run of the job.
+    [[nodiscard]] bool any_crash() const
+    {
+        return any_crash_;
+    }
+
     /// True when the task's runs are to be placed where nothing of another job runs.
     [[nodiscard]] bool needs_isolation(const task_ref& ref) const
     {
@@ -252,6 +258,7 @@
     bool started_ = false;
     bool cancelled_ = false;
     bool failed_ = false;
+    bool any_crash_ = false;
 };
 
 } // namespace poplarstile::batch
--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -2,10 +2,14 @@
 
 #include "batch/job_validation.hpp"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 #include <stdexcept>
+#include <tuple>
 #include <utility>
 
 namespace poplarstile::batch
@@ -115,6 +119,24 @@
     return finished;
 }
 
+/// Appends a JSON string.
+void append_quoted(std::string& text, std::string_view content)
+{
+    const auto is_plain = [](char character) {
+        constexpr char first_printable = ' ';
+        constexpr char last_printable = '~';
+        return character >= first_printable && character <= last_printable && character != '"' &&
+               character != '\\';
+    };
+    if (std::ranges::all_of(content, is_plain)) {
+        text += '"';
+        text += content;
+        text += '"';
+    } else {
+        text += json(content).dump();
+    }
+}
+
 /// A worker incarnation and its address, which may be empty.
 struct stored_worker {
     worker_incarnation incarnation{};
@@ -127,37 +149,44 @@
 class worker_table
 {
 public:
-    std::size_t index_of(const stored_worker& worker)
+    std::size_t index_of(const task_state& task)
     {
-        const auto found = std::ranges::find(workers_, worker);
-        if (found != workers_.end()) {
-            return static_cast<std::size_t>(found - workers_.begin());
+        const key worker{task.worker.worker, task.worker.started_at, task.address};
+        const auto [position, added] = indices_.emplace(worker, workers_.size());
+        if (added) {
+            workers_.push_back(worker);
         }
-        workers_.push_back(worker);
-        return workers_.size() - 1;
+        return position->second;
     }
 
-    [[nodiscard]] json encode() const
+    void append_to(std::string& text) const
     {
-        json list = json::array();
-        for (const auto& [incarnation, address] : workers_) {
-            auto entry = json::array({incarnation.worker, incarnation.started_at});
+        text += '[';
+        for (const auto& [worker, started_at, address] : workers_) {
+            text += text.back() == '[' ? "[" : ",[";
+            append_quoted(text, worker);
+            fmt::format_to(std::back_inserter(text), ",{}", started_at);
             if (!address.empty()) {
-                entry.push_back(address);
+                text += ',';
+                append_quoted(text, address);
             }
-            list.push_back(std::move(entry));
+            text += ']';
         }
-        return list;
+        text += ']';
     }
 
 private:
-    std::vector<stored_worker> workers_;
+    using key = std::tuple<std::string_view, std::uint64_t, std::string_view>;
+
+    std::map<key, std::size_t> indices_{};
+    std::vector<key> workers_{};
 };
 
-/// Encodes a history as [crashes, implicating crashes, newest counted run].
-json encode_crashes(const crash_history& history)
+/// Appends a history as [crashes, implicating crashes, newest counted run].
+void append_crashes(std::string& text, const crash_history& history)
 {
-    return json::array({history.total, history.implicating, history.last_run});
+    fmt::format_to(std::back_inserter(text), "[{},{},{}]", history.total, history.implicating,
+                   history.last_run);
 }
 
 crash_history decode_crashes(const json& encoded)
@@ -166,30 +195,34 @@
             encoded.at(2).get<std::uint32_t>()};
 }
 
-/// Encodes a done task as 1, a task that never ran as 0, and any other as
+/// Appends a done task as 1, a task that never ran as 0, and any other as
 /// [run, failures, index of the worker or -1, checkpoint, crashes]; without crashes the last
 /// member is left out, and an empty checkpoint with it.
-json encode_task(const task_state& task, stored_checkpoints checkpoints, worker_table& workers)
+void append_task(std::string& text, const task_state& task, stored_checkpoints checkpoints,
+                 worker_table& workers)
 {
     if (task.phase == task_phase::done) {
-        return 1;
+        text += '1';
+        return;
     }
     if (task.run == 0) {
-        return 0;
+        text += '0';
+        return;
     }
     const auto placed = task.phase == task_phase::placed;
-    const auto worker =
-        placed ? static_cast<std::int64_t>(workers.index_of({task.worker, task.address})) : -1;
-    auto encoded = json::array({task.run, task.failures, worker});
+    const auto worker = placed ? static_cast<std::int64_t>(workers.index_of(task)) : -1;
+    fmt::format_to(std::back_inserter(text), "[{},{},{}", task.run, task.failures, worker);
     const bool crashed = task.crashes != crash_history{};
     const bool resumes = checkpoints == stored_checkpoints::kept && !task.checkpoint.empty();
     if (crashed || resumes) {
-        encoded.push_back(resumes ? task.checkpoint : std::string{});
+        text += ',';
+        append_quoted(text, resumes ? std::string_view{task.checkpoint} : std::string_view{});
     }
     if (crashed) {
-        encoded.push_back(encode_crashes(task.crashes));
+        text += ',';
+        append_crashes(text, task.crashes);
     }
-    return encoded;
+    text += ']';
 }
 
 task_state decode_task(const json& encoded, const std::vector<stored_worker>& workers)
@@ -220,18 +253,22 @@
     return task;
 }
 
-json encode_step_state(const step_state& step, stored_checkpoints checkpoints,
-                       worker_table& workers)
+void append_step(std::string& text, const step_state& step, stored_checkpoints checkpoints,
+                 worker_table& workers)
 {
-    json tasks = json::array();
+    fmt::format_to(std::back_inserter(text), "[{},{},[", step.gang_failures, step.failed_run);
     for (const auto& task : step.tasks) {
-        tasks.push_back(encode_task(task, checkpoints, workers));
+        if (&task != &step.tasks.front()) {
+            text += ',';
+        }
+        append_task(text, task, checkpoints, workers);
     }
-    auto encoded = json::array({step.gang_failures, step.failed_run, std::move(tasks)});
+    text += ']';
     if (step.gang_crashes != crash_history{}) {
-        encoded.push_back(encode_crashes(step.gang_crashes));
+        text += ',';
+        append_crashes(text, step.gang_crashes);
     }
-    return encoded;
+    text += ']';
 }
 
 step_state decode_step_state(const json& encoded, const std::vector<stored_worker>& workers)
@@ -332,20 +369,24 @@
 
 std::string encode_runs(const job& current, stored_checkpoints checkpoints)
 {
+    // The record of a wide job is written each time one of its tasks changes, so the text is
+    // appended to directly instead of building a document first.
     worker_table workers;
-    json occurrences = json::array();
+    std::string text{current.failed() ? R"({"f":true,"o":[)" : R"({"o":[)"};
     for (const auto& occurrence : current.occurrences()) {
-        json steps = json::array();
+        text += text.back() == '[' ? "[" : ",[";
         for (const auto& step : occurrence.steps) {
-            steps.push_back(encode_step_state(step, checkpoints, workers));
+            if (&step != &occurrence.steps.front()) {
+                text += ',';
+            }
+            append_step(text, step, checkpoints, workers);
         }
-        occurrences.push_back(std::move(steps));
-    }
-    json document{{"o", std::move(occurrences)}, {"w", workers.encode()}};
-    if (current.failed()) {
-        document["f"] = true;
+        text += ']';
     }
-    return document.dump();
+    text += R"(],"w":)";
+    workers.append_to(text);
+    text += '}';
+    return text;
 }
 
 base::result<run_record> decode_runs(std::string_view text)
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -271,6 +271,7 @@
     // Applying rows that others write, and writing rows (leader_store.cpp).
     /// Follows the feed from the earliest version that an active part has seen.
     void follow_jobs();
+    void follow_jobs_after(base::milliseconds delay);
     void receive_feed(store::row_version after, base::time_point sent,
                       const store::feed_reply& reply);
     /// The version to follow the feed from; empty while no part can be followed.
@@ -410,12 +411,12 @@
     // Plans (leader_plan.cpp).
     void schedule_plan();
     void make_plan();
-    void collect_workers(plan_input& input, std::map<std::string, std::size_t>& worker_index) const;
-    void collect_units(plan_input& input, const std::map<std::string, std::size_t>& worker_index);
-    void collect_unit(plan_input& input, const std::map<std::string, std::size_t>& worker_index,
-                      const job_entry& entry, const unit_origin& origin, bool guaranteed) const;
-    void collect_victims(plan_input& input,
-                         const std::map<std::string, std::size_t>& worker_index) const;
+    void collect_workers(plan_input& input);
+    void collect_units(plan_input& input);
+    void collect_unit(plan_input& input, const job_entry& entry, const unit_origin& origin,
+                      bool guaranteed) const;
+    void collect_victims(plan_input& input) const;
+    [[nodiscard]] step_tasks tasks_of(const batch::job& job, const unit_origin& origin) const;
     void mark_isolated_workers(plan_input& input) const;
     [[nodiscard]] bool count_guaranteed(const job_entry& entry,
                                         std::map<std::string, std::int64_t>& urgent_need) const;
@@ -447,6 +448,9 @@
     /// When the newest plan was finished and how long it took.
     base::time_point last_plan_at_{};
     base::milliseconds last_plan_took_{0};
+    /// The same of the newest flush.
+    base::time_point last_flush_at_{};
+    base::milliseconds last_flush_took_{0};
 
     std::unordered_map<std::string, job_entry> jobs_{};
     std::set<std::string> dirty_{};
--- a/src/control/leader_isolation.cpp
+++ b/src/control/leader_isolation.cpp
@@ -64,6 +64,11 @@
 
 void leader::mark_isolated_workers(plan_input& input) const
 {
+    const bool any_suspected =
+        std::ranges::any_of(jobs_, [](const auto& job) { return job.second.state.any_crash(); });
+    if (!any_suspected) {
+        return;
+    }
     const auto now = ports_.time->now();
     std::map<step_key, suspected_step> steps;
     const auto use_of = [&](const worker_state& worker) {
@@ -87,7 +92,7 @@
         return use;
     };
     for (std::size_t index = 0; index < input.workers.size(); ++index) {
-        const auto& worker = *workers_.at(input.worker_ids.at(index));
+        const auto& worker = *input.worker_states.at(index);
         const auto use = use_of(worker);
         input.workers.at(index).occupied = use.others || !use.suspected.empty();
         input.workers.at(index).holds_lasting_work = use.lasting;
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
+#include <tuple>
 #include <utility>
 
 /// Makes plans from the leader's state, and turns them into orders to workers.
@@ -23,49 +25,40 @@
 /// further failures.
 constexpr base::milliseconds recent_failure_window{8'000};
 
-/// The tasks of a step that wait for a worker, and those that have one.
-struct step_tasks {
-    std::vector<std::uint32_t> waiting{};
-    /// Waiting tasks that are placed where nothing else runs.
-    std::vector<std::uint32_t> isolated{};
-    /// Number of placed tasks by worker.
-    std::map<std::size_t, std::uint32_t> present{};
-};
+/// Workers with a greater value are tried after the others of their rack.
+double suspicion_of(std::ptrdiff_t recent_failures, bool crashed_recently)
+{
+    return static_cast<double>(recent_failures) + (crashed_recently ? 1.0 : 0.0);
+}
 
-step_tasks tasks_of(const batch::job& job, const unit_origin& origin,
-                    const std::map<std::string, std::size_t>& worker_index)
+/// Unix milliseconds from which the objective of an occurrence is measured.
+std::int64_t objective_start_ms(const batch::job& job, std::uint32_t occurrence)
+{
+    return std::max(job.accepted().accepted_ms, job.due_ms(occurrence));
+}
+
+} // namespace
+
+step_tasks leader::tasks_of(const batch::job& job, const unit_origin& origin) const
 {
     step_tasks result;
     const auto& tasks = job.step(origin.occurrence, origin.step).tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const auto& task = tasks.at(index);
         if (task.phase == batch::task_phase::waiting) {
-            const bool isolated = job.needs_isolation({origin.occurrence, origin.step, index});
+            const bool isolated =
+                job.any_crash() && job.needs_isolation({origin.occurrence, origin.step, index});
             (isolated ? result.isolated : result.waiting).push_back(index);
         } else if (task.phase == batch::task_phase::placed) {
-            const auto found = worker_index.find(task.worker.worker);
-            if (found != worker_index.end()) {
-                ++result.present[found->second];
+            const auto found = workers_.find(task.worker.worker);
+            if (found != workers_.end()) {
+                ++result.present[found->second->plan_index];
             }
         }
     }
     return result;
 }
 
-/// Workers with a greater value are tried after the others of their rack.
-double suspicion_of(std::ptrdiff_t recent_failures, bool crashed_recently)
-{
-    return static_cast<double>(recent_failures) + (crashed_recently ? 1.0 : 0.0);
-}
-
-/// Unix milliseconds from which the objective of an occurrence is measured.
-std::int64_t objective_start_ms(const batch::job& job, std::uint32_t occurrence)
-{
-    return std::max(job.accepted().accepted_ms, job.due_ms(occurrence));
-}
-
-} // namespace
-
 void leader::schedule_plan()
 {
     if (!active_ || plan_scheduled_ || handing_back_) {
@@ -90,12 +83,13 @@
     }
     const auto began = ports_.time->now();
     plan_input input;
-    std::map<std::string, std::size_t> worker_index;
-    collect_workers(input, worker_index);
-    collect_units(input, worker_index);
+    collect_workers(input);
+    collect_units(input);
     if (!input.units.empty()) {
         ++counters_.plans;
-        collect_victims(input, worker_index);
+        if (planning::may_preempt_any(input.units)) {
+            collect_victims(input);
+        }
         mark_isolated_workers(input);
         apply_plan(input, planning::make_plan(input.units, input.workers, input.victims));
     }
@@ -106,8 +100,7 @@
     }
 }
 
-void leader::collect_workers(plan_input& input,
-                             std::map<std::string, std::size_t>& worker_index) const
+void leader::collect_workers(plan_input& input)
 {
     const auto now = ports_.time->now();
     for (const auto& [id, worker] : workers_) {
@@ -129,14 +122,13 @@
                                 worker->unanswered_polls == 0 && worker->clock.known() &&
                                 worker->unknown_jobs.empty() && is_capacity_known(*worker) &&
                                 recent_failures < static_cast<std::ptrdiff_t>(failed_jobs_limit);
-        worker_index.emplace(id, input.workers.size());
+        worker->plan_index = input.workers.size();
         input.workers.push_back(candidate);
-        input.worker_ids.push_back(id);
+        input.worker_states.push_back(worker.get());
     }
 }
 
-void leader::collect_units(plan_input& input,
-                           const std::map<std::string, std::size_t>& worker_index)
+void leader::collect_units(plan_input& input)
 {
     std::vector<job_entry*> open;
     const auto elsewhere = jobs_recorded_elsewhere();
@@ -162,8 +154,7 @@
             const auto steps = static_cast<std::uint32_t>(occurrences.at(occurrence).steps.size());
             for (std::uint32_t step = 0; step < steps; ++step) {
                 if (entry->state.step_ready(occurrence, step)) {
-                    collect_unit(input, worker_index, *entry, {entry->state.id(), occurrence, step},
-                                 guaranteed);
+                    collect_unit(input, *entry, {entry->state.id(), occurrence, step}, guaranteed);
                 }
             }
         }
@@ -193,12 +184,12 @@
     return sum <= workspace->guaranteed_accelerators;
 }
 
-void leader::collect_unit(plan_input& input, const std::map<std::string, std::size_t>& worker_index,
-                          const job_entry& entry, const unit_origin& origin, bool guaranteed) const
+void leader::collect_unit(plan_input& input, const job_entry& entry, const unit_origin& origin,
+                          bool guaranteed) const
 {
     const auto& job = entry.state;
     const auto& spec = job.spec_of(origin.step);
-    const auto tasks = tasks_of(job, origin, worker_index);
+    const auto tasks = tasks_of(job, origin);
     const auto waiting = tasks.waiting.size() + tasks.isolated.size();
     if (waiting == 0 || (spec.gang && waiting != spec.task_count)) {
         return;
@@ -231,13 +222,13 @@
     }
 }
 
-void leader::collect_victims(plan_input& input,
-                             const std::map<std::string, std::size_t>& worker_index) const
+void leader::collect_victims(plan_input& input) const
 {
+    using gang_key = std::tuple<std::string_view, std::uint32_t, std::uint32_t>;
     const auto now = ports_.time->now();
-    std::map<std::string, std::size_t> gang_victims;
+    std::map<gang_key, std::size_t> gang_victims;
     for (const auto& [id, worker] : workers_) {
-        for (const auto& [task, run] : worker->runs) {
+        for (auto& [task, run] : worker->runs) {
             const auto entry = jobs_.find(run.job);
             if (entry == jobs_.end() || run.stopping != stop_reason::none) {
                 continue;
@@ -252,22 +243,21 @@
                                      milliseconds_per_second
                                : 0.0;
             const auto loss = lost_seconds * batch::core_weight(run.need);
-            const auto holding = planning::victim::holding{worker_index.at(id), run.need};
+            const auto holding = planning::victim::holding{worker->plan_index, run.need};
             if (spec.gang) {
-                const auto gang_key = run.job + '.' + std::to_string(run.ref.occurrence) + '.' +
-                                      std::to_string(run.ref.step);
-                const auto [position, added] = gang_victims.emplace(gang_key, input.victims.size());
+                const gang_key key{run.job, run.ref.occurrence, run.ref.step};
+                const auto [position, added] = gang_victims.emplace(key, input.victims.size());
                 if (!added) {
                     auto& gang_victim = input.victims.at(position->second);
                     gang_victim.holdings.push_back(holding);
                     gang_victim.loss += loss;
-                    input.victim_runs.at(position->second).push_back({id, task});
+                    input.victim_runs.at(position->second).push_back({worker.get(), &run});
                     continue;
                 }
             }
             input.victims.push_back(
                 {{holding}, accepted.policy.priority, accepted.policy.priority == 0, loss});
-            input.victim_runs.push_back({{id, task}});
+            input.victim_runs.push_back({{worker.get(), &run}});
         }
     }
 }
@@ -279,11 +269,8 @@
     }
     for (const auto stop : made.stops) {
         ++counters_.preemptions;
-        for (const auto& key : input.victim_runs.at(stop)) {
-            auto* const run = find_run(key);
-            if (run != nullptr) {
-                stop_run(*workers_.at(key.worker), *run, stop_reason::reclaimed);
-            }
+        for (const auto& victim : input.victim_runs.at(stop)) {
+            stop_run(*victim.worker, *victim.run, stop_reason::reclaimed);
         }
     }
 }
@@ -305,7 +292,7 @@
         entry.state.next_run({origin.occurrence, origin.step, placed.tasks.front().task});
     for (const auto& assigned : placed.tasks) {
         const batch::task_ref ref{origin.occurrence, origin.step, assigned.task};
-        auto& worker = *workers_.at(input.worker_ids.at(assigned.worker));
+        auto& worker = *input.worker_states.at(assigned.worker);
         live_run run;
         run.job = origin.job;
         run.ref = ref;
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -19,10 +19,23 @@
 constexpr base::milliseconds read_retry{150};
 constexpr base::milliseconds feed_wait{2'000};
 constexpr base::milliseconds feed_retry{100};
+/// Rows that change within this time are read with one call. API frontends report new rows
+/// themselves, so the feed only has to deliver what got lost.
+constexpr base::milliseconds feed_pause{50};
 /// No row of an ended job is removed while what was seen of another part is older than this.
 constexpr base::milliseconds longest_unseen{10'000};
 constexpr std::uint32_t page_rows = 500;
 
+/// Time until the next flush, which writes what changes meanwhile. Each flush encodes the whole
+/// records of the jobs that have changed, so flushes of wide jobs take at most a quarter of the
+/// leader's time. Load pattern: the tasks of several jobs of a hundred tasks end one by one.
+base::milliseconds pause_after_flush(base::milliseconds flush_took)
+{
+    constexpr base::milliseconds max_pause{40};
+    constexpr int pause_factor = 3;
+    return std::min(flush_took * pause_factor, max_pause);
+}
+
 /// The content of a row of the jobs table. Error: `platform_answer_invalid`, also when the row
 /// names another job than its key.
 base::result<batch::job_row> decode_row(const store::row& stored)
@@ -92,7 +105,7 @@
                 part.seen_at = sent;
             }
         }
-        follow_jobs();
+        follow_jobs_after(feed_pause);
         return;
     }
     if (reply.outcome == store::call_outcome::expired) {
@@ -106,7 +119,12 @@
         }
         return;
     }
-    ports_.time->after(feed_retry, [this, alive = alive_] {
+    follow_jobs_after(feed_retry);
+}
+
+void leader::follow_jobs_after(base::milliseconds delay)
+{
+    ports_.time->after(delay, [this, alive = alive_] {
         if (*alive) {
             follow_jobs();
         }
@@ -257,7 +275,10 @@
         return;
     }
     flush_scheduled_ = true;
-    ports_.time->after(base::milliseconds{0}, [this, alive = alive_] {
+    const auto now = ports_.time->now();
+    const auto due = std::max(last_flush_at_ + pause_after_flush(last_flush_took_), now);
+    const auto delay = std::chrono::ceil<base::milliseconds>(due - now);
+    ports_.time->after(delay, [this, alive = alive_] {
         if (*alive) {
             flush_scheduled_ = false;
             flush();
@@ -267,6 +288,7 @@
 
 void leader::flush()
 {
+    const auto began = ports_.time->now();
     const auto changed = std::exchange(dirty_, {});
     for (const auto& id : changed) {
         const auto found = jobs_.find(id);
@@ -282,6 +304,8 @@
     for (const auto& after : std::exchange(after_flush_, {})) {
         when_durable(after);
     }
+    last_flush_at_ = ports_.time->now();
+    last_flush_took_ = std::chrono::duration_cast<base::milliseconds>(last_flush_at_ - began);
 }
 
 void leader::when_durable(const std::function<void()>& done)
@@ -310,8 +334,7 @@
     }
 }
 
-std::vector<store::journal_write> leader::record_writes(std::size_t part,
-                                                        const batch::job& current)
+std::vector<store::journal_write> leader::record_writes(std::size_t part, const batch::job& current)
 {
     const auto& id = current.id();
     auto writes = record_removals(part, id);
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -175,6 +175,8 @@
     /// Moments of failed runs, newest last; of different jobs.
     std::map<std::string, base::time_point> failed_jobs{};
     std::uint32_t done_since_failure = 0;
+    /// Its position among the workers of the plan that is being made.
+    std::size_t plan_index = 0;
 };
 
 /// True when all that may run on the worker fits the capacity that it has registered, which may
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -58,12 +58,12 @@
     void begin(std::unique_ptr<exchange> current)
     {
         if (idle_handles.empty()) {
-            current->easy.reset(curl_easy_init());
+            current->easy = internal::make_handle(options.proxy);
         } else {
             current->easy = std::move(idle_handles.back());
             idle_handles.pop_back();
         }
-        internal::set_options(*current, options.proxy);
+        internal::set_options(*current);
         curl_multi_add_handle(multi.get(), current->easy.get());
         CURL* const key = current->easy.get();
         under_way.emplace(key, std::move(current));
@@ -91,7 +91,6 @@
             options.on_bytes(current->call.purpose, current->reply.wire_bytes);
         }
         curl_multi_remove_handle(multi.get(), easy);
-        curl_easy_reset(easy);
         idle_handles.push_back(std::move(current->easy));
         current->on_reply(std::move(current->reply));
     }
--- a/src/net/internal/exchange.cpp
+++ b/src/net/internal/exchange.cpp
@@ -81,13 +81,10 @@
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(current.call.body.size()));
-        curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_body);
         curl_easy_setopt(easy, CURLOPT_READDATA, &current);
         // The library resends only a body that it can rewind.
-        if (!current.call.once) {
-            curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, seek_body);
-            curl_easy_setopt(easy, CURLOPT_SEEKDATA, &current);
-        }
+        curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, current.call.once ? nullptr : seek_body);
+        curl_easy_setopt(easy, CURLOPT_SEEKDATA, &current);
     }
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, current.call.method.c_str());
 }
@@ -104,29 +101,37 @@
 
 } // namespace
 
-void set_options(exchange& current, const std::string& proxy)
+easy_handle make_handle(const std::string& proxy)
+{
+    easy_handle made{curl_easy_init()};
+    CURL* const easy = made.get();
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_body);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, write_header);
+    curl_easy_setopt(easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, proxy.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPPROXYTUNNEL, proxy.empty() ? 0L : 1L);
+    return made;
+}
+
+void set_options(exchange& current)
 {
     CURL* const easy = current.easy.get();
     const long fresh = current.call.fresh_connection ? 1L : 0L;
     current.headers = make_headers(current.call);
     curl_easy_setopt(easy, CURLOPT_URL, current.call.url.c_str());
-    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, current.headers.get());
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(current.call.connect_timeout.count()));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(current.call.timeout.count()));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &current);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, write_header);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &current);
-    curl_easy_setopt(easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &current);
-    curl_easy_setopt(easy, CURLOPT_PROXY, proxy.c_str());
-    curl_easy_setopt(easy, CURLOPT_HTTPPROXYTUNNEL, proxy.empty() ? 0L : 1L);
     set_body_options(current);
 }
 
--- a/src/net/internal/exchange.hpp
+++ b/src/net/internal/exchange.hpp
@@ -49,8 +49,13 @@
 /// Prepares the library once for the process.
 [[nodiscard]] base::result<void> prepare_library();
 
-/// Hands the call of `current` to its easy handle. `proxy` is `host:port` or empty.
-void set_options(exchange& current, const std::string& proxy);
+/// Makes a handle for any number of exchanges, one after the other, with the options that are the
+/// same for all. `proxy` is `host:port` or empty.
+[[nodiscard]] easy_handle make_handle(const std::string& proxy);
+
+/// Hands the call of `current` to its easy handle. Each option that an earlier exchange of the
+/// handle may have set is set again.
+void set_options(exchange& current);
 
 /// Fills the reply of `current` from what the library knows at its end.
 void read_transfer_facts(exchange& current, CURLcode code);
--- a/src/net/reactor_client.cpp
+++ b/src/net/reactor_client.cpp
@@ -76,20 +76,25 @@
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
 
+    void set_socket_options(CURL* easy)
+    {
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    }
+
     void begin(std::unique_ptr<exchange> current)
     {
         if (idle_handles.empty()) {
-            current->easy.reset(curl_easy_init());
+            current->easy = internal::make_handle({});
+            set_socket_options(current->easy.get());
         } else {
             current->easy = std::move(idle_handles.back());
             idle_handles.pop_back();
         }
         CURL* const easy = current->easy.get();
-        internal::set_options(*current, {});
-        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
-        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
-        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
-        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+        internal::set_options(*current);
         under_way.emplace(easy, std::move(current));
         curl_multi_add_handle(multi.get(), easy);
     }
@@ -112,14 +117,13 @@
         }
         auto current = std::move(entry.mapped());
         internal::read_transfer_facts(*current, code);
+        const auto& reply = current->reply;
+        account.record(current->call.purpose, reply.sent_bytes,
+                       reply.wire_bytes - reply.sent_bytes);
         curl_multi_remove_handle(multi.get(), easy);
-        curl_easy_reset(easy);
         idle_handles.push_back(std::move(current->easy));
         // Handlers may send again; the library must not be entered from inside itself.
         asio::post(context, [handler = std::move(current->on_reply),
-        const auto& reply = current->reply;
-        account.record(current->call.purpose, reply.sent_bytes,
-                       reply.wire_bytes - reply.sent_bytes);
                              reply = std::move(current->reply), running = alive]() mutable {
             if (*running) {
                 handler(std::move(reply));
@@ -238,11 +242,11 @@
     std::unordered_map<CURL*, std::unique_ptr<exchange>> under_way;
     std::vector<easy_handle> idle_handles;
     std::size_t opened = 0;
+    traffic_account account{};
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 reactor_client::reactor_client(std::unique_ptr<implementation> impl) : impl_{std::move(impl)} {}
-    traffic_account account{};
 
 base::result<std::unique_ptr<reactor_client>>
 reactor_client::create(asio::io_context& context, const reactor_client_options& options)
@@ -267,9 +271,9 @@
     return impl_->opened;
 }
 
-} // namespace poplarstile::net
 const traffic_account& reactor_client::account() const
 {
     return impl_->account;
 }
 
+} // namespace poplarstile::net
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -15,6 +15,11 @@
 /// Only work of this priority may preempt other work.
 constexpr std::uint32_t urgent_priority = 0;
 
+bool may_preempt_others(const work_unit& unit)
+{
+    return unit.rank.priority == urgent_priority && !unit.rank.overdue;
+}
+
 /// Late work may cause a loss of at most this fraction of its own work.
 constexpr double max_loss_fraction_of_late_work = 0.5;
 
@@ -182,8 +187,7 @@
     /// of victims is sufficient, or when the loss is too high.
     [[nodiscard]] bool preempt(std::size_t index, const work_unit& unit)
     {
-        const bool may_preempt_others = unit.rank.priority == urgent_priority && !unit.rank.overdue;
-        if (!may_preempt_others) {
+        if (!may_preempt_others(unit)) {
             return false;
         }
         const auto found = plan_preemption(unit, view_, victims_);
@@ -233,3 +237,8 @@
 }
 
 } // namespace poplarstile::planning
+bool may_preempt_any(std::span<const work_unit> units)
+{
+    return std::ranges::any_of(units, may_preempt_others);
+}
+
--- a/tests/batch/run_rows_test.cpp
+++ b/tests/batch/run_rows_test.cpp
@@ -58,6 +58,30 @@
     EXPECT_EQ(stored.begin()->second, batch::encode_runs(job));
 }
 
+TEST(run_rows, EveryPartOfARecordIsReadBack)
+{
+    auto job = make_wide_job(6);
+    job.place({0, 0, 1}, 1, {"w1", 7}, "10.0.0.1:80");
+    job.end_run({0, 0, 1}, 1, batch::run_end::done, {});
+    job.place({0, 0, 2}, 1, {"w1", 7}, "10.0.0.1:80");
+    job.end_run({0, 0, 2}, 1, batch::run_end::failed, "quote \" slash \\ umlaut \xc3\xbc");
+    job.place({0, 0, 3}, 4, {"w2", 8}, {});
+    job.place({0, 0, 4}, 1, {"w1", 7}, "10.0.0.1:80");
+    job.record_crash({0, 0, 4}, 1, {true, true});
+    job.place({0, 0, 5}, 1, {"w1", 9}, "10.0.0.1:80");
+
+    const auto decoded = batch::decode_runs(batch::encode_runs(job));
+
+    ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
+    auto restored = make_wide_job(6);
+    ASSERT_TRUE(restored.restore(decoded.value().occurrences, decoded.value().failed));
+    for (std::uint32_t index = 2; index < 6; ++index) {
+        EXPECT_EQ(restored.task({0, 0, index}), job.task({0, 0, index})) << "task " << index;
+    }
+    EXPECT_EQ(restored.task({0, 0, 0}).phase, batch::task_phase::waiting);
+    EXPECT_EQ(restored.task({0, 0, 1}).phase, batch::task_phase::done);
+}
+
 TEST(run_rows, ALongRecordIsReadBackFromItsRows)
 {
     auto job = make_wide_job(1'000);
