Send orders again by measured answers, and bound the starts under way

Cause: an order to a worker was given up after 300 ms and sent again 50 ms later, four times, then stopped as moved and placed elsewhere, each time with its payload and on a new connection. On a full link, or at a leader whose processor is full, every answer takes longer, so each order added to the load that delayed it (a metastable failure). Nothing bounded what was under way.

Change: a call stays open for 2.5 s and a late answer counts. When an order is sent again follows from the times of earlier answers (mean and deviation, as TCP's timer), polls are given up by the same measure, stops back off. At most so many starts are planned or unanswered at a time as the answers allow (additive increase, multiplicative decrease, with a floor by the link's bandwidth); a gang goes whole or not at all, what does not fit waits in the planner's order. A refusal of a repeated start no longer stops a run that the worker has taken.

--- a/apps/poplarstiled/site_wiring.cpp
+++ b/apps/poplarstiled/site_wiring.cpp
@@ -89,12 +89,6 @@
     return options;
 }
 
-std::uint64_t make_born()
-{
-    return static_cast<std::uint64_t>(base::wall_clock_us());
-}
-
-} // namespace
 std::string_view purpose_of(store::call_kind kind)
 {
     static constexpr std::array<std::string_view, 3> names{"store_read", "store_write",
@@ -110,6 +104,12 @@
     return names.at(sent.index());
 }
 
+std::uint64_t make_born()
+{
+    return static_cast<std::uint64_t>(base::wall_clock_us());
+}
+
+} // namespace
 
 site_daemon::parts::parts(settings::site_settings site)
     : settings{std::move(site)}, time{make_timers(context)}
@@ -206,6 +206,9 @@
 {
     BOOST_OUTCOME_TRY(made, net::reactor_client::create(context, client_options(settings.limits)));
     client = std::move(made);
+    BOOST_OUTCOME_TRY(for_workers,
+                      net::reactor_client::create(context, worker_client_options(settings.limits)));
+    worker_client = std::move(for_workers);
     connect_peers();
     connect_store();
     orders = platform::make_worker_orders(*worker_client);
@@ -216,9 +219,6 @@
     frontend::frontend_options frontend_options;
     const store::part_map parts_of_store{settings.store.part, settings.store.parts};
     frontend_options.parts = parts_of_store;
-    BOOST_OUTCOME_TRY(for_workers,
-                      net::reactor_client::create(context, worker_client_options(settings.limits)));
-    worker_client = std::move(for_workers);
     frontend_options.max_row_bytes = settings.store.row_bytes;
     frontend_options.oldest_configuration =
         bounds.configuration_time + bounds.configuration_stretch - base::milliseconds{500};
@@ -234,6 +234,7 @@
     options.self = self;
     options.seeds = settings.seeds;
     options.leader.parts = parts_of_store;
+    options.leader.link_kbit = self.link_kbit;
     options.leader.max_row_bytes = settings.store.row_bytes;
     options.leader.longest_lease = bounds.longest_lease;
     options.leader.stop_time = bounds.stop_time;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -29,7 +29,7 @@
                                                                         *ports_.rows, *ports_.time,
                                                                         store_clock_)},
       epoch_{lease.epoch}, lease_{lease}, first_part_{first},
-      parts_(options_.parts.size()), began_{ports_.time->now()}
+      parts_(options_.parts.size()), began_{ports_.time->now()}, pacing_{options_.link_kbit}
 {
     open_part(first, std::move(lease), version, sent);
 }
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -8,6 +8,7 @@
 #include "cluster/job_view.hpp"
 #include "control/early_cancels.hpp"
 #include "control/ended_jobs.hpp"
+#include "control/order_pacing.hpp"
 #include "control/plan_input.hpp"
 #include "control/worker_state.hpp"
 #include "fleet/worker_directory.hpp"
@@ -54,6 +55,8 @@
     base::milliseconds lease_horizon{9'000};
     /// Longest value of a row that the store takes, in bytes.
     std::size_t max_row_bytes = 65'536;
+    /// Bandwidth of this VM's link, in kbit/s; 0 when it is not known.
+    std::uint32_t link_kbit = 0;
 };
 
 /// A duration of the leader's work, exported to operators as a histogram.
@@ -353,6 +356,9 @@
     void end_incarnation(worker_state& worker, incarnation_end cause);
     void update_worker(worker_state& worker);
     void poll_worker(worker_state& worker);
+    /// Records how long a worker took to answer a poll beyond the time that it was told to wait.
+    void record_poll_time(base::time_point sent, base::milliseconds wait,
+                          const fleet::look_reply& reply);
     void receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
                             const fleet::look_reply& reply);
     void process_running(worker_state& worker, const fleet::look_reply& reply);
@@ -396,6 +402,8 @@
     void receive_start(const run_key& key, std::uint32_t number, const order_sending& sent,
                        const fleet::order_reply& reply);
     void retry_orders(worker_state& worker);
+    /// Time without an acknowledgement after which a stop is sent again.
+    [[nodiscard]] base::milliseconds stop_retry_after(const live_run& run) const;
     void stop_run(worker_state& worker, live_run& run, stop_reason why);
     void send_stop(worker_state& worker, live_run& run);
     void stop_unknown(worker_state& worker, const fleet::running_task& running);
@@ -410,7 +418,12 @@
 
     // Plans (leader_plan.cpp).
     void schedule_plan();
+    /// Schedules a plan if the last one left out work because too many starts were under way.
+    void plan_held_back_work();
     void make_plan();
+    /// Starts that are planned, or sent and not answered.
+    [[nodiscard]] std::size_t unanswered_starts() const;
+    void start_placed(const plan_input& input, std::vector<planning::placed_unit> placed);
     void collect_workers(plan_input& input);
     void collect_units(plan_input& input);
     void collect_unit(plan_input& input, const job_entry& entry, const unit_origin& origin,
@@ -420,7 +433,7 @@
     void mark_isolated_workers(plan_input& input) const;
     [[nodiscard]] bool count_guaranteed(const job_entry& entry,
                                         std::map<std::string, std::int64_t>& urgent_need) const;
-    void apply_plan(const plan_input& input, const planning::plan& made);
+    void apply_plan(const plan_input& input, planning::plan made);
     void start_unit(const plan_input& input, const planning::placed_unit& placed);
 
     void report_span(leader_span span, base::milliseconds took) const;
@@ -451,6 +464,9 @@
     /// The same of the newest flush.
     base::time_point last_flush_at_{};
     base::milliseconds last_flush_took_{0};
+    order_pacing pacing_;
+    /// The last plan left out work because too many starts were under way.
+    bool starts_held_back_ = false;
 
     std::unordered_map<std::string, job_entry> jobs_{};
     std::set<std::string> dirty_{};
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -12,10 +12,13 @@
 {
 
 constexpr base::event_logger log{"orders"};
-/// An unanswered start is sent again after this interval, up to max_start_sends sends in total.
+/// A start that has surely not been answered is sent again after this interval, up to
+/// max_start_sends sends in total.
 constexpr base::milliseconds start_retry{50};
 constexpr std::uint32_t max_start_sends = 4;
 constexpr base::milliseconds stop_retry{300};
+/// A stop without an answer is sent again after an interval that doubles up to this many times.
+constexpr std::uint32_t max_stop_backoff = 3;
 
 } // namespace
 
@@ -129,7 +132,7 @@
     run->order = order_state::sent;
     run->first_sent_at = run->sends == 0 ? now : run->first_sent_at;
     run->sent_at = now;
-    run->start_under_way = true;
+    ++run->starts_under_way;
     ++run->sends;
     ++counters_.starts;
     fleet::start_order order;
@@ -163,6 +166,9 @@
 {
     const auto now = ports_.time->now();
     const auto found = workers_.find(key.worker);
+    if (reply.outcome != fleet::order_outcome::unanswered) {
+        pacing_.record(now, base::milliseconds{base::milliseconds_between(sent.at, now)});
+    }
     if (found != workers_.end() && reply.worker_ms &&
         reply.outcome != fleet::order_outcome::other_life) {
         record_clock(*found->second, sent, *reply.worker_ms, now);
@@ -172,7 +178,7 @@
         return;
     }
     auto& worker = *found->second;
-    run->start_under_way = false;
+    run->starts_under_way -= run->starts_under_way > 0 ? 1 : 0;
     if (reply.outcome != fleet::order_outcome::accepted) {
         log.warning("start_not_taken", {{"job", run->job},
                                         {"task", key.task},
@@ -186,6 +192,7 @@
         if (run->order == order_state::sent) {
             run->order = order_state::accepted;
             run->accepted_at = now;
+            plan_held_back_work();
         }
         if (run->stopping != stop_reason::none && !run->stop_under_way) {
             send_stop(worker, *run);
@@ -206,6 +213,10 @@
     default:
         break;
     }
+    if (run->order == order_state::accepted) {
+        // The worker has taken an earlier send of this start.
+        return;
+    }
     if (reply.outcome == fleet::order_outcome::unavailable) {
         worker.failed_jobs[run->job] = now;
         worker.done_since_failure = 0;
@@ -218,13 +229,22 @@
     end_run(worker, key.task, batch::run_end::lost, {}, fleet::name_of(reply.outcome));
 }
 
+base::milliseconds leader::stop_retry_after(const live_run& run) const
+{
+    if (!run.stop_under_way) {
+        return stop_retry;
+    }
+    return pacing_.retry_after() * (1 << std::min(run.stop_sends, max_stop_backoff));
+}
+
 void leader::retry_orders(worker_state& worker)
 {
     const auto now = ports_.time->now();
     std::vector<run_key> unanswered_starts;
     for (auto& [task, run] : worker.runs) {
-        const bool unanswered = run.order == order_state::sent && !run.adopted &&
-                                !run.start_under_way && now - run.sent_at >= start_retry;
+        const auto retry_after = run.starts_under_way > 0 ? pacing_.retry_after() : start_retry;
+        const bool unanswered =
+            run.order == order_state::sent && !run.adopted && now - run.sent_at >= retry_after;
         if (unanswered && run.stopping == stop_reason::none) {
             if (run.sends < max_start_sends && may_send_start(worker, task, run)) {
                 unanswered_starts.push_back({worker.facts.life.worker, task});
@@ -232,9 +252,9 @@
                 stop_run(worker, run, stop_reason::moved);
             }
         }
-        const bool stop_retry_due = run.stopping != stop_reason::none && !run.stop_under_way &&
-                                    !run.stop_acknowledged && run.order != order_state::unsent &&
-                                    now - run.stop_sent_at >= stop_retry;
+        const bool stop_retry_due = run.stopping != stop_reason::none && !run.stop_acknowledged &&
+                                    run.order != order_state::unsent &&
+                                    now - run.stop_sent_at >= stop_retry_after(run);
         if (stop_retry_due) {
             send_stop(worker, run);
         }
@@ -269,6 +289,7 @@
     }
     const auto now = ports_.time->now();
     run.stop_under_way = true;
+    run.stop_sends += 1;
     run.stop_sent_at = now;
     ++counters_.stops;
     const run_key key{worker.facts.life.worker,
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -3,6 +3,7 @@
 #include "base/event_line.hpp"
 #include "control/plan_input.hpp"
 #include "planning/plan_pause.hpp"
+#include "planning/start_limit.hpp"
 
 #include <algorithm>
 #include <map>
@@ -262,11 +263,9 @@
     }
 }
 
-void leader::apply_plan(const plan_input& input, const planning::plan& made)
+void leader::apply_plan(const plan_input& input, planning::plan made)
 {
-    for (const auto& placed : made.starts) {
-        start_unit(input, placed);
-    }
+    start_placed(input, std::move(made.starts));
     for (const auto stop : made.stops) {
         ++counters_.preemptions;
         for (const auto& victim : input.victim_runs.at(stop)) {
@@ -275,6 +274,39 @@
     }
 }
 
+std::size_t leader::unanswered_starts() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, worker] : workers_) {
+        count += static_cast<std::size_t>(std::ranges::count_if(worker->runs, [](const auto& run) {
+            return run.second.order != order_state::accepted && !run.second.adopted;
+        }));
+    }
+    return count;
+}
+
+void leader::start_placed(const plan_input& input, std::vector<planning::placed_unit> placed)
+{
+    const auto admitted = planning::limit_starts(input.units, std::move(placed),
+                                                 unanswered_starts(), pacing_.max_starts());
+    for (const auto& unit : admitted.starts) {
+        start_unit(input, unit);
+    }
+    starts_held_back_ = admitted.held_back > 0;
+    if (starts_held_back_) {
+        log.info("starts_held_back", {{"tasks", admitted.held_back},
+                                      {"most_under_way", pacing_.max_starts()},
+                                      {"retry_after_ms", pacing_.retry_after().count()}});
+    }
+}
+
+void leader::plan_held_back_work()
+{
+    if (starts_held_back_) {
+        schedule_plan();
+    }
+}
+
 void leader::start_unit(const plan_input& input, const planning::placed_unit& placed)
 {
     const auto& origin = input.origins.at(placed.unit);
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -81,18 +81,32 @@
                          worker.unstored_ends.empty() &&
                          worker.last_received_end == worker.acknowledged && !worker.urgent_poll;
     order.wait = settled ? options_.poll_wait : base::milliseconds{0};
+    order.margin = pacing_.poll_margin();
     worker.urgent_poll = false;
     ++worker.polls_in_flight;
     ++counters_.polls;
     ports_.orders->look(order, [this, alive = alive_, id = worker.facts.life.worker,
-                                born = worker.facts.life.started_at,
-                                sent = now](const fleet::look_reply& reply) {
+                                born = worker.facts.life.started_at, sent = now,
+                                wait = order.wait](const fleet::look_reply& reply) {
         if (*alive) {
+            record_poll_time(sent, wait, reply);
             receive_poll_reply(id, born, sent, reply);
         }
     });
 }
 
+void leader::record_poll_time(base::time_point sent, base::milliseconds wait,
+                              const fleet::look_reply& reply)
+{
+    const auto now = ports_.time->now();
+    const base::milliseconds took{base::milliseconds_between(sent, now)};
+    // A poll that was answered before its wait was over shows no time: when the run ended is not
+    // known.
+    if (reply.outcome != fleet::order_outcome::unanswered && took >= wait) {
+        pacing_.record(now, took - wait);
+    }
+}
+
 void leader::receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
                                 const fleet::look_reply& reply)
 {
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -77,10 +77,12 @@
     std::uint32_t sends = 0;
     /// The worker's current incarnation has listed it as running.
     bool listed = false;
-    bool start_under_way = false;
+    /// Starts that were sent and are not answered.
+    std::uint32_t starts_under_way = 0;
     stop_reason stopping = stop_reason::none;
     base::time_point stop_sent_at{};
     bool stop_under_way = false;
+    std::uint32_t stop_sends = 0;
     /// The worker has acknowledged the stop: the run has ended or will never begin.
     bool stop_acknowledged = false;
     base::time_point stop_acknowledged_at{};
--- a/src/fleet/worker_orders.hpp
+++ b/src/fleet/worker_orders.hpp
@@ -12,6 +12,10 @@
 namespace poplarstile::fleet
 {
 
+/// An order that is not answered within this time is given up. The scheduler decides earlier whether
+/// to send it again: a late answer still counts, and giving up sooner would cost a connection.
+constexpr base::milliseconds order_timeout{2'500};
+
 /// Whom an order goes to.
 struct worker_address {
     batch::worker_incarnation life{};
@@ -74,6 +78,8 @@
     std::optional<std::int64_t> lease_until{};
     /// How long the worker may wait for an end before it answers.
     base::milliseconds wait{0};
+    /// How much longer than `wait` the answer may take before the call is given up.
+    base::milliseconds margin{600};
 };
 
 struct running_task {
