Hold capacity that urgent work leaves for the next urgent work

Cause: work of a lower priority was started at once where an urgent gang had ended, and was preempted by the next urgent gang a moment later, over and over; each time its start, its stop and what it had done were lost, and the gang waited for the stop.

Change: what urgent work leaves on a worker is held for urgent work for a second; other work sees it as taken. Urgent work that is overdue gets none of it.

--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -379,6 +379,10 @@
         return;
     }
     auto& job = entry->second;
+    const bool urgent = job.state.accepted().policy.priority == planning::urgent_priority;
+    if (urgent && how == batch::run_end::done) {
+        worker.urgent_hold.add(run.need, now);
+    }
     const bool was_open = job.state.open();
     const auto saved = checkpoint.empty() ? std::string_view{run.checkpoint} : checkpoint;
     if (!job.state.end_run(run.ref, run.run, how, saved)) {
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -109,6 +109,7 @@
         candidate.facts = &worker->facts;
         candidate.free = worker->facts.capacity - worker->used;
         candidate.free_after_stops = candidate.free;
+        candidate.held_for_urgent = worker->urgent_hold.held(now);
         for (const auto& [task, run] : worker->runs) {
             if (run.stopping != stop_reason::none) {
                 candidate.free_after_stops += run.need;
@@ -337,6 +338,9 @@
         entry.state.place(ref, run.run, worker.facts.life, worker.facts.address);
         const auto task = batch::to_text({origin.job, ref.occurrence, ref.step, ref.index});
         worker.used += run.need;
+        if (entry.state.accepted().policy.priority == planning::urgent_priority) {
+            worker.urgent_hold.take(run.need);
+        }
         entry.unsent.push_back({worker.facts.life.worker, task});
         worker.runs.insert_or_assign(task, std::move(run));
     }
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -5,6 +5,7 @@
 #include "batch/job.hpp"
 #include "fleet/worker_clock.hpp"
 #include "fleet/worker_facts.hpp"
+#include "planning/capacity_hold.hpp"
 
 #include <cstdint>
 #include <map>
@@ -177,6 +178,8 @@
     /// Moments of failed runs, newest last; of different jobs.
     std::map<std::string, base::time_point> failed_jobs{};
     std::uint32_t done_since_failure = 0;
+    /// What urgent work has left a short time ago.
+    planning::capacity_hold urgent_hold{};
     /// Its position among the workers of the plan that is being made.
     std::size_t plan_index = 0;
 };
--- a/src/planning/capacity_view.cpp
+++ b/src/planning/capacity_view.cpp
@@ -47,6 +47,14 @@
     racks_.clear();
 }
 
+void capacity_view::withhold_urgent_capacity()
+{
+    for (auto& worker : workers_) {
+        worker.free -= worker.held_for_urgent;
+        worker.free_after_stops -= worker.held_for_urgent;
+    }
+}
+
 void capacity_view::take(const work_unit& unit, std::span<const assignment> tasks)
 {
     for (const auto& placed : tasks) {
--- a/src/planning/capacity_view.hpp
+++ b/src/planning/capacity_view.hpp
@@ -43,6 +43,9 @@
     /// From now on, only guaranteed units may use these workers.
     void hold_back(std::span<const std::size_t> workers);
 
+    /// From now on, capacity that is held for urgent work counts as taken.
+    void withhold_urgent_capacity();
+
     /// Subtracts the needs of the assigned tasks from both capacities of their workers.
     void take(const work_unit& unit, std::span<const assignment> tasks);
 
--- a/src/planning/plan_types.hpp
+++ b/src/planning/plan_types.hpp
@@ -22,6 +22,8 @@
     batch::resources free{};
     /// `free` plus the capacity held by runs that are being stopped there.
     batch::resources free_after_stops{};
+    /// Capacity that only urgent work gets, as far as it is free.
+    batch::resources held_for_urgent{};
     /// False while no new work may be placed there.
     bool schedulable = true;
     /// Something runs or may run there.
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -12,17 +12,14 @@
 namespace
 {
 
-/// Only work of this priority may preempt other work.
-constexpr std::uint32_t urgent_priority = 0;
+/// Late work may cause a loss of at most this fraction of its own work.
+constexpr double max_loss_fraction_of_late_work = 0.5;
 
 bool may_preempt_others(const work_unit& unit)
 {
     return unit.rank.priority == urgent_priority && !unit.rank.overdue;
 }
 
-/// Late work may cause a loss of at most this fraction of its own work.
-constexpr double max_loss_fraction_of_late_work = 0.5;
-
 /// Request of a unit for which this plan found no capacity.
 struct failed_request {
     const work_unit* unit = nullptr;
@@ -63,9 +60,7 @@
         });
         hold_back_for_isolated_units();
         std::erase_if(order, [this](std::size_t index) { return isolation_.isolated[index]; });
-        for (const auto index : order) {
-            consider(index);
-        }
+        consider_all(order);
         for (const auto index : order) {
             consider_other_racks(index);
         }
@@ -96,6 +91,21 @@
         }
     }
 
+    /// Considers the units in their order, in which urgent ones that are not overdue come first.
+    void consider_all(std::span<const std::size_t> order)
+    {
+        const auto first_other = std::ranges::find_if(order, [this](std::size_t index) {
+            const auto& rank = units_[index].rank;
+            return rank.overdue || rank.priority != urgent_priority;
+        });
+        for (auto next = order.begin(); next != order.end(); ++next) {
+            if (next == first_other) {
+                view_.withhold_urgent_capacity();
+            }
+            consider(*next);
+        }
+    }
+
     void consider(std::size_t index)
     {
         const auto& unit = units_[index];
@@ -230,6 +240,11 @@
 
 } // namespace
 
+bool may_preempt_any(std::span<const work_unit> units)
+{
+    return std::ranges::any_of(units, may_preempt_others);
+}
+
 plan make_plan(std::span<const work_unit> units, std::vector<worker_candidate> workers,
                std::span<const victim> victims)
 {
@@ -237,8 +252,3 @@
 }
 
 } // namespace poplarstile::planning
-bool may_preempt_any(std::span<const work_unit> units)
-{
-    return std::ranges::any_of(units, may_preempt_others);
-}
-
--- a/src/planning/ranking.hpp
+++ b/src/planning/ranking.hpp
@@ -7,6 +7,10 @@
 namespace poplarstile::planning
 {
 
+/// Only work of this priority may preempt other work, and gets the capacity that is held for urgent
+/// work.
+constexpr std::uint32_t urgent_priority = 0;
+
 /// When the remaining work of a job is expected to end, relative to its objective.
 enum class timeliness : std::uint8_t {
     /// Within its objective if it starts now.
