Keep guarantees against urgent work that no guarantee covers

Cause: a guaranteed gang may preempt work of its own priority that no guarantee covers, but all work of priority 0 counted as guaranteed there.

Change: whether a running job is covered is what the plan knows of its workspace's guarantee, and covered work goes before other work of the same priority. Covered work is never stopped for another guarantee. A job of a part that is not read counts as covered.

Result: guarantee.IsKeptWhileUrgentWorkThatNoGuaranteeCoversFillsTheWorkers and guarantee.IsKeptWhileEarlierUrgentWorkWaits failed before (no task of the gang had started after 2.7 s); guarantee.OfOneWorkspaceDoesNotStopGuaranteedWorkOfAnother held before and holds.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -207,6 +207,8 @@
         /// Orders that are sent once the job's next record is durable.
         std::vector<run_key> unsent{};
         base::time_point known_since{};
+        /// Covered by its workspace's guarantee, as far as the newest plan knows.
+        bool guaranteed = true;
     };
 
     enum class part_phase : std::uint8_t { acquiring, reading, active };
@@ -426,8 +428,7 @@
     void start_placed(const plan_input& input, std::vector<planning::placed_unit> placed);
     void collect_workers(plan_input& input);
     void collect_units(plan_input& input);
-    void collect_unit(plan_input& input, const job_entry& entry, const unit_origin& origin,
-                      bool guaranteed) const;
+    void collect_unit(plan_input& input, const job_entry& entry, const unit_origin& origin) const;
     void collect_victims(plan_input& input) const;
     [[nodiscard]] step_tasks tasks_of(const batch::job& job, const unit_origin& origin) const;
     void mark_isolated_workers(plan_input& input) const;
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -147,7 +147,7 @@
     const auto unix_ms = ports_.time->unix_ms();
     std::map<std::string, std::int64_t> urgent_need;
     for (auto* entry : open) {
-        const bool guaranteed = count_guaranteed(*entry, urgent_need);
+        entry->guaranteed = count_guaranteed(*entry, urgent_need);
         const auto& occurrences = entry->state.occurrences();
         for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
             if (entry->state.due_ms(occurrence) > unix_ms) {
@@ -156,7 +156,7 @@
             const auto steps = static_cast<std::uint32_t>(occurrences.at(occurrence).steps.size());
             for (std::uint32_t step = 0; step < steps; ++step) {
                 if (entry->state.step_ready(occurrence, step)) {
-                    collect_unit(input, *entry, {entry->state.id(), occurrence, step}, guaranteed);
+                    collect_unit(input, *entry, {entry->state.id(), occurrence, step});
                 }
             }
         }
@@ -186,8 +186,8 @@
     return sum <= workspace->guaranteed_accelerators;
 }
 
-void leader::collect_unit(plan_input& input, const job_entry& entry, const unit_origin& origin,
-                          bool guaranteed) const
+void leader::collect_unit(plan_input& input, const job_entry& entry,
+                          const unit_origin& origin) const
 {
     const auto& job = entry.state;
     const auto& spec = job.spec_of(origin.step);
@@ -199,11 +199,11 @@
     planning::work_unit unit;
     unit.spec = &spec;
     unit.service = &job.accepted().policy.service;
-    unit.guaranteed = guaranteed;
+    unit.guaranteed = entry.guaranteed;
     unit.present.assign(tasks.present.begin(), tasks.present.end());
     planning::ranking_input facts;
     facts.priority = job.accepted().policy.priority;
-    facts.guaranteed = guaranteed;
+    facts.guaranteed = entry.guaranteed;
     const auto since_ms = objective_start_ms(job, origin.occurrence);
     if (!spec.long_running) {
         facts.age =
@@ -258,7 +258,7 @@
                 }
             }
             input.victims.push_back(
-                {{holding}, accepted.policy.priority, accepted.policy.priority == 0, loss});
+                {{holding}, accepted.policy.priority, entry->second.guaranteed, loss});
             input.victim_runs.push_back({{worker.get(), &run}});
         }
     }
--- a/src/fleet/worker_orders.hpp
+++ b/src/fleet/worker_orders.hpp
@@ -12,8 +12,9 @@
 namespace poplarstile::fleet
 {
 
-/// An order that is not answered within this time is given up. The scheduler decides earlier whether
-/// to send it again: a late answer still counts, and giving up sooner would cost a connection.
+/// An order that is not answered within this time is given up. The scheduler decides earlier
+/// whether to send it again: a late answer still counts, and giving up sooner would cost a
+/// connection.
 constexpr base::milliseconds order_timeout{2'500};
 
 /// Whom an order goes to.
--- a/src/planning/ranking.cpp
+++ b/src/planning/ranking.cpp
@@ -18,7 +18,8 @@
 bool ranks_before(const work_rank& one, const work_rank& other)
 {
     const auto key = [](const work_rank& rank) {
-        return std::tuple{rank.overdue, rank.priority, rank.late, rank.accepted_ms};
+        return std::tuple{rank.overdue, rank.priority, !rank.guaranteed, rank.late,
+                          rank.accepted_ms};
     };
     return key(one) < key(other);
 }
@@ -38,7 +39,7 @@
 {
     const auto expected = timeliness_of(facts);
     return {expected == timeliness::overdue, facts.priority, expected == timeliness::late,
-            accepted_ms};
+            accepted_ms, facts.guaranteed};
 }
 
 } // namespace poplarstile::planning
--- a/src/planning/ranking.hpp
+++ b/src/planning/ranking.hpp
@@ -44,6 +44,8 @@
     bool late = false;
     /// Earlier work is considered first.
     std::int64_t accepted_ms = 0;
+    /// Covered by its workspace's guarantee: considered before other work of the same priority.
+    bool guaranteed = false;
 };
 
 /// True when work of rank `one` is considered before work of rank `other`.
