Read no row of a record with a number beyond any record

Cause: the number in the key of a row of a record decides how many rows are removed with it. A key with a number of ten digits, written by whatever mistake, would have made the leader list as many removals.

Change: a number that no record can have counts as no row of a record.

Result: run_rows.AKeyWithANumberBeyondAnyRecordIsNoRowOfOne, which read before.

--- a/src/batch/run_rows.cpp
+++ b/src/batch/run_rows.cpp
@@ -19,6 +19,8 @@
 constexpr char head_end = '\n';
 constexpr std::size_t max_head_bytes = 64;
 constexpr std::size_t min_row_bytes = 2 * max_head_bytes;
+/// Rows of one record; one transaction holds no more.
+constexpr std::size_t max_rows = 96;
 
 /// What the first of several rows says of the record.
 struct record_head {
@@ -89,7 +91,7 @@
         const auto digits = key.substr(separator + 1);
         std::from_chars(digits.data(), digits.data() + digits.size(), number);
     }
-    return number;
+    return number < max_rows ? number : 0;
 }
 
 std::string_view job_of_run_row(std::string_view key)
--- a/tests/batch/run_rows_test.cpp
+++ b/tests/batch/run_rows_test.cpp
@@ -122,6 +122,14 @@
     EXPECT_FALSE(batch::decode_runs(*record).has_value());
 }
 
+TEST(run_rows, AKeyWithANumberBeyondAnyRecordIsNoRowOfOne)
+{
+    EXPECT_EQ(batch::run_row_number("00000000000000ab"), 0U);
+    EXPECT_EQ(batch::run_row_number("00000000000000ab+7"), 7U);
+    EXPECT_EQ(batch::run_row_number("00000000000000ab+99999999999"), 0U);
+    EXPECT_EQ(batch::run_row_number("00000000000000ab+x"), 0U);
+}
+
 TEST(run_rows, TheFirstRowShowsWhetherATaskWasPlaced)
 {
     auto job = make_wide_job(2'000);
