--- a/src/planning/capacity_hold.cpp
+++ b/src/planning/capacity_hold.cpp
@@ -26,20 +26,20 @@
 
 void capacity_hold::take(batch::resources need)
 {
-    for (auto& entry : entries_) {
-        const auto taken = common_part(entry.left, need);
-        entry.left -= taken;
+    for (auto& kept : entries_) {
+        const auto taken = common_part(kept.left, need);
+        kept.left -= taken;
         need -= taken;
     }
-    std::erase_if(entries_, [](const entry& held) { return held.left == batch::resources{}; });
+    std::erase_if(entries_, [](const entry& one) { return one.left == batch::resources{}; });
 }
 
 batch::resources capacity_hold::held(base::time_point now)
 {
     std::erase_if(entries_, [now](const entry& held) { return held.until <= now; });
     batch::resources sum;
-    for (const auto& entry : entries_) {
-        sum += entry.left;
+    for (const auto& kept : entries_) {
+        sum += kept.left;
     }
     return sum;
 }
