Run nothing again while a worker whose address was taken may run on

Cause: when another worker answered at a worker's address, the worker's life counted as over and its runs were started elsewhere at once.

Change: such a worker counts as silent; its runs end when the leases that were granted to it are surely over, as those of any silent worker.

--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -130,8 +130,10 @@
         worker.next_poll_at = now + storing_poll_interval;
         return;
     case fleet::order_outcome::other_life:
+        // The worker itself may be cut off and run on, so its runs count until their leases are
+        // over.
         if (!worker.displaced) {
-            end_incarnation(worker, incarnation_end::another_worker_at_its_address);
+            log.warning("address_taken", {{"worker", id}, {"runs", worker.runs.size()}});
             worker.displaced = true;
         }
         count_unanswered_poll(worker, now);
