--- a/src/control/cluster_heartbeats.cpp
+++ b/src/control/cluster_heartbeats.cpp
@@ -91,6 +91,8 @@
     heartbeat.partial = !leader_->all_parts_loaded();
     if (heartbeat.snapshot) {
         heartbeat.changes = leader_->views();
+        // Loads that were counted before all jobs had been read would be taken for whole.
+        loads_at_ = {};
     }
     for (const auto& [job, view] : to.unsent) {
         heartbeat.changes.push_back(view);
--- a/src/control/cluster_node.cpp
+++ b/src/control/cluster_node.cpp
@@ -248,6 +248,7 @@
     if (views_complete_ != whole) {
         ports_.views->replace_open_jobs(leader_->views(), whole);
         views_complete_ = whole;
+        loads_at_ = {};
     }
     ports_.views->set_loads(current_loads(), whole);
 }
