--- a/tests/cluster/vm_list_test.cpp
+++ b/tests/cluster/vm_list_test.cpp
@@ -29,6 +29,7 @@
 std::vector<vm_entry> make_vms(int count)
 {
     std::vector<vm_entry> vms;
+    vms.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         vms.push_back(make_vm(number));
     }
--- a/tests/support/thin_link.hpp
+++ b/tests/support/thin_link.hpp
@@ -20,7 +20,7 @@
     }
 
     /// The orders as they pass over this link, which outlives them.
-    [[nodiscard]] fleet::worker_orders over(fleet::worker_orders orders)
+    [[nodiscard]] fleet::worker_orders over(const fleet::worker_orders& orders)
     {
         fleet::worker_orders made;
         made.start = [this, orders](const fleet::start_order& order, auto reply) {
