Count a crash when a worker's address was taken and its leases are over

Cause: since a worker whose address another has taken counts as silent, a crash of it was counted like that of a worker which is silent for good: late and without evidence.

Change: when the leases of such a worker are over its runs are counted as under a crash at once, with the evidence: it does not come back to show how it ended.

--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -380,7 +380,11 @@
                  {"runs", worker.runs.size()},
                  {"silent_ms", base::milliseconds_between(std::max(worker.answered_at, began_),
                                                           ports_.time->now())}});
-    if (!deregistered) {
+    std::vector<crashed_run> crashed;
+    if (worker.displaced) {
+        // Another worker has taken its address, so it does not come back to show how it ended.
+        crashed = take_crashed_runs(worker);
+    } else if (!deregistered) {
         std::ranges::move(runs_under_crash(worker, ports_.time->now()),
                           std::back_inserter(worker.lost_in_silence));
     }
@@ -392,6 +396,7 @@
         end_run(worker, task, batch::run_end::lost, {},
                 deregistered ? "worker_left" : "lease_over");
     }
+    record_crashes(crashed, worker.facts.life.worker);
 }
 
 void leader::update_worker(worker_state& worker)
