--- a/review/rig/http.cpp
+++ b/review/rig/http.cpp
@@ -42,14 +42,6 @@
     return made;
 }
 
-int port_of(int socket)
-{
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-    return ntohs(address.sin_port);
-}
-
 std::string lower(std::string text)
 {
     std::ranges::transform(text, text.begin(), [](unsigned char c) { return std::tolower(c); });
@@ -145,6 +137,40 @@
 
 } // namespace
 
+int port_of(int socket)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+int peer_port_of(int socket)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getpeername(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+int listening_socket()
+{
+    const int made = bound_socket(0);
+    listen(made, 256);
+    return made;
+}
+
+int connect_to(int port)
+{
+    const int made = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = loopback(port);
+    if (connect(made, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        close(made);
+        return -1;
+    }
+    return made;
+}
+
 int free_port()
 {
     const int made = bound_socket(0);
--- a/review/rig/http.hpp
+++ b/review/rig/http.hpp
@@ -70,4 +70,12 @@
 /// A free port of 127.0.0.1.
 [[nodiscard]] int free_port();
 
+/// A socket that listens on a free port of 127.0.0.1.
+[[nodiscard]] int listening_socket();
+/// Its port, or that of the other side.
+[[nodiscard]] int port_of(int socket);
+[[nodiscard]] int peer_port_of(int socket);
+/// A connection to a port; negative for none.
+[[nodiscard]] int connect_to(int port);
+
 } // namespace review
--- a/review/rig/site.hpp
+++ b/review/rig/site.hpp
@@ -63,6 +63,16 @@
     /// The VM that holds the lease of the first part; empty for none.
     [[nodiscard]] std::string lease_holder();
 
+    /// A port of its own for one VM, through which some parts can be away.
+    [[nodiscard]] int view_of(const std::string& vm);
+    /// Calls of the VM that touch these parts are answered with 503.
+    void cut(const std::string& vm, std::set<std::string> parts);
+    /// The part that holds a job's row; empty for none.
+    [[nodiscard]] std::string part_of(const std::string& job);
+    /// Names the port at which a VM with a view reaches a worker.
+    void
+    set_worker_ports(std::function<int(const std::string& vm, const std::string& worker)> port);
+
     /// Decides what happens to a transaction; it serves them all where this is empty.
     void set_fate(std::function<fate(const json& transaction)> decide);
 
@@ -79,6 +89,8 @@
     };
 
     response handle(const request& asked);
+    response handle_view(const std::string& vm, const request& asked);
+    [[nodiscard]] response with_worker_ports(const std::string& vm, const response& made) const;
     response transact(const json& transaction);
     response get(const request& asked);
     response feed(const request& asked);
@@ -94,6 +106,9 @@
     std::uint64_t version_ = 0;
     std::int64_t began_ = steady_ms();
     std::function<fate(const json&)> decide_{};
+    std::map<std::string, std::set<std::string>> unreachable_{};
+    std::function<int(const std::string&, const std::string&)> worker_port_{};
+    std::map<std::string, std::unique_ptr<server>> views_{};
     server server_;
 };
 
@@ -123,10 +138,11 @@
 
     /// The process is killed: all that runs there is gone.
     void crash(const std::string& id);
-    /// It starts again under its id, as another machine if `size` differs.
-    void come_back(const std::string& id, capacity size);
-    /// It can't reach the store, or can again.
-    void cut_from_store(const std::string& id, bool cut);
+    /// It starts again under its id.
+    void come_back(const std::string& id);
+    /// A port of its own for one VM, which can be silent.
+    [[nodiscard]] int view_of(const std::string& vm, const std::string& id);
+    void cut_from_vms(const std::string& id, std::set<std::string> vms);
 
     /// Rules that were broken so far.
     [[nodiscard]] std::vector<std::string> broken();
@@ -135,8 +151,8 @@
     [[nodiscard]] int ends_of(const std::string& job, const std::string& how);
     /// When the newest task of a job was started, in milliseconds of the record; -1 for never.
     [[nodiscard]] std::int64_t last_start_of(const std::string& job);
-    /// A worker that runs a task of the job; empty for none.
-    [[nodiscard]] std::string worker_of(const std::string& job);
+    /// The worker that runs a task; empty for none.
+    [[nodiscard]] std::string worker_of(const std::string& task);
     [[nodiscard]] int running_of(const std::string& job);
 
 private:
@@ -157,8 +173,9 @@
         std::string rack{};
         capacity size{};
         std::unique_ptr<server> port{};
+        std::map<std::string, std::unique_ptr<server>> views{};
+        std::set<std::string> silent_to{};
         bool up = true;
-        bool cut = false;
         std::uint64_t born = 0;
         std::int64_t born_steady = 0;
         std::uint64_t sequence = 0;
@@ -210,7 +227,9 @@
 class entry_vms
 {
 public:
-    entry_vms(record_file& record, store& rows, std::string program, std::string folder, int count);
+    /// With `split` the VMs reach each other through proxies and the store by views of their own.
+    entry_vms(record_file& record, store& rows, std::string program, std::string folder, int count,
+              bool split);
     ~entry_vms();
     entry_vms(const entry_vms&) = delete;
     entry_vms& operator=(const entry_vms&) = delete;
@@ -221,6 +240,8 @@
     /// The port for clients.
     [[nodiscard]] int front(const std::string& vm) const;
     [[nodiscard]] bool ready(const std::string& vm) const;
+    /// Nothing passes between this VM and the others; empty heals the cut.
+    void cut_off(const std::string& vm);
 
 private:
     struct vm {
@@ -228,9 +249,18 @@
         int callers = 0;
         int readiness = 0;
         pid_t process = -1;
+        int peers = 0;
     };
 
+    void accept_peers(const std::string& to, int listener, int peers);
+    void pass_on(const std::string& to, int client, int peers);
+    /// The VM whose process has this local port; empty for none.
+    [[nodiscard]] std::string owner_of(int port);
+    [[nodiscard]] bool parted(const std::string& one, const std::string& other);
+
     record_file& record_;
+    std::mutex lock_{};
+    std::string cut_off_{};
     std::string program_;
     std::string folder_;
     std::map<std::string, vm> vms_{};
