--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 folder=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x review/bin/cases ] && [ -x target/bin/poplarstiled ] || exit 2
-timeout 118 review/bin/cases crashing_workers "$folder" target/bin/poplarstiled
+timeout 118 review/bin/cases late_submission "$folder" target/bin/poplarstiled
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
