--- a/review/rig/site.cpp
+++ b/review/rig/site.cpp
@@ -417,6 +417,7 @@
     std::string lost;
     for (const auto& [task, run] : at.tasks) {
         lost += " " + task + " run " + std::to_string(run.run);
+        ++crashes_[task];
     }
     record_.write("worker " + id + " crashes, with" + (lost.empty() ? " nothing" : lost));
     at.up = false;
@@ -824,6 +825,16 @@
     return {};
 }
 
+int fleet::most_crashes_of_a_task()
+{
+    const std::lock_guard held{lock_};
+    int most = 0;
+    for (const auto& [task, count] : crashes_) {
+        most = std::max(most, count);
+    }
+    return most;
+}
+
 int fleet::running_of(const std::string& job)
 {
     const std::lock_guard held{lock_};
--- a/review/rig/site.hpp
+++ b/review/rig/site.hpp
@@ -154,6 +154,8 @@
     /// The worker that runs a task; empty for none.
     [[nodiscard]] std::string worker_of(const std::string& task);
     [[nodiscard]] int running_of(const std::string& job);
+    /// How many workers have crashed under a task, for the task with the most.
+    [[nodiscard]] int most_crashes_of_a_task();
 
 private:
     struct run_state {
@@ -218,6 +220,7 @@
     std::map<std::string, std::string> done_at_{};
     std::set<std::string> started_after_done_{};
     std::map<std::string, int> starts_{};
+    std::map<std::string, int> crashes_{};
     std::map<std::string, std::int64_t> last_start_{};
     std::map<std::pair<std::string, std::string>, int> ends_{};
     std::vector<std::string> broken_{};
