--- a/src/batch/crash_history.cpp
+++ b/src/batch/crash_history.cpp
@@ -13,6 +13,8 @@
 /// After this many crashes a task is given up whoever caused them. The platform forbids a sixth
 /// start of a task whose starts all crash, and a crash may come to be known after the next start.
 constexpr std::uint32_t max_crashes = 4;
+/// A member of a gang is not given up for crashes under other members before this many of its own.
+constexpr std::uint32_t min_own_crashes = 2;
 
 } // namespace
 
@@ -44,4 +46,11 @@
     return implicated || history.total >= max_crashes;
 }
 
+bool is_to_blame(const crash_history& history, const crash_history& earlier_of_gang)
+{
+    const bool with_earlier =
+        history.total >= min_own_crashes && history.total + earlier_of_gang.total >= max_crashes;
+    return with_earlier || is_to_blame(history);
+}
+
 } // namespace poplarstile::batch
--- a/src/batch/crash_history.hpp
+++ b/src/batch/crash_history.hpp
@@ -17,7 +17,7 @@
     bool after_long_work = false;
 };
 
-/// Worker crashes under the runs of a task, or of a gang.
+/// Worker crashes under the runs of a task.
 struct crash_history {
     std::uint32_t total = 0;
     /// Of these, the ones that hardly anything but the run can have caused: it was alone and had
@@ -39,4 +39,8 @@
 /// True when the task is given up: it crashes the workers that start it.
 [[nodiscard]] bool is_to_blame(const crash_history& history);
 
+/// The same for a member of a gang whose record, written by an earlier build, has one history for
+/// all members. Those crashes count only once two workers have crashed under this member.
+[[nodiscard]] bool is_to_blame(const crash_history& history, const crash_history& earlier_of_gang);
+
 } // namespace poplarstile::batch
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -35,7 +35,7 @@
 bool has_crash(const step_state& step)
 {
     const auto crashed = [](const task_state& task) { return task.crashes != crash_history{}; };
-    return step.gang_crashes != crash_history{} || std::ranges::any_of(step.tasks, crashed);
+    return step.earlier_gang_crashes != crash_history{} || std::ranges::any_of(step.tasks, crashed);
 }
 
 } // namespace
@@ -180,24 +180,34 @@
     return true;
 }
 
-const crash_history& job::crashes_of(const task_ref& ref) const
+bool job::needs_isolation(const task_ref& ref) const
 {
-    return spec_of(ref.step).gang ? step(ref.occurrence, ref.step).gang_crashes : task(ref).crashes;
+    if (!spec_of(ref.step).gang) {
+        return batch::needs_isolation(crashes_of(ref));
+    }
+    const auto& gang = step(ref.occurrence, ref.step);
+    return batch::needs_isolation(gang.earlier_gang_crashes) ||
+           std::ranges::any_of(gang.tasks, [](const task_state& member) {
+               return batch::needs_isolation(member.crashes);
+           });
 }
 
 bool job::record_crash(const task_ref& ref, std::uint32_t run, const crash_evidence& evidence)
 {
     auto& step = mutable_step(ref);
     auto& task = step.tasks.at(ref.index);
-    if (task.phase == task_phase::done || run > task.run) {
+    auto& earlier = step.earlier_gang_crashes;
+    if (task.phase == task_phase::done || run > task.run || run <= earlier.last_run) {
         return false;
     }
-    auto& history = spec_of(ref.step).gang ? step.gang_crashes : task.crashes;
-    if (!count_crash(history, run, evidence)) {
+    if (!count_crash(task.crashes, run, evidence)) {
         return false;
     }
+    if (evidence.after_long_work) {
+        earlier = {};
+    }
     any_crash_ = true;
-    failed_ = failed_ || is_to_blame(history);
+    failed_ = failed_ || is_to_blame(task.crashes, earlier);
     return true;
 }
 
--- a/src/batch/job.hpp
+++ b/src/batch/job.hpp
@@ -59,7 +59,7 @@
     /// `IP:port` of that worker, so that a successor can ask it after its registration has gone;
     /// empty when it is not known.
     std::string address{};
-    /// Crashes of workers under the task's runs; those of a gang's runs are counted by its step.
+    /// Crashes of workers under the task's runs.
     crash_history crashes{};
 
     bool operator==(const task_state&) const = default;
@@ -75,8 +75,9 @@
     /// The gang's run that failed last, so that several failed members of one run count as one
     /// attempt.
     std::uint32_t failed_run = 0;
-    /// Crashes of workers under the gang's runs, whichever member was there.
-    crash_history gang_crashes{};
+    /// Crashes under the gang's runs in a record of an earlier build, which did not tell the
+    /// member. Nothing is added to it.
+    crash_history earlier_gang_crashes{};
 
     bool operator==(const step_state&) const = default;
 };
@@ -203,12 +204,15 @@
     bool end_run(const task_ref& ref, std::uint32_t run, run_end how, std::string_view checkpoint);
 
     /// Counts a crash of the worker that a run was, or may have been, on; the run may have been
-    /// given up since. The job has failed once a task is to blame. Returns false when the crash
-    /// does not count.
+    /// given up since. A member of a gang answers only for the workers that it was on itself. The
+    /// job has failed once a task is to blame. Returns false when the crash does not count.
     bool record_crash(const task_ref& ref, std::uint32_t run, const crash_evidence& evidence);
 
-    /// Crashes under the runs of a task, or of the gang that it belongs to.
-    [[nodiscard]] const crash_history& crashes_of(const task_ref& ref) const;
+    /// Crashes under the runs of a task.
+    [[nodiscard]] const crash_history& crashes_of(const task_ref& ref) const
+    {
+        return task(ref).crashes;
+    }
 
     /// True once a worker has crashed under a run of the job.
     [[nodiscard]] bool any_crash() const
@@ -216,11 +220,9 @@
         return any_crash_;
     }
 
-    /// True when the task's runs are to be placed where nothing of another job runs.
-    [[nodiscard]] bool needs_isolation(const task_ref& ref) const
-    {
-        return batch::needs_isolation(crashes_of(ref));
-    }
+    /// True when the task's runs are to be placed where nothing of another job runs. A gang is
+    /// placed as a whole, so one member that needs it is enough.
+    [[nodiscard]] bool needs_isolation(const task_ref& ref) const;
 
     /// Records that a run ended well after it had been given up. Returns false when the task is
     /// done, or when the run is in progress or was never placed.
--- a/src/batch/job_codec.cpp
+++ b/src/batch/job_codec.cpp
@@ -264,9 +264,9 @@
         append_task(text, task, checkpoints, workers);
     }
     text += ']';
-    if (step.gang_crashes != crash_history{}) {
+    if (step.earlier_gang_crashes != crash_history{}) {
         text += ',';
-        append_crashes(text, step.gang_crashes);
+        append_crashes(text, step.earlier_gang_crashes);
     }
     text += ']';
 }
@@ -280,7 +280,7 @@
         step.tasks.push_back(decode_task(task, workers));
     }
     if (encoded.size() > 3) {
-        step.gang_crashes = decode_crashes(encoded.at(3));
+        step.earlier_gang_crashes = decode_crashes(encoded.at(3));
     }
     return step;
 }
--- a/tests/control/crashing_task_test.cpp
+++ b/tests/control/crashing_task_test.cpp
@@ -186,6 +186,22 @@
     EXPECT_LE(starts[std::string{deadly_job} + ".0.0.1"], max_starts);
 }
 
+TEST_P(crashing_task, InEachMemberOfAGangIsNotStartedOnWorkerAfterWorker)
+{
+    constexpr std::uint32_t members = 3;
+    constexpr batch::resources whole_worker{30'000, 60'000, 8};
+    site.workers.gang_size = [](const std::string& /*task*/) { return members; };
+    auto job = make_job(deadly_job, members, whole_worker);
+    job.spec.steps.front().gang = true;
+    site.submit(job);
+
+    EXPECT_EQ(site.await_end(deadly_job, seconds{120}), batch::job_status::failed);
+
+    for (const auto& [task, count] : starts) {
+        EXPECT_LE(count, max_starts) << task;
+    }
+}
+
 TEST_P(crashing_task, ThatLastsIsNotStartedOnWorkerAfterWorker)
 {
     auto job = make_job(deadly_job, 1, small_task);
@@ -309,6 +325,34 @@
     EXPECT_EQ(site.at("vm1").node->local_leader()->counters().crashed_runs - before, 16U);
 }
 
+// Four workers crash one after the other, each under another member of a gang.
+TEST_F(worker_crashes, UnderDifferentMembersDoNotFailTheirGang)
+{
+    constexpr std::size_t members = 5;
+    constexpr batch::resources whole_worker{30'000, 60'000, 8};
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{9}; };
+    site.workers.gang_size = [](const std::string& /*task*/) { return members; };
+    auto job = make_job(deadly_job, members, whole_worker);
+    job.spec.steps.front().gang = true;
+    site.submit(job);
+    ASSERT_TRUE(site.time.run_until([&] { return starts.size() == members; }, seconds{3}));
+
+    for (std::size_t member = 0; member < members; ++member) {
+        const auto task = fmt::format("{}.0.0.{}", deadly_job, member);
+        const auto start =
+            std::ranges::find(site.workers.starts().rbegin(), site.workers.starts().rend(), task,
+                              &carried_start::task);
+        ASSERT_NE(start, site.workers.starts().rend());
+        crash_soon(start->worker, milliseconds{0});
+        site.time.run_for(seconds{6});
+    }
+
+    EXPECT_EQ(site.await_end(deadly_job, seconds{60}), batch::job_status::completed);
+    for (const auto& [task, count] : starts) {
+        EXPECT_GT(count, 1U) << task;
+    }
+}
+
 TEST_F(worker_crashes, DoNotIncludeWorkersThatWereOnlyCutOff)
 {
     constexpr seconds longer_than_leases{13};
