--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -109,6 +109,7 @@
     made.count("poplarstile_store_unanswered_total", link.counters().unanswered);
     made.count("poplarstile_store_relayed_total", link.counters().relayed);
     made.count("poplarstile_status_store_reads_total", frontend.counters().store_reads);
+    made.count("poplarstile_cancels_before_job_total", frontend.counters().cancelled_before_job);
     made.count("poplarstile_unreadable_leases_total", node.election().unreadable_leases());
     made.count("poplarstile_log_lines_left_out_total", base::event_lines_left_out());
     made.own.set_gauge("poplarstile_store_served", link.served() ? 1.0 : 0.0);
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -47,6 +47,9 @@
     base::milliseconds gang_wait{3'000};
     /// How long the stored state of an ended job is kept.
     base::milliseconds status_retention{120'000};
+    /// How long a request to cancel a job that is in no part is kept after it was read. A
+    /// submission of the job that is carried out, or sent again, in this time is cancelled.
+    base::milliseconds cancel_retention{120'000};
     /// Longest time that a poll may wait at a worker for a run to end.
     base::milliseconds poll_wait{2'000};
     /// Interval at which workers renew their registrations; three missed ones end a registration.
--- a/src/control/leader_cancels.cpp
+++ b/src/control/leader_cancels.cpp
@@ -12,8 +12,6 @@
 using store::cancel_suffix;
 
 constexpr base::event_logger log{"leader"};
-/// A cancel is kept for this long after it was read, as a late copy of its job may still be stored.
-constexpr base::milliseconds kept_without_job{120'000};
 /// Rows of one part that are removed in one tick.
 constexpr std::size_t max_rows_removed_at_once = 20;
 
@@ -49,14 +47,14 @@
 
 void leader::remove_unneeded_cancels()
 {
-    // A cancel is stored after its job, so a job that is not known once all rows have been seen is
-    // gone. One that has ended may have a second row that has not been seen.
+    // A job that is not known once all rows have been seen is gone, or its submission has not been
+    // carried out yet. One that has ended may have a second row that has not been seen.
     const auto seen_at = all_rows_seen_at();
     if (!seen_at) {
         return;
     }
     const auto limit_of = [this, seen_at = *seen_at](const std::string& id) {
-        return ended_.contains(id) ? seen_at : seen_at - kept_without_job;
+        return ended_.contains(id) ? seen_at : seen_at - options_.cancel_retention;
     };
     for (std::size_t part = 0; part < parts_.size(); ++part) {
         // A part that does not answer would only collect removals.
--- a/src/frontend/api_frontend.cpp
+++ b/src/frontend/api_frontend.cpp
@@ -282,10 +282,15 @@
         store_cancel(call);
         return;
     }
+    if (!is_job_id(call->job)) {
+        finish(call, no_such_job{});
+        return;
+    }
     find_job(call, [this, call](const store::row* row) {
-        if (row == nullptr) {
-            finish(call, no_such_job{});
-        } else if (call->time_left(ports_.time->now()) <= base::milliseconds{0}) {
+        // A submission that the store has not answered may still be carried out, so the request is
+        // stored although there is no job yet.
+        call->job_missing = row == nullptr;
+        if (call->time_left(ports_.time->now()) <= base::milliseconds{0}) {
             // The read took longer than the caller waits, or the VM was suspended meanwhile.
             finish(call, call_refused{call_refused::cause::store_away, min_outage_retry});
         } else {
@@ -319,7 +324,7 @@
             const bool stored = reply.outcome == store::call_outcome::done ||
                                 reply.outcome == store::call_outcome::conflict;
             if (stored) {
-                finish(call, cancel_accepted{});
+                finish_cancel(call);
                 return;
             }
             call->in_doubt = call->in_doubt || reply.outcome == store::call_outcome::unknown;
@@ -328,6 +333,17 @@
         });
 }
 
+void api_frontend::finish_cancel(const call_ptr& call)
+{
+    if (call->job_missing) {
+        call->basis = "kept_for_late_submission";
+        ++counters_.cancelled_before_job;
+        finish(call, no_such_job{});
+    } else {
+        finish(call, cancel_accepted{});
+    }
+}
+
 void api_frontend::retry(const call_ptr& call, std::function<void()> operation,
                          caller_answer final_answer)
 {
--- a/src/frontend/api_frontend.hpp
+++ b/src/frontend/api_frontend.hpp
@@ -59,6 +59,8 @@
 };
 struct no_such_queue {
 };
+/// The store has no such job. After a cancel: a submission of it that is still under way, or that
+/// comes within the time for which the request is kept, is cancelled.
 struct no_such_job {
 };
 struct key_unknown {
@@ -107,6 +109,8 @@
     std::uint64_t shown = 0;
     std::uint64_t store_reads = 0;
     std::uint64_t cancelled = 0;
+    /// Cancels that were stored for jobs of which no row was found.
+    std::uint64_t cancelled_before_job = 0;
 };
 
 /// Handles the calls of callers. An answer reports only stored facts, or that the outcome is
@@ -174,6 +178,8 @@
     [[nodiscard]] std::optional<std::size_t> choose_part(const std::string& job) const;
     void cancel(const call_ptr& call);
     void store_cancel(const call_ptr& call);
+    /// Answers a cancel whose request is stored.
+    void finish_cancel(const call_ptr& call);
     /// Runs `operation` after a pause, or finishes the call with `final_answer` if too little of
     /// the caller's timeout is left.
     void retry(const call_ptr& call, std::function<void()> operation, caller_answer final_answer);
--- a/src/frontend/internal/pending_call.hpp
+++ b/src/frontend/internal/pending_call.hpp
@@ -40,9 +40,12 @@
     std::uint32_t attempts = 0;
     /// An attempt was sent to the store whose effect is unknown.
     bool in_doubt = false;
+    /// No part of the store had a row of the job that is to be cancelled.
+    bool job_missing = false;
     /// The part of the store that the last attempt was sent to.
     std::optional<std::size_t> part{};
-    /// What an acceptance rests on, for the log: `stored`, `already_stored` or `known`.
+    /// What the answer rests on, for the log: `stored`, `already_stored` or `known` for an
+    /// acceptance, `kept_for_late_submission` for a cancel without a job.
     std::string_view basis{};
     /// The parts in which the job's row was not found, as `PART@VERSION`, for the log.
     std::string empty_parts{};
--- a/tests/control/retention_model.hpp
+++ b/tests/control/retention_model.hpp
@@ -51,6 +51,7 @@
     {
         constexpr batch::resources worker_capacity{32'000, 65'536, 8};
         site_.leading.status_retention = retention;
+        site_.leading.cancel_retention = retention;
         site_.submitted = make_job({}, tasks_per_job, small_task);
         site_.store.decide = [this](const std::string& vm, bool write) {
             return fate_of(vm, write);
--- a/tests/frontend/api_answers_test.cpp
+++ b/tests/frontend/api_answers_test.cpp
@@ -300,9 +300,37 @@
     EXPECT_EQ(told.size(), 1U);
 }
 
-TEST_F(api_answers, ACancelOfAJobThatIsNotThereStoresNothing)
+// A submission that the store has not answered may be carried out after the cancel.
+TEST_F(api_answers, ACancelOfAJobThatIsNotThereIsStoredOnce)
 {
     EXPECT_TRUE(answers<frontend::no_such_job>(call_kind::cancel));
+    EXPECT_TRUE(answers<frontend::no_such_job>(call_kind::cancel));
+
+    const auto stored = store.all("jobs");
+    ASSERT_EQ(stored.size(), 1U);
+    EXPECT_EQ(stored.front().id.key, std::string{id} + ".cancel");
+    EXPECT_EQ(stored.front().id.part, home_row().part);
+}
+
+TEST_F(api_answers, ACancelOfAJobThatIsNotThereIsNotAcknowledgedWhileItCannotBeStored)
+{
+    answer_writes(fake_store::fate::swallow);
+
+    EXPECT_FALSE(answers<frontend::no_such_job>(call_kind::cancel));
+}
+
+// What is not the id of a job must not name a row.
+TEST_F(api_answers, ACancelWithoutAJobIdStoresNothing)
+{
+    for (const std::string job : {"", "short", "000000000000000g", "0000000000000001.cancel"}) {
+        std::optional<frontend::caller_answer> answer;
+        frontend_->handle(
+            {call_kind::cancel, "host.example", "/queue/" + job, "key", caller_timeout, "body"},
+            [&answer](const frontend::caller_answer& got) { answer = got; });
+        time.run_for(caller_timeout);
+
+        EXPECT_TRUE(answer && std::holds_alternative<frontend::no_such_job>(*answer)) << job;
+    }
     EXPECT_TRUE(store.all("jobs").empty());
 }
 
