--- a/apps/poplarctl/vm_client.cpp
+++ b/apps/poplarctl/vm_client.cpp
@@ -44,9 +44,12 @@
 
 base::result<vm_answer> vm_client::call(const net::http_call& call, bool is_repeatable)
 {
+    auto made = call;
+    // The library resends only on connections that are kept.
+    made.fresh_connection = !is_repeatable;
     std::string tried;
     for (const auto& address : addresses_) {
-        const auto reply = send(address, call);
+        const auto reply = send(address, made);
         if (reply.outcome == net::delivery::answered) {
             return answer_of(address, reply);
         }
--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -92,6 +92,8 @@
     auto& own = impl_->own;
     for (const auto& [purpose, counted] : account.by_purpose()) {
         own.set_counter_of(purpose, "poplarstile_calls_total", static_cast<double>(counted.calls));
+        own.set_counter_of(purpose, "poplarstile_calls_resent_total",
+                           static_cast<double>(counted.resent));
         own.set_counter_of(purpose, "poplarstile_sent_bytes_total",
                            static_cast<double>(counted.sent_bytes));
         own.set_counter_of(purpose, "poplarstile_received_bytes_total",
--- a/apps/poplarstiled/site_wiring.cpp
+++ b/apps/poplarstiled/site_wiring.cpp
@@ -23,7 +23,6 @@
 
 constexpr base::event_logger log{"daemon"};
 constexpr base::milliseconds peer_connect_timeout{300};
-constexpr base::milliseconds store_connect_timeout{400};
 constexpr std::size_t most_final_views = 20'000;
 constexpr base::milliseconds views_fresh_for{1'000};
 constexpr base::milliseconds least_authority{9'000};
@@ -89,13 +88,6 @@
     return options;
 }
 
-std::string_view purpose_of(store::call_kind kind)
-{
-    static constexpr std::array<std::string_view, 3> names{"store_read", "store_write",
-                                                           "store_feed"};
-    return names.at(static_cast<std::size_t>(kind));
-}
-
 std::string_view purpose_of(const cluster::message& sent)
 {
     static constexpr std::array<std::string_view, std::variant_size_v<cluster::message>> names{
@@ -131,14 +123,7 @@
     ports.time = &time;
     ports.direct = [this](const store::link_call& call, base::milliseconds timeout,
                           const store::link_handler& handler) {
-        net::http_call made;
-        made.method = call.method;
-        made.url = "http://" + settings.store.address + call.target;
-        made.headers = {{"Content-Type", "application/json"}};
-        made.body = call.body;
-        made.connect_timeout = std::min(store_connect_timeout, timeout);
-        made.timeout = timeout;
-        made.purpose = purpose_of(call.kind);
+        auto made = platform::make_store_exchange(settings.store.address, call, timeout);
         client->send(std::move(made), [handler](net::http_reply reply) {
             handler({reply.outcome, reply.status, std::move(reply.body)});
         });
@@ -185,6 +170,7 @@
         call.body = std::move(bytes).value();
         call.connect_timeout = std::min(peer_connect_timeout, timeout);
         call.timeout = timeout;
+        call.once = cluster::carries_write(sent);
         call.purpose = purpose_of(sent);
         client->send(std::move(call), [handler](const net::http_reply& reply) {
             if (!reply.ok()) {
--- a/src/cluster/cluster_message.hpp
+++ b/src/cluster/cluster_message.hpp
@@ -171,4 +171,12 @@
     std::variant<leader_heartbeat, heartbeat_reply, hello, hello_answer, configuration_request,
                  configuration_reply, store_call, store_answer, stored_row, uncertain_submission>;
 
+/// True for a message by which the receiver writes to the store. It must not be sent a second time
+/// without the sender's knowledge: the answer tells only what became of the last sending.
+[[nodiscard]] inline bool carries_write(const message& sent)
+{
+    const auto* const call = std::get_if<store_call>(&sent);
+    return call != nullptr && call->method != "GET";
+}
+
 } // namespace poplarstile::cluster
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -26,8 +26,8 @@
     /// proof of life that an idle connection cannot give, and the library never resends on it.
     bool fresh_connection = false;
     /// Never sent a second time by the library: on a kept connection that breaks before the answer
-    /// the call is lost, since another process may serve the address by then. For calls with a
-    /// body.
+    /// the call is lost. Another process may serve the address by then, and the answer to the
+    /// second sending says nothing about the first. For calls with a body.
     bool once = false;
     /// What the bytes are for, in the client's account; a string literal.
     std::string_view purpose = "work";
@@ -51,6 +51,8 @@
     std::string body{};
     /// What the library said about a failure; empty after an answer.
     std::string failure{};
+    /// The library sent the body a second time, on a new connection.
+    bool resent = false;
     base::microseconds elapsed{0};
     /// Bytes of the exchange on the wire, headers included, both ways.
     std::size_t wire_bytes = 0;
--- a/src/net/internal/exchange.cpp
+++ b/src/net/internal/exchange.cpp
@@ -25,7 +25,9 @@
     if (origin != SEEK_SET) {
         return CURL_SEEKFUNC_CANTSEEK;
     }
-    static_cast<exchange*>(context)->body_offset = static_cast<std::size_t>(offset);
+    auto& current = *static_cast<exchange*>(context);
+    current.reply.resent = current.reply.resent || current.body_asked;
+    current.body_offset = static_cast<std::size_t>(offset);
     return CURL_SEEKFUNC_OK;
 }
 
--- a/src/net/reactor_client.cpp
+++ b/src/net/reactor_client.cpp
@@ -118,8 +118,8 @@
         auto current = std::move(entry.mapped());
         internal::read_transfer_facts(*current, code);
         const auto& reply = current->reply;
-        account.record(current->call.purpose, reply.sent_bytes,
-                       reply.wire_bytes - reply.sent_bytes);
+        account.record(current->call.purpose, reply.sent_bytes, reply.wire_bytes - reply.sent_bytes,
+                       reply.resent);
         curl_multi_remove_handle(multi.get(), easy);
         idle_handles.push_back(std::move(current->easy));
         // Handlers may send again; the library must not be entered from inside itself.
--- a/src/table/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -214,7 +214,8 @@
                         .url = base_url_ + "/table/transact",
                         .headers = {{"Content-Type", "application/json"}},
                         .body = transaction_body(transaction).dump(),
-                        .timeout = write_timeout_};
+                        .timeout = write_timeout_,
+                        .once = true};
     if (!transaction.writes.empty()) {
         call.purpose = purpose_of(transaction.writes.front().key);
     }
--- a/src/workers/worker_client.cpp
+++ b/src/workers/worker_client.cpp
@@ -24,7 +24,8 @@
             .url = fmt::format("http://{}{}", address, path),
             .headers = {{"Content-Type", "application/json"}},
             .body = body.dump(),
-            .timeout = timeout};
+            .timeout = timeout,
+            .once = true};
 }
 
 /// The caller's body is spliced in as it came, so that it is neither parsed nor rewritten here.
--- a/tests/cluster/cluster_codec_test.cpp
+++ b/tests/cluster/cluster_codec_test.cpp
@@ -55,6 +55,14 @@
     }
 }
 
+TEST(cluster_message, OnlyARelayedWriteToTheStoreCarriesOne)
+{
+    for (const auto& sent : all_messages()) {
+        EXPECT_EQ(carries_write(sent), std::holds_alternative<store_call>(sent)) << sent.index();
+    }
+    EXPECT_FALSE(carries_write(store_call{"GET", "/target", {}, 0, "scope"}));
+}
+
 TEST(cluster_codec, ATruncatedMessageIsAnError)
 {
     for (const auto& original : all_messages()) {
