--- a/src/frontend/api_frontend.cpp
+++ b/src/frontend/api_frontend.cpp
@@ -263,11 +263,12 @@
         }
         break;
     }
+    // An earlier call may have stored the job, or may store it yet.
+    const bool in_doubt = call->in_doubt || is_uncertain(call->job);
     retry(
         call, [this, call] { store_submission(call); },
-        call->in_doubt
-            ? caller_answer{call_outcome_unknown{}}
-            : caller_answer{call_refused{call_refused::cause::store_away, min_outage_retry}});
+        in_doubt ? caller_answer{call_outcome_unknown{}}
+                 : caller_answer{call_refused{call_refused::cause::store_away, min_outage_retry}});
 }
 
 void api_frontend::cancel(const call_ptr& call)
--- a/tests/frontend/api_answers_test.cpp
+++ b/tests/frontend/api_answers_test.cpp
@@ -291,6 +291,16 @@
     EXPECT_TRUE(answers<frontend::job_accepted>(call_kind::submit));
 }
 
+// The caller was told that the job never runs, while its first submission was still under way.
+TEST_F(api_answers, ARefusedRepeatOfASubmissionInDoubtIsNotReportedAsRefused)
+{
+    answer_writes(fake_store::fate::late);
+    ASSERT_TRUE(answers<frontend::call_outcome_unknown>(call_kind::submit));
+    answer_writes(fake_store::fate::refuse);
+
+    EXPECT_TRUE(answers<frontend::call_outcome_unknown>(call_kind::submit));
+}
+
 TEST_F(api_answers, ACancelThatIsStoredAlreadyIsAccepted)
 {
     store.put(home_row(), ended_row());
