--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -355,6 +355,9 @@
     void apply_worker_facts(const fleet::worker_change& change);
     /// Notes a reply of the directory: changes up to some time after `sent` have been applied.
     void note_registrations(base::time_point sent, const fleet::directory_reply& reply);
+    void note_directory_served();
+    /// True when calls of the directory have been served without interruption for this long.
+    [[nodiscard]] bool directory_served_for(base::milliseconds span) const;
     /// True when the worker's capacity was read a short time ago, or the worker itself rejects what
     /// exceeds it.
     [[nodiscard]] bool is_capacity_known(const worker_state& worker) const;
@@ -373,8 +376,8 @@
     void check_missing(worker_state& worker, base::time_point sent, const fleet::look_reply& reply);
     void end_expired_runs(worker_state& worker);
     [[nodiscard]] bool needs_poll(const worker_state& worker) const;
-    /// True when a draining worker has removed its registration, so that nothing runs there any
-    /// more.
+    /// True when a draining worker has left, so that nothing runs there any more. That its
+    /// registration is gone is not enough.
     [[nodiscard]] bool has_deregistered(const worker_state& worker) const;
     /// The time by which all leases granted to the worker have expired, so that no run of theirs is
     /// left.
@@ -484,6 +487,8 @@
     store::row_version directory_version_ = 0;
     /// All changes of registrations before this time have been applied.
     base::time_point registrations_seen_at_{};
+    /// Since when each call of the directory has been served; empty after one that was not.
+    std::optional<base::time_point> directory_served_since_{};
     std::map<std::string, std::unique_ptr<worker_state>> workers_{};
     /// When a worker at this address crashed last.
     std::map<std::string, base::time_point> crashed_addresses_{};
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -18,6 +18,8 @@
 constexpr base::milliseconds directory_wait{1'000};
 /// A start relies on a capacity only while it was read less than this time ago.
 constexpr base::milliseconds longest_capacity_age{2'800};
+/// Registrations that expired in an outage of the store are back this long after its end.
+constexpr base::milliseconds registration_return{2'000};
 
 } // namespace
 
@@ -29,6 +31,7 @@
                 return;
             }
             if (reply.outcome != store::call_outcome::done) {
+                directory_served_since_.reset();
                 ports_.time->after(directory_retry, [this, alive] {
                     if (*alive) {
                         read_workers();
@@ -36,6 +39,7 @@
                 });
                 return;
             }
+            note_directory_served();
             std::set<std::string> listed;
             for (const auto& change : reply.changes) {
                 listed.insert(change.worker);
@@ -71,6 +75,7 @@
                 return;
             }
             if (reply.outcome != store::call_outcome::done) {
+                directory_served_since_.reset();
                 ports_.time->after(directory_retry, [this, alive] {
                     if (*alive) {
                         follow_workers();
@@ -78,6 +83,7 @@
                 });
                 return;
             }
+            note_directory_served();
             for (const auto& change : reply.changes) {
                 apply_worker_change(change);
             }
@@ -87,6 +93,18 @@
         });
 }
 
+void leader::note_directory_served()
+{
+    if (!directory_served_since_) {
+        directory_served_since_ = ports_.time->now();
+    }
+}
+
+bool leader::directory_served_for(base::milliseconds span) const
+{
+    return directory_served_since_ && ports_.time->now() - *directory_served_since_ >= span;
+}
+
 void leader::note_registrations(base::time_point sent, const fleet::directory_reply& reply)
 {
     // A reply without changes has waited at the store, which had none up to the end of that time.
@@ -116,11 +134,19 @@
     if (found == workers_.end() || !found->second->listed) {
         return;
     }
-    found->second->listed = false;
-    found->second->unlisted_at = ports_.time->now();
+    auto& worker = *found->second;
+    worker.listed = false;
+    worker.unlisted_at = ports_.time->now();
+    worker.departure = {};
+    // A registration expires after three missed heartbeats, which an outage of the store causes
+    // too.
+    const bool may_have_expired = !directory_served_for(registration_return);
+    worker.departure.may_have_expired = may_have_expired;
     log.info("worker_unlisted", {{"worker", change.worker},
-                                 {"life", found->second->facts.life.started_at},
-                                 {"runs", found->second->runs.size()}});
+                                 {"life", worker.facts.life.started_at},
+                                 {"draining", worker.facts.draining},
+                                 {"may_have_expired", may_have_expired},
+                                 {"runs", worker.runs.size()}});
 }
 
 void leader::apply_worker_facts(const fleet::worker_change& change)
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -136,7 +136,7 @@
             log.warning("address_taken", {{"worker", id}, {"runs", worker.runs.size()}});
             worker.displaced = true;
         }
-        count_unanswered_poll(worker, now);
+        count_unanswered_poll(worker, sent, now);
         worker.next_poll_at = now + storing_poll_interval;
         return;
     default:
@@ -147,9 +147,13 @@
         if (worker.unanswered_polls == 0) {
             log.warning("worker_silent", {{"worker", id},
                                           {"outcome", fleet::name_of(reply.outcome)},
+                                          {"refused", reply.connection_refused},
                                           {"runs", worker.runs.size()}});
         }
-        count_unanswered_poll(worker, now);
+        count_unanswered_poll(worker, sent, now);
+        worker.departure.connection_refused =
+            !worker.listed && (worker.departure.connection_refused ||
+                               (reply.connection_refused && sent >= worker.unlisted_at));
         worker.next_poll_at =
             now + (worker.runs.empty() ? unanswered_idle_poll_interval : unanswered_poll_interval);
         return;
@@ -171,6 +175,8 @@
     worker.incarnation_uncertain = false;
     worker.displaced = false;
     worker.lost_in_silence.clear();
+    worker.departure.unanswered_polls = 0;
+    worker.departure.connection_refused = false;
     const bool first_answer = !worker.fenced;
     worker.fenced = true;
     worker.answered_at = now;
@@ -359,12 +365,23 @@
 
 bool leader::has_deregistered(const worker_state& worker) const
 {
-    // A registration ends when the worker deregisters or misses three heartbeats. A worker that
-    // answered less than two heartbeats before the end cannot have missed three.
+    // A draining worker serves on, at times for long, and its registration may go for want of
+    // heartbeats that reach the store. An answer since then shows that it is still there.
+    const bool silent = worker.unanswered_polls > 0 && worker.answered_at <= worker.unlisted_at;
+    if (worker.listed || !worker.facts.draining || !worker.fenced || !silent) {
+        return false;
+    }
+    if (worker.departure.connection_refused) {
+        return true;
+    }
+    // A worker that answered less than two heartbeats before its registration went cannot have been
+    // cut off for three. One unanswered poll may be a broken connection.
     constexpr base::milliseconds margin{400};
+    constexpr std::uint32_t unanswered_when_gone = 2;
     const auto longest = 2 * options_.worker_heartbeat - margin;
-    return !worker.listed && worker.facts.draining && worker.unanswered_polls > 0 &&
-           worker.fenced && worker.unlisted_at - worker.answered_at < longest;
+    return !worker.departure.may_have_expired &&
+           worker.departure.unanswered_polls >= unanswered_when_gone &&
+           worker.unlisted_at - worker.answered_at < longest;
 }
 
 void leader::end_expired_runs(worker_state& worker)
@@ -378,6 +395,8 @@
     log.warning(deregistered ? "worker_left" : "lease_of_worker_over",
                 {{"worker", worker.facts.life.worker},
                  {"runs", worker.runs.size()},
+                 {"refused", worker.departure.connection_refused},
+                 {"unanswered_polls", worker.unanswered_polls},
                  {"silent_ms", base::milliseconds_between(std::max(worker.answered_at, began_),
                                                           ports_.time->now())}});
     std::vector<crashed_run> crashed;
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -53,12 +53,15 @@
     return run.listed && run.sends <= 1;
 }
 
-void count_unanswered_poll(worker_state& worker, base::time_point now)
+void count_unanswered_poll(worker_state& worker, base::time_point sent, base::time_point now)
 {
     if (worker.unanswered_polls == 0) {
         worker.silent_since = now;
     }
     ++worker.unanswered_polls;
+    if (!worker.listed && sent >= worker.unlisted_at) {
+        ++worker.departure.unanswered_polls;
+    }
 }
 
 std::vector<crashed_run> runs_under_crash(const worker_state& worker, base::time_point now)
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -105,8 +105,8 @@
 
 struct worker_state;
 
-/// Counts a poll without a reply of the worker's own.
-void count_unanswered_poll(worker_state& worker, base::time_point now);
+/// Counts a poll, sent at some time, without a reply of the worker's own.
+void count_unanswered_poll(worker_state& worker, base::time_point sent, base::time_point now);
 
 /// The runs that a crash of the worker takes with it, and what speaks for each as the cause. Runs
 /// that were never sent are not among them.
@@ -125,6 +125,16 @@
 void record_clock(worker_state& worker, const order_sending& sent, std::int64_t worker_ms,
                   base::time_point received);
 
+/// What has been seen of a worker since its registration went.
+struct departure_evidence {
+    /// The registration may have expired, because the store was not served shortly before.
+    bool may_have_expired = false;
+    /// Polls sent since then that had no reply of the worker's own.
+    std::uint32_t unanswered_polls = 0;
+    /// Its address refused a connection: the process is gone, with all that ran in it.
+    bool connection_refused = false;
+};
+
 /// The leader's state of one worker.
 struct worker_state {
     fleet::worker_facts facts{};
@@ -133,6 +143,8 @@
     /// False once its registration has been removed.
     bool listed = true;
     base::time_point unlisted_at{};
+    /// Valid while `listed` is false and no poll has been answered since `unlisted_at`.
+    departure_evidence departure{};
     fleet::worker_clock clock{};
     batch::resources used{};
     /// Runs that may be on the worker, by task.
--- a/src/fleet/worker_orders.hpp
+++ b/src/fleet/worker_orders.hpp
@@ -108,6 +108,8 @@
     std::vector<ended_task> ended{};
     /// Entries of the two lists that could not be read.
     std::uint32_t unreadable = 0;
+    /// Nothing listens at the worker's address: the host refused the connection.
+    bool connection_refused = false;
 };
 
 /// The port to the workers. Handlers are called once, later, on the thread of the caller.
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -51,6 +51,8 @@
     std::string body{};
     /// What the library said about a failure; empty after an answer.
     std::string failure{};
+    /// The host refused the connection: no process listens at the address.
+    bool connection_refused = false;
     /// The library sent the body a second time, on a new connection.
     bool resent = false;
     base::microseconds elapsed{0};
--- a/src/net/internal/exchange.cpp
+++ b/src/net/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "net/internal/exchange.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <string_view>
 
@@ -154,6 +155,11 @@
     current.reply.sent_bytes = static_cast<std::size_t>(request_bytes) + current.body_offset;
     current.reply.wire_bytes = current.reply.sent_bytes + static_cast<std::size_t>(header_bytes) +
                                current.reply.body.size();
+    if (code == CURLE_COULDNT_CONNECT) {
+        long system_error = 0;
+        curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &system_error);
+        current.reply.connection_refused = system_error == ECONNREFUSED;
+    }
     if (code != CURLE_OK) {
         current.reply.failure = curl_easy_strerror(code);
         current.reply.body.clear();
--- a/tests/net/http_exchange_test.cpp
+++ b/tests/net/http_exchange_test.cpp
@@ -71,6 +71,7 @@
     const auto reply = client->send_and_wait({.method = "POST", .url = target, .body = "x"});
 
     EXPECT_EQ(reply.outcome, delivery::not_sent) << reply.failure;
+    EXPECT_TRUE(reply.connection_refused);
 }
 
 TEST_F(http_exchange, silence_after_sending_is_lost)
@@ -84,6 +85,7 @@
                                               .fresh_connection = true});
 
     EXPECT_EQ(reply.outcome, delivery::lost);
+    EXPECT_FALSE(reply.connection_refused);
 }
 
 TEST_F(http_exchange, body_over_the_limit_never_reaches_the_handler)
--- a/tests/support/fake_workers.hpp
+++ b/tests/support/fake_workers.hpp
@@ -42,6 +42,8 @@
         swallow,
         /// Carried out and not answered.
         lose_answer,
+        /// Its connection breaks at once; it is not carried out.
+        reset,
         /// Carried out some time later and not answered.
         late,
         /// The worker says that it is unhealthy and did nothing.
@@ -76,6 +78,8 @@
         bool displaced = false;
         bool listed = true;
         bool answers = true;
+        /// Its host refuses connections to it.
+        bool refuses = false;
     };
 
     std::function<fate(const std::string& worker, const std::string& order)> decide =
@@ -160,6 +164,13 @@
         return made;
     }
 
+    /// Its process has ended on a host that is up, which refuses connections to it.
+    void exit(const std::string& id)
+    {
+        crash(id);
+        machines_.at(id).refuses = true;
+    }
+
     /// Everything on it is gone; it comes back as another life under the same id.
     void restart(const std::string& id)
     {
@@ -172,6 +183,7 @@
     {
         auto& worker = machines_.at(id);
         worker.up = true;
+        worker.refuses = false;
         worker.facts.life.started_at += 1'000;
         worker.born_at = time_.now();
         worker.token = 0;
@@ -351,6 +363,9 @@
                 reply(made);
             });
             return;
+        case fate::reset:
+            time_.after(latency, [reply] { reply({}); });
+            return;
         case fate::swallow:
             unanswered();
             return;
@@ -508,7 +523,17 @@
             refuse_displaced(reply);
             return;
         }
+        if (worker.refuses) {
+            fleet::look_reply refusal;
+            refusal.connection_refused = true;
+            time_.after(2 * latency, [reply = std::move(reply), refusal] { reply(refusal); });
+            return;
+        }
         const auto what = decide(order.to.life.worker, "look");
+        if (what == fate::reset) {
+            time_.after(latency, [reply = std::move(reply)] { reply({}); });
+            return;
+        }
         if (what != fate::serve || !worker.up || !worker.answers) {
             const auto wait = order.wait;
             time_.after(wait + call_timeout, [reply = std::move(reply)] { reply({}); });
