--- a/src/control/leader_crashes.cpp
+++ b/src/control/leader_crashes.cpp
@@ -95,7 +95,9 @@
     if (worker.facts.draining) {
         worker.lost_in_silence.clear();
     }
-    const bool gone = !worker.listed && ports_.time->now() - worker.unlisted_at >= gone_for_good;
+    // While the directory is away a registration may be missing for want of a store to renew it at.
+    const bool gone = !worker.listed && ports_.time->now() - worker.unlisted_at >= gone_for_good &&
+                      directory_served_for(gone_for_good);
     if (worker.lost_in_silence.empty() || !gone) {
         return;
     }
--- a/tests/control/crashing_task_test.cpp
+++ b/tests/control/crashing_task_test.cpp
@@ -372,6 +372,39 @@
     EXPECT_EQ(site.at("vm1").node->local_leader()->counters().worker_crashes, 0U);
 }
 
+// The worker is cut off, and its registration can't return while the store is away.
+TEST_F(worker_crashes, DoNotIncludeWorkersThatAreMissingWhileTheStoreIsAway)
+{
+    constexpr seconds longer_than_leases{13};
+    bool directory_away = false;
+    auto& follow = site.at("vm1").directory.follow;
+    follow = [&directory_away,
+              direct = follow](store::row_version after, milliseconds wait,
+                               const std::function<void(fleet::directory_reply)>& handler) {
+        direct(after, wait, [&directory_away, handler](const fleet::directory_reply& reply) {
+            handler(directory_away ? fleet::directory_reply{} : reply);
+        });
+    };
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{9}; };
+    site.submit(make_job(deadly_job, 1, small_task));
+    ASSERT_TRUE(site.time.run_until([&] { return !starts.empty(); }, seconds{3}));
+    const auto worker = site.workers.starts().back().worker;
+    site.workers.at(worker).answers = false;
+    site.time.run_for(registration_expiry);
+    site.workers.set_listed(worker, false);
+    site.time.run_for(milliseconds{100});
+
+    directory_away = true;
+    site.time.run_for(longer_than_leases);
+    directory_away = false;
+    site.time.run_for(seconds{1});
+    site.workers.set_listed(worker, true);
+    site.workers.at(worker).answers = true;
+
+    EXPECT_EQ(site.await_end(deadly_job, seconds{30}), batch::job_status::completed);
+    EXPECT_EQ(site.at("vm1").node->local_leader()->counters().crashed_runs, 0U);
+}
+
 TEST_F(worker_crashes, DoNotIncludeWorkersThatDrainAndLeave)
 {
     site.workers.duration = [](const std::string& /*task*/) { return seconds{30}; };
