--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -374,19 +374,21 @@
     void process_end(worker_state& worker, const fleet::ended_task& end);
     void acknowledge_ends(const std::string& id, std::uint64_t born, std::uint64_t number);
     void check_missing(worker_state& worker, base::time_point sent, const fleet::look_reply& reply);
-    void end_expired_runs(worker_state& worker);
     [[nodiscard]] bool needs_poll(const worker_state& worker) const;
+    /// End, on the worker's clock, of the longest lease that this leader may grant now; empty when
+    /// it may grant none.
+    [[nodiscard]] std::optional<std::int64_t> lease_for(worker_state& worker,
+                                                        base::time_point now) const;
+    void confirm_leases();
+
+    // Workers that do not answer (leader_departures.cpp).
+    void end_expired_runs(worker_state& worker);
     /// True when a draining worker has left, so that nothing runs there any more. That its
     /// registration is gone is not enough.
     [[nodiscard]] bool has_deregistered(const worker_state& worker) const;
     /// The time by which all leases granted to the worker have expired, so that no run of theirs is
     /// left.
     [[nodiscard]] base::time_point leases_expired_at(const worker_state& worker) const;
-    /// End, on the worker's clock, of the longest lease that this leader may grant now; empty when
-    /// it may grant none.
-    [[nodiscard]] std::optional<std::int64_t> lease_for(worker_state& worker,
-                                                        base::time_point now) const;
-    void confirm_leases();
 
     // Crashes of workers, and the runs under which they happened (leader_crashes.cpp).
     /// The runs that the end of a worker's incarnation takes with it; none when the worker was
--- /dev/null
+++ b/src/control/leader_departures.cpp
@@ -0,0 +1,93 @@
+#include "control/leader.hpp"
+
+#include "base/event_line.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Workers that do not answer: whether they have left, and when nothing of theirs runs any more.
+namespace poplarstile::control
+{
+namespace
+{
+
+constexpr base::event_logger log{"workers"};
+/// A worker that answered two heartbeats less this time before its registration went cannot have
+/// been cut off for three.
+constexpr base::milliseconds heartbeat_margin{400};
+/// Polls without an answer after which a draining worker without registration has left. One may be
+/// a broken connection.
+constexpr std::uint32_t unanswered_when_gone = 2;
+
+} // namespace
+
+base::time_point leader::leases_expired_at(const worker_state& worker) const
+{
+    // Leases that an earlier leader may have granted, or this one to an earlier incarnation.
+    const auto granted_before =
+        std::max(began_, worker.incarnation_changed_at) +
+        std::chrono::ceil<base::microseconds>(options_.lease_horizon / fleet::slowest_clock_rate);
+    if (!worker.clock.known()) {
+        return granted_before;
+    }
+    return std::max(granted_before, worker.clock.surely_passed(worker.greatest_lease));
+}
+
+bool leader::has_deregistered(const worker_state& worker) const
+{
+    // A draining worker serves on, at times for long, and its registration may go for want of
+    // heartbeats that reach the store. An answer since then shows that it is still there.
+    const bool silent = worker.unanswered_polls > 0 && worker.answered_at <= worker.unlisted_at;
+    if (worker.listed || !worker.facts.draining || !worker.fenced || !silent) {
+        return false;
+    }
+    if (worker.departure.connection_refused) {
+        return true;
+    }
+    // A registration that expires for want of heartbeats is that of a worker that has been cut off
+    // for three of them.
+    const auto longest = 2 * options_.worker_heartbeat - heartbeat_margin;
+    return !worker.departure.may_have_expired &&
+           worker.departure.unanswered_polls >= unanswered_when_gone &&
+           worker.unlisted_at - worker.answered_at < longest;
+}
+
+void leader::end_expired_runs(worker_state& worker)
+{
+    const bool unreachable = worker.unanswered_polls > 0 || worker.facts.address.empty();
+    const bool deregistered = has_deregistered(worker);
+    const bool nothing_runs = deregistered || ports_.time->now() >= leases_expired_at(worker);
+    if (!unreachable || worker.runs.empty() || !nothing_runs) {
+        return;
+    }
+    log.warning(deregistered ? "worker_left" : "lease_of_worker_over",
+                {{"worker", worker.facts.life.worker},
+                 {"runs", worker.runs.size()},
+                 {"refused", worker.departure.connection_refused},
+                 {"unanswered_polls", worker.unanswered_polls},
+                 {"silent_ms", base::milliseconds_between(std::max(worker.answered_at, began_),
+                                                          ports_.time->now())}});
+    std::vector<crashed_run> crashed;
+    if (worker.displaced) {
+        // Another worker has taken its address, so it does not come back to show how it ended.
+        crashed = take_crashed_runs(worker);
+    } else if (!deregistered) {
+        std::ranges::move(runs_under_crash(worker, ports_.time->now()),
+                          std::back_inserter(worker.lost_in_silence));
+    }
+    std::vector<std::string> expired;
+    for (const auto& [task, run] : worker.runs) {
+        expired.push_back(task);
+    }
+    for (const auto& task : expired) {
+        end_run(worker, task, batch::run_end::lost, {},
+                deregistered ? "worker_left" : "lease_over");
+    }
+    record_crashes(crashed, worker.facts.life.worker);
+}
+
+} // namespace poplarstile::control
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -3,9 +3,7 @@
 #include "base/event_line.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
-#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
@@ -136,7 +134,7 @@
             log.warning("address_taken", {{"worker", id}, {"runs", worker.runs.size()}});
             worker.displaced = true;
         }
-        count_unanswered_poll(worker, sent, now);
+        count_unanswered_poll(worker, {sent, now, false});
         worker.next_poll_at = now + storing_poll_interval;
         return;
     default:
@@ -150,10 +148,7 @@
                                           {"refused", reply.connection_refused},
                                           {"runs", worker.runs.size()}});
         }
-        count_unanswered_poll(worker, sent, now);
-        worker.departure.connection_refused =
-            !worker.listed && (worker.departure.connection_refused ||
-                               (reply.connection_refused && sent >= worker.unlisted_at));
+        count_unanswered_poll(worker, {sent, now, reply.connection_refused});
         worker.next_poll_at =
             now + (worker.runs.empty() ? unanswered_idle_poll_interval : unanswered_poll_interval);
         return;
@@ -351,73 +346,6 @@
     }
 }
 
-base::time_point leader::leases_expired_at(const worker_state& worker) const
-{
-    // Leases that an earlier leader may have granted, or this one to an earlier incarnation.
-    const auto granted_before =
-        std::max(began_, worker.incarnation_changed_at) +
-        std::chrono::ceil<base::microseconds>(options_.lease_horizon / fleet::slowest_clock_rate);
-    if (!worker.clock.known()) {
-        return granted_before;
-    }
-    return std::max(granted_before, worker.clock.surely_passed(worker.greatest_lease));
-}
-
-bool leader::has_deregistered(const worker_state& worker) const
-{
-    // A draining worker serves on, at times for long, and its registration may go for want of
-    // heartbeats that reach the store. An answer since then shows that it is still there.
-    const bool silent = worker.unanswered_polls > 0 && worker.answered_at <= worker.unlisted_at;
-    if (worker.listed || !worker.facts.draining || !worker.fenced || !silent) {
-        return false;
-    }
-    if (worker.departure.connection_refused) {
-        return true;
-    }
-    // A worker that answered less than two heartbeats before its registration went cannot have been
-    // cut off for three. One unanswered poll may be a broken connection.
-    constexpr base::milliseconds margin{400};
-    constexpr std::uint32_t unanswered_when_gone = 2;
-    const auto longest = 2 * options_.worker_heartbeat - margin;
-    return !worker.departure.may_have_expired &&
-           worker.departure.unanswered_polls >= unanswered_when_gone &&
-           worker.unlisted_at - worker.answered_at < longest;
-}
-
-void leader::end_expired_runs(worker_state& worker)
-{
-    const bool unreachable = worker.unanswered_polls > 0 || worker.facts.address.empty();
-    const bool deregistered = has_deregistered(worker);
-    const bool nothing_runs = deregistered || ports_.time->now() >= leases_expired_at(worker);
-    if (!unreachable || worker.runs.empty() || !nothing_runs) {
-        return;
-    }
-    log.warning(deregistered ? "worker_left" : "lease_of_worker_over",
-                {{"worker", worker.facts.life.worker},
-                 {"runs", worker.runs.size()},
-                 {"refused", worker.departure.connection_refused},
-                 {"unanswered_polls", worker.unanswered_polls},
-                 {"silent_ms", base::milliseconds_between(std::max(worker.answered_at, began_),
-                                                          ports_.time->now())}});
-    std::vector<crashed_run> crashed;
-    if (worker.displaced) {
-        // Another worker has taken its address, so it does not come back to show how it ended.
-        crashed = take_crashed_runs(worker);
-    } else if (!deregistered) {
-        std::ranges::move(runs_under_crash(worker, ports_.time->now()),
-                          std::back_inserter(worker.lost_in_silence));
-    }
-    std::vector<std::string> expired;
-    for (const auto& [task, run] : worker.runs) {
-        expired.push_back(task);
-    }
-    for (const auto& task : expired) {
-        end_run(worker, task, batch::run_end::lost, {},
-                deregistered ? "worker_left" : "lease_over");
-    }
-    record_crashes(crashed, worker.facts.life.worker);
-}
-
 void leader::update_worker(worker_state& worker)
 {
     const auto now = ports_.time->now();
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -53,14 +53,16 @@
     return run.listed && run.sends <= 1;
 }
 
-void count_unanswered_poll(worker_state& worker, base::time_point sent, base::time_point now)
+void count_unanswered_poll(worker_state& worker, const unanswered_poll& poll)
 {
     if (worker.unanswered_polls == 0) {
-        worker.silent_since = now;
+        worker.silent_since = poll.given_up;
     }
     ++worker.unanswered_polls;
-    if (!worker.listed && sent >= worker.unlisted_at) {
-        ++worker.departure.unanswered_polls;
+    if (!worker.listed && poll.sent >= worker.unlisted_at) {
+        auto& departure = worker.departure;
+        ++departure.unanswered_polls;
+        departure.connection_refused = departure.connection_refused || poll.refused;
     }
 }
 
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -105,8 +105,16 @@
 
 struct worker_state;
 
-/// Counts a poll, sent at some time, without a reply of the worker's own.
-void count_unanswered_poll(worker_state& worker, base::time_point sent, base::time_point now);
+/// A poll without a reply of the worker's own.
+struct unanswered_poll {
+    base::time_point sent{};
+    base::time_point given_up{};
+    /// The host refused the connection.
+    bool refused = false;
+};
+
+/// Counts a poll without a reply.
+void count_unanswered_poll(worker_state& worker, const unanswered_poll& poll);
 
 /// The runs that a crash of the worker takes with it, and what speaks for each as the cause. Runs
 /// that were never sent are not among them.
