Draining workers: only what a worker itself did shows that it has left

Cause: leader::has_deregistered took one refused connection for a process that is gone, and two unanswered polls of a worker that had answered shortly before its registration went for one that left. Both are absences: a proxy, a firewall or a cut on the way refuses as well, and answering polls is no heartbeat to the store. The run was started elsewhere while the worker worked on.

Change: a draining worker has left only if its registration was removed sooner after it was written than it can expire (three heartbeats), with every call of the directory served since, and two polls sent afterwards are unanswered. Then the removal is the worker's own. A registration that was overwritten with something unreadable is not one that was removed. In any other case the runs wait for the end of their leases.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -365,6 +365,11 @@
     [[nodiscard]] bool is_capacity_known(const worker_state& worker) const;
     void end_incarnation(worker_state& worker, run_evidence evidence);
     void update_worker(worker_state& worker);
+    /// Notes that a worker's registration was written since the last reply of the directory.
+    void note_registration_written(const std::string& id);
+    /// True when a registration that is gone was removed by its worker, which has left: it went
+    /// sooner after it was written than it expires without heartbeats.
+    [[nodiscard]] bool is_removed_before_expiry(const worker_state& worker) const;
     void poll_worker(worker_state& worker);
     /// Records how long a worker took to answer a poll beyond the time that it was told to wait.
     void record_poll_time(base::time_point sent, base::milliseconds wait,
--- a/src/control/leader_departures.cpp
+++ b/src/control/leader_departures.cpp
@@ -16,9 +16,6 @@
 {
 
 constexpr base::event_logger log{"workers"};
-/// A worker that answered two heartbeats less this time before its registration went cannot have
-/// been cut off for three.
-constexpr base::milliseconds heartbeat_margin{400};
 /// Polls without an answer after which a draining worker without registration has left. One may be
 /// a broken connection.
 constexpr std::uint32_t unanswered_when_gone = 2;
@@ -40,20 +37,14 @@
 bool leader::has_deregistered(const worker_state& worker) const
 {
     // A draining worker serves on, at times for long, and its registration may go for want of
-    // heartbeats that reach the store. An answer since then shows that it is still there.
+    // heartbeats that reach the store. A refused connection is no sign either: a proxy or a
+    // firewall on the way refuses too. An answer since then shows that it is still there.
     const bool silent = worker.unanswered_polls > 0 && worker.answered_at <= worker.unlisted_at;
     if (worker.listed || !worker.facts.draining || !worker.fenced || !silent) {
         return false;
     }
-    if (worker.departure.connection_refused) {
-        return true;
-    }
-    // A registration that expires for want of heartbeats is that of a worker that has been cut off
-    // for three of them.
-    const auto longest = 2 * options_.worker_heartbeat - heartbeat_margin;
-    return !worker.departure.may_have_expired &&
-           worker.departure.unanswered_polls >= unanswered_when_gone &&
-           worker.unlisted_at - worker.answered_at < longest;
+    return worker.departure.removed_before_expiry &&
+           worker.departure.unanswered_polls >= unanswered_when_gone;
 }
 
 void leader::end_expired_runs(worker_state& worker)
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -18,8 +18,10 @@
 constexpr base::milliseconds directory_wait{1'000};
 /// A start relies on a capacity only while it was read less than this time ago.
 constexpr base::milliseconds longest_capacity_age{2'800};
-/// Registrations that expired in an outage of the store are back this long after its end.
-constexpr base::milliseconds registration_return{2'000};
+/// Heartbeats that a worker misses before its registration expires.
+constexpr int heartbeats_until_expiry = 3;
+/// Heartbeats come that much early or late.
+constexpr base::milliseconds heartbeat_margin{400};
 
 } // namespace
 
@@ -86,6 +88,7 @@
             note_directory_served();
             for (const auto& change : reply.changes) {
                 apply_worker_change(change);
+                note_registration_written(change.worker);
             }
             directory_version_ = std::max(directory_version_, reply.version);
             note_registrations(sent, reply);
@@ -112,6 +115,24 @@
     registrations_seen_at_ = waited ? sent + directory_wait : sent;
 }
 
+void leader::note_registration_written(const std::string& id)
+{
+    const auto found = workers_.find(id);
+    if (found != workers_.end() && found->second->listed) {
+        // Earlier changes have been applied already.
+        found->second->written_after = registrations_seen_at_;
+    }
+}
+
+bool leader::is_removed_before_expiry(const worker_state& worker) const
+{
+    // An outage of the store may end registrations at once.
+    const auto& written = worker.written_after;
+    const bool served = written && directory_served_since_ && *directory_served_since_ <= *written;
+    const auto shortest = heartbeats_until_expiry * options_.worker_heartbeat - heartbeat_margin;
+    return served && ports_.time->now() - *written < shortest;
+}
+
 bool leader::is_capacity_known(const worker_state& worker) const
 {
     const auto catalog = ports_.catalog();
@@ -138,14 +159,13 @@
     worker.listed = false;
     worker.unlisted_at = ports_.time->now();
     worker.departure = {};
-    // A registration expires after three missed heartbeats, which an outage of the store causes
-    // too.
-    const bool may_have_expired = !directory_served_for(registration_return);
-    worker.departure.may_have_expired = may_have_expired;
+    // One that can't be used was overwritten, perhaps by somebody else than the worker.
+    worker.departure.removed_before_expiry =
+        change.fault.empty() && is_removed_before_expiry(worker);
     log.info("worker_unlisted", {{"worker", change.worker},
                                  {"life", worker.facts.life.started_at},
                                  {"draining", worker.facts.draining},
-                                 {"may_have_expired", may_have_expired},
+                                 {"may_have_expired", !worker.departure.removed_before_expiry},
                                  {"runs", worker.runs.size()}});
 }
 
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -98,7 +98,7 @@
 struct unanswered_poll {
     base::time_point sent{};
     base::time_point given_up{};
-    /// The host refused the connection.
+    /// The connection was refused.
     bool refused = false;
 };
 
@@ -124,11 +124,12 @@
 
 /// What has been seen of a worker since its registration went.
 struct departure_evidence {
-    /// The registration may have expired, because the store was not served shortly before.
-    bool may_have_expired = false;
+    /// The registration was removed sooner after it was written than it can expire, so that only
+    /// the worker itself can have removed it.
+    bool removed_before_expiry = false;
     /// Polls sent since then that had no reply of the worker's own.
     std::uint32_t unanswered_polls = 0;
-    /// Its address refused a connection: the process is gone, with all that ran in it.
+    /// A connection to its address was refused, by its host or by anything on the way there.
     bool connection_refused = false;
 };
 
@@ -137,6 +138,8 @@
     fleet::worker_facts facts{};
     /// When its registration was last read.
     base::time_point registered_at{};
+    /// A time after which its registration was written; empty when none is known.
+    std::optional<base::time_point> written_after{};
     /// False once its registration has been removed.
     bool listed = true;
     base::time_point unlisted_at{};
--- a/src/fleet/worker_orders.hpp
+++ b/src/fleet/worker_orders.hpp
@@ -108,7 +108,9 @@
     std::vector<ended_task> ended{};
     /// Entries of the two lists that could not be read.
     std::uint32_t unreadable = 0;
-    /// Nothing listens at the worker's address: the host refused the connection.
+    /// The worker may have more ends than it lists at once.
+    bool more_ends = false;
+    /// The connection was refused, by the host or by anything on the way to it.
     bool connection_refused = false;
 };
 
