Leases: extended by half of the parts, and counted until nobody else extends them

A leader that reached one part of the store and the worker alone went on extending its leases by that part, while its successor counted its wait from the first part it acquired.

Change: a leader extends leases only as far as commits to half of the parts are confirmed. A successor counts from when it had acquired enough parts that no earlier leader can have half of them, or from the worker's first answer under its own token, whichever is sooner; before that it takes no lease for over. Leases are only reckoned for workers that do not answer.

Cost: while three of four parts are away for longer than the lease horizon, work stops, as it does while all are away.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -3,7 +3,9 @@
 #include "base/event_line.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
+#include <vector>
 
 namespace poplarstile::control
 {
@@ -15,6 +17,11 @@
 
 } // namespace
 
+std::size_t parts_that_extend_leases(std::size_t parts)
+{
+    return (parts + 1) / 2;
+}
+
 std::string_view name_of(leader_span span)
 {
     static constexpr std::array<std::string_view, 4> names{"job_until_placed", "job_until_end",
@@ -77,6 +84,16 @@
     return newest;
 }
 
+base::time_point leader::lease_authority_at() const
+{
+    std::vector<base::time_point> confirmed;
+    for (const auto& part : parts_) {
+        confirmed.push_back(part.journal ? part.journal->confirmed_at() : base::time_point::min());
+    }
+    std::ranges::sort(confirmed, std::greater{});
+    return confirmed.at(parts_that_extend_leases(parts_.size()) - 1);
+}
+
 store::row_version leader::lease_version() const
 {
     return parts_.at(first_part_).journal->version();
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -118,6 +118,10 @@
     std::uint64_t duplicate_rows_removed = 0;
 };
 
+/// Of this many parts of the store, the number whose commits have to be confirmed for a leader to
+/// extend leases at workers. An earlier leader that has lost the others can extend none.
+[[nodiscard]] std::size_t parts_that_extend_leases(std::size_t parts);
+
 /// The scheduler on the VM that holds the lease. Each term of a VM as leader has its own object.
 /// Runs on the reactor thread; callbacks that arrive after its destruction do nothing.
 ///
@@ -163,6 +167,8 @@
     }
     /// Time at which the newest commit that is known to be applied was sent, over all parts.
     [[nodiscard]] base::time_point confirmed_at() const;
+    /// Time at which this leader was surely the only one that may extend leases at workers.
+    [[nodiscard]] base::time_point lease_authority_at() const;
     /// The part whose lease row was acquired first.
     [[nodiscard]] std::size_t first_part() const
     {
@@ -237,6 +243,8 @@
     /// This leader's state of one part of the store.
     struct part_state {
         part_phase phase = part_phase::acquiring;
+        /// When its lease row was acquired; valid while `journal` is set.
+        base::time_point acquired_at{};
         std::unique_ptr<store::journal> journal{};
         /// Rows of stored records of runs whose jobs have not been read yet, by key.
         std::map<std::string, std::string> unclaimed_records{};
@@ -357,6 +365,11 @@
     void apply_worker_facts(const fleet::worker_change& change);
     /// Notes a reply of the directory: changes up to some time after `sent` have been applied.
     void note_registrations(base::time_point sent, const fleet::directory_reply& reply);
+    /// Notes that a worker's registration was written since the last reply of the directory.
+    void note_registration_written(const std::string& id);
+    /// True when a registration that is gone was removed by its worker, which has left: it went
+    /// sooner after it was written than it expires without heartbeats.
+    [[nodiscard]] bool is_removed_before_expiry(const worker_state& worker) const;
     void note_directory_served();
     /// True when calls of the directory have been served without interruption for this long.
     [[nodiscard]] bool directory_served_for(base::milliseconds span) const;
@@ -365,11 +378,6 @@
     [[nodiscard]] bool is_capacity_known(const worker_state& worker) const;
     void end_incarnation(worker_state& worker, run_evidence evidence);
     void update_worker(worker_state& worker);
-    /// Notes that a worker's registration was written since the last reply of the directory.
-    void note_registration_written(const std::string& id);
-    /// True when a registration that is gone was removed by its worker, which has left: it went
-    /// sooner after it was written than it expires without heartbeats.
-    [[nodiscard]] bool is_removed_before_expiry(const worker_state& worker) const;
     void poll_worker(worker_state& worker);
     /// Records how long a worker took to answer a poll beyond the time that it was told to wait.
     void record_poll_time(base::time_point sent, base::milliseconds wait,
@@ -393,6 +401,12 @@
     /// True when a draining worker has left, so that nothing runs there any more. That its
     /// registration is gone is not enough.
     [[nodiscard]] bool has_deregistered(const worker_state& worker) const;
+    /// The time by which all leases that earlier leaders granted to the worker have expired; the
+    /// end of time while one may still extend them.
+    [[nodiscard]] base::time_point earlier_leases_expired_at(const worker_state& worker) const;
+    /// When this leader had acquired so many parts that no earlier one could extend leases any
+    /// more; empty before.
+    [[nodiscard]] std::optional<base::time_point> exclusive_since() const;
     /// The time by which all leases granted to the worker have expired, so that no run of theirs is
     /// left.
     [[nodiscard]] base::time_point leases_expired_at(const worker_state& worker) const;
--- a/src/control/leader_departures.cpp
+++ b/src/control/leader_departures.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,14 +21,48 @@
 /// a broken connection.
 constexpr std::uint32_t unanswered_when_gone = 2;
 
+/// How long a worker with the slowest clock may take for a span of its own clock.
+base::microseconds longest_on_worker(base::milliseconds span)
+{
+    return std::chrono::ceil<base::microseconds>(span / fleet::slowest_clock_rate);
+}
+
 } // namespace
 
+std::optional<base::time_point> leader::exclusive_since() const
+{
+    std::vector<base::time_point> acquired;
+    for (const auto& part : parts_) {
+        if (part.journal) {
+            acquired.push_back(part.acquired_at);
+        }
+    }
+    const auto needed = parts_.size() - parts_that_extend_leases(parts_.size()) + 1;
+    if (acquired.size() < needed) {
+        return std::nullopt;
+    }
+    std::ranges::sort(acquired);
+    return acquired.at(needed - 1);
+}
+
+base::time_point leader::earlier_leases_expired_at(const worker_state& worker) const
+{
+    auto expired = base::time_point::max();
+    if (const auto since = exclusive_since()) {
+        expired = *since + longest_on_worker(options_.lease_horizon);
+    }
+    if (worker.fenced) {
+        expired = std::min(expired, worker.fenced_at + longest_on_worker(options_.longest_lease));
+    }
+    return expired;
+}
+
 base::time_point leader::leases_expired_at(const worker_state& worker) const
 {
     // Leases that an earlier leader may have granted, or this one to an earlier incarnation.
     const auto granted_before =
-        std::max(began_, worker.incarnation_changed_at) +
-        std::chrono::ceil<base::microseconds>(options_.lease_horizon / fleet::slowest_clock_rate);
+        std::max(earlier_leases_expired_at(worker),
+                 worker.incarnation_changed_at + longest_on_worker(options_.lease_horizon));
     if (!worker.clock.known()) {
         return granted_before;
     }
@@ -50,9 +85,11 @@
 void leader::end_expired_runs(worker_state& worker)
 {
     const bool unreachable = worker.unanswered_polls > 0 || worker.facts.address.empty();
+    if (!unreachable || worker.runs.empty()) {
+        return;
+    }
     const bool deregistered = has_deregistered(worker);
-    const bool nothing_runs = deregistered || ports_.time->now() >= leases_expired_at(worker);
-    if (!unreachable || worker.runs.empty() || !nothing_runs) {
+    if (!deregistered && ports_.time->now() < leases_expired_at(worker)) {
         return;
     }
     log.warning(deregistered ? "worker_left" : "lease_of_worker_over",
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -132,6 +132,7 @@
     handlers.on_lost = [this](const store::lease_record& found) { on_lease_lost(found); };
     auto& opened = parts_.at(part);
     opened.phase = part_phase::reading;
+    opened.acquired_at = ports_.time->now();
     opened.journal = std::make_unique<store::journal>(
         rows_, *ports_.time, options, std::move(lease), version, std::move(handlers));
 }
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -50,7 +50,7 @@
         return std::nullopt;
     }
     const auto authority = std::chrono::duration_cast<base::milliseconds>(
-        confirmed_at() + options_.lease_horizon - now);
+        lease_authority_at() + options_.lease_horizon - now);
     if (authority <= base::milliseconds{0}) {
         return std::nullopt;
     }
@@ -173,6 +173,7 @@
     worker.departure.unanswered_polls = 0;
     worker.departure.connection_refused = false;
     const bool first_answer = !worker.fenced;
+    worker.fenced_at = first_answer ? now : worker.fenced_at;
     worker.fenced = true;
     worker.answered_at = now;
     worker.next_poll_at = now;
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -187,6 +187,8 @@
     std::int64_t greatest_lease = 0;
     /// The worker has accepted a poll with this leader's fencing token.
     bool fenced = false;
+    /// When that was known first; valid while `fenced` is set.
+    base::time_point fenced_at{};
     /// Moments of failed runs, newest last; of different jobs.
     std::map<std::string, base::time_point> failed_jobs{};
     std::uint32_t done_since_failure = 0;
