--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -232,6 +232,10 @@
 
 void leader::process_ends(worker_state& worker, const fleet::look_reply& reply)
 {
+    if (reply.unreadable > 0) {
+        // An acknowledgement would drop an end that could not be read.
+        return;
+    }
     auto ends = reply.ended;
     std::ranges::sort(ends, {}, &fleet::ended_task::number);
     bool any_processed = false;
@@ -313,6 +317,12 @@
 void leader::check_missing(worker_state& worker, base::time_point sent,
                            const fleet::look_reply& reply)
 {
+    if (!reply.complete()) {
+        log.warning("poll_incomplete", {{"worker", worker.facts.life.worker},
+                                        {"unreadable", reply.unreadable},
+                                        {"more_ends", reply.more_ends}});
+        return;
+    }
     std::set<std::pair<std::string, std::uint32_t>> listed;
     for (const auto& running : reply.running) {
         listed.emplace(batch::to_text(running.task), running.run);
--- a/src/fleet/worker_orders.hpp
+++ b/src/fleet/worker_orders.hpp
@@ -112,6 +112,12 @@
     bool more_ends = false;
     /// The connection was refused, by the host or by anything on the way to it.
     bool connection_refused = false;
+
+    /// True when a run that is in neither list is not on the worker.
+    [[nodiscard]] bool complete() const
+    {
+        return unreadable == 0 && !more_ends;
+    }
 };
 
 /// The port to the workers. Handlers are called once, later, on the thread of the caller.
--- a/tests/platform/worker_wire_test.cpp
+++ b/tests/platform/worker_wire_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/wire.hpp"
 #include "platform/worker_client.hpp"
 #include "platform/worker_entry.hpp"
 
@@ -131,6 +132,33 @@
 {
     const auto reply = internal::decode_order(answered(409, R"({"clock_ms":5,"reason":1})"));
 
+TEST(worker_client, AListThatIsNoneIsNotAnEmptyOne)
+{
+    const auto outcome = [](const char* body) {
+        return internal::decode_look(answered(200, body)).outcome;
+    };
+
+    EXPECT_EQ(outcome(R"({"clock_ms":1,"running":null,"ended":[]})"),
+              fleet::order_outcome::unanswered);
+    EXPECT_EQ(outcome(R"({"clock_ms":1,"running":[],"ended":7})"),
+              fleet::order_outcome::unanswered);
+}
+
+TEST(worker_client, AFullListOfEndsMayNotBeAll)
+{
+    std::string ends;
+    for (std::size_t number = 1; number < wire::most_ends; ++number) {
+        ends += R"([1,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)";
+    }
+    const auto look = [](const std::string& listed) {
+        return internal::decode_look(
+            answered(200, (R"({"clock_ms":1,"running":[],"ended":[)" + listed + "]}").c_str()));
+    };
+
+    EXPECT_FALSE(look(ends.substr(0, ends.size() - 1)).more_ends);
+    EXPECT_TRUE(look(ends + R"([1,"5c0e7a21d94b36f8.0.1.9",1,"done",""])").more_ends);
+}
+
     EXPECT_EQ(reply.outcome, fleet::order_outcome::malformed);
 }
 
