Workers: what an earlier incarnation answered says nothing of the current one

A worker that started again under its id could begin a run that the leader had started elsewhere: the acknowledgement of a stop, or of a start, by the earlier incarnation arrived after the news of the new one and counted as the new one's. The run was missing from the next poll and given up, while an unanswered sending of its start could still begin it there.

Change: a stop that was sent to an earlier incarnation forbids nothing, and a start that it accepted or called outdated is not accepted by the current one.

Evidence: worker_rebirth.AStopThatTheOldIncarnationAcknowledgedForbidsNothing... fails with the change taken out and passes with it.

--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -180,6 +180,8 @@
     }
     auto& worker = *found->second;
     run->starts_under_way -= run->starts_under_way > 0 ? 1 : 0;
+    // Of an earlier one, the reply says nothing of what another sending begins in the current one.
+    const bool same_incarnation = worker.facts.life.started_at == sent.incarnation;
     if (reply.outcome != fleet::order_outcome::accepted) {
         log.warning("start_not_taken", {{"job", run->job},
                                         {"task", key.task},
@@ -190,7 +192,7 @@
     }
     switch (reply.outcome) {
     case fleet::order_outcome::accepted:
-        if (run->order == order_state::sent) {
+        if (run->order == order_state::sent && same_incarnation) {
             run->order = order_state::accepted;
             run->accepted_at = now;
             plan_held_back_work();
@@ -207,8 +209,10 @@
         return;
     case fleet::order_outcome::outdated:
         // The run has ended or was stopped at the worker; the list of ends shows which.
-        run->order = order_state::accepted;
-        run->accepted_at = sent.at;
+        if (same_incarnation) {
+            run->order = order_state::accepted;
+            run->accepted_at = sent.at;
+        }
         worker.urgent_poll = true;
         return;
     default:
@@ -311,6 +315,10 @@
         }
         auto& target = *workers_.at(key.worker);
         stopped->stop_under_way = false;
+        if (target.facts.life.started_at != sent.incarnation) {
+            // The later incarnation has not been told to stop the run.
+            return;
+        }
         if (reply.outcome == fleet::order_outcome::accepted) {
             stopped->stop_acknowledged = true;
             stopped->stop_acknowledged_at = ports_.time->now();
--- a/tests/control/worker_rebirth_test.cpp
+++ b/tests/control/worker_rebirth_test.cpp
@@ -137,5 +137,48 @@
     EXPECT_LE(longest, site.leading.longest_lease + site.leading.poll_wait);
 }
 
+// All sendings of a start are unanswered, so the run is stopped; the worker restarts, and what the
+// earlier incarnation said to the stop arrives afterwards. The first sending reaches the new one.
+TEST_F(worker_rebirth, AStopThatTheOldIncarnationAcknowledgedForbidsNothingInTheNewOne)
+{
+    auto& orders = site.at("vm1").orders;
+    std::string target;
+    orders.start = [this, &target, start = orders.start](const fleet::start_order& order,
+                                                         auto reply) {
+        if (order.run > 1) {
+            start(order, reply);
+            return;
+        }
+        if (target.empty()) {
+            target = order.to.life.worker;
+            site.time.after(seconds{3}, [start, order] {
+                start(order, [](const fleet::order_reply& /*reply*/) {});
+            });
+        }
+        site.time.after(seconds{1}, [reply] { reply({}); });
+    };
+    bool restarted = false;
+    orders.stop = [this, &restarted, stop = orders.stop](const fleet::stop_order& order,
+                                                         auto reply) {
+        if (restarted) {
+            site.time.after(seconds{4}, [stop, order, reply] { stop(order, reply); });
+            return;
+        }
+        stop(order, [this, reply](const fleet::order_reply& answer) {
+            site.time.after(milliseconds{100}, [reply, answer] { reply(answer); });
+        });
+        site.time.after(milliseconds{20}, [this, &restarted, id = order.to.life.worker] {
+            restarted = true;
+            site.workers.restart(id);
+        });
+    };
+    site.submit(make_job(job, 1, small_task));
+
+    EXPECT_EQ(site.await_end(job), batch::job_status::completed);
+
+    EXPECT_TRUE(restarted);
+    EXPECT_TRUE(site.workers.doubled().empty());
+}
+
 } // namespace
 } // namespace poplarstile::tests
