Orders: an answer that is not a worker's own settles nothing

Any status that was not known counted as an unhealthy worker that has done nothing, 502 and 504 of a gateway included, and any 2xx as the worker's consent. A start that a gateway had passed on was given up and sent elsewhere.

--- a/tests/platform/worker_wire_test.cpp
+++ b/tests/platform/worker_wire_test.cpp
@@ -81,6 +81,22 @@
     EXPECT_EQ(outcome(429, ""), order_outcome::unavailable);
 }
 
+// A gateway that gave up on an order may have passed it on.
+TEST(worker_client, AnAnswerThatIsNoWorkersOwnSettlesNothing)
+{
+    using fleet::order_outcome;
+    const auto outcome = [](std::uint16_t status, const char* body) {
+        return internal::decode_order(answered(status, body)).outcome;
+    };
+
+    EXPECT_EQ(outcome(500, ""), order_outcome::unanswered);
+    EXPECT_EQ(outcome(502, ""), order_outcome::unanswered);
+    EXPECT_EQ(outcome(504, ""), order_outcome::unanswered);
+    EXPECT_EQ(outcome(404, ""), order_outcome::unanswered);
+    EXPECT_EQ(outcome(200, "<html>"), order_outcome::unanswered);
+    EXPECT_EQ(outcome(200, "{}"), order_outcome::unanswered);
+}
+
 TEST(worker_client, NoAnswerSettlesNothing)
 {
     net::http_reply lost;
@@ -116,22 +132,6 @@
     EXPECT_EQ(reply.unreadable, 4U);
 }
 
-// A worker that starts anew answers at the same address: a look meant for its old life would make
-// it forget ends that nobody has seen.
-TEST(worker_call, IsNeverResentToWhoeverServesTheAddressByThen)
-{
-    const fleet::worker_address to{{"w1", 7}, "10.0.0.1:80"};
-
-    const auto call = internal::make_call(to, "/path", "{}", base::milliseconds{500});
-
-    EXPECT_TRUE(call.once);
-    EXPECT_EQ(call.timeout, base::milliseconds{500});
-}
-
-TEST(worker_answer, AReasonOfAnotherTypeIsNoReason)
-{
-    const auto reply = internal::decode_order(answered(409, R"({"clock_ms":5,"reason":1})"));
-
 TEST(worker_client, AListThatIsNoneIsNotAnEmptyOne)
 {
     const auto outcome = [](const char* body) {
@@ -159,6 +159,22 @@
     EXPECT_TRUE(look(ends + R"([1,"5c0e7a21d94b36f8.0.1.9",1,"done",""])").more_ends);
 }
 
+// A worker that starts anew answers at the same address: a look meant for its old life would make
+// it forget ends that nobody has seen.
+TEST(worker_call, IsNeverResentToWhoeverServesTheAddressByThen)
+{
+    const fleet::worker_address to{{"w1", 7}, "10.0.0.1:80"};
+
+    const auto call = internal::make_call(to, "/path", "{}", base::milliseconds{500});
+
+    EXPECT_TRUE(call.once);
+    EXPECT_EQ(call.timeout, base::milliseconds{500});
+}
+
+TEST(worker_answer, AReasonOfAnotherTypeIsNoReason)
+{
+    const auto reply = internal::decode_order(answered(409, R"({"clock_ms":5,"reason":1})"));
+
     EXPECT_EQ(reply.outcome, fleet::order_outcome::malformed);
 }
 
