Test: a leader with too few parts must hold no lease (fails)

Fails on: silent_worker.HoldsNoLeaseByALeaderThatHasTooFewParts, a task runs twice at the same time. The cause is suspected in leader::lease_authority_at: with fewer parts than needed it returns time_point::min(), and lease_for's difference to now overflows to a large positive authority.

--- a/tests/control/silent_worker_test.cpp
+++ b/tests/control/silent_worker_test.cpp
@@ -124,5 +124,31 @@
     expect_started_again_later();
 }
 
+// A leader that has acquired a single part reckoned its authority from no commit at all, and held
+// the leases of the workers that it alone reached without limit.
+TEST_F(silent_worker, HoldsNoLeaseByALeaderThatHasTooFewParts)
+{
+    ASSERT_NO_FATAL_FAILURE(run_job());
+    const auto only = (site.parts.home_of(id) + 1) % site.parts.size();
+    for (const std::string name : {"vm1", "vm2", "vm3"}) {
+        for (std::size_t part = 0; part < site.parts.size(); ++part) {
+            if (part != only) {
+                unreachable.insert({name, site.parts.name(part)});
+            }
+        }
+    }
+    const auto first = leader;
+    site.stop(first);
+    auto* const successor = site.await_leader(seconds{20});
+    ASSERT_NE(successor, nullptr);
+    leader = successor->name;
+
+    unreachable.clear();
+    isolate_with_part(only);
+    site.time.run_for(seconds{30});
+
+    expect_started_again_later();
+}
+
 } // namespace
 } // namespace poplarstile::tests
