Test: a start that a later incarnation takes late (fails)

Fails on: worker_rebirth.AStartThatTheNewIncarnationTakesLateIsNotRunElsewhereBesideIt. The deadline of the start is far ahead on the new clock, so the new incarnation holds the run for the longest lease from when it takes it, while the leader reckons with the earlier clock and gives the run up.

--- a/tests/control/worker_rebirth_test.cpp
+++ b/tests/control/worker_rebirth_test.cpp
@@ -180,5 +180,36 @@
     EXPECT_TRUE(site.workers.doubled().empty());
 }
 
+// A start is under way when its worker restarts, cut off from the leader and the store. The new
+// incarnation takes it seconds later, on a clock that reads less, and grants it the longest lease
+// from then on; the run was given up when the lease on the earlier clock was over.
+TEST_F(worker_rebirth, AStartThatTheNewIncarnationTakesLateIsNotRunElsewhereBesideIt)
+{
+    // The earlier clock is far ahead of the new one.
+    site.time.run_for(seconds{60});
+    std::string target;
+    auto& orders = site.at("vm1").orders;
+    orders.start = [this, &target, direct = site.workers.orders().start,
+                    start = orders.start](const fleet::start_order& order, auto reply) {
+        if (!target.empty()) {
+            start(order, reply);
+            return;
+        }
+        target = order.to.life.worker;
+        site.cut("vm1", target);
+        site.workers.restart_untold(target);
+        site.time.after(seconds{4}, [direct, order] {
+            direct(order, [](const fleet::order_reply& /*reply*/) {});
+        });
+        site.time.after(site.workers.call_timeout, [reply] { reply({}); });
+    };
+    site.workers.duration = [](const std::string& /*task*/) { return seconds{20}; };
+    site.submit(make_job(job, 1, small_task));
+    site.time.run_for(seconds{20});
+
+    EXPECT_EQ(site.workers.starts().size(), 2U);
+    EXPECT_TRUE(site.workers.doubled().empty());
+}
+
 } // namespace
 } // namespace poplarstile::tests
