Test: a worker that was forgotten before its run's part was read (fails)

Fails on: silent_worker.KeepsItsRunOfAPartReadAfterItWasForgotten, a task runs twice at the same time. update_worker forgets an unlisted, unanswering worker without runs although this leader has extended its lease; adopt_placed then makes a new state with greatest_lease 0.

--- a/tests/control/silent_worker_test.cpp
+++ b/tests/control/silent_worker_test.cpp
@@ -150,5 +150,31 @@
     expect_started_again_later();
 }
 
+// A leader extends the lease of a worker whose run is stored in a part that it can't read yet. The
+// worker falls silent without a registration and is forgotten, and with it until when its lease
+// lasts; then the part is read.
+TEST_F(silent_worker, KeepsItsRunOfAPartReadAfterItWasForgotten)
+{
+    ASSERT_NO_FATAL_FAILURE(run_job());
+    for (const std::string name : {"vm1", "vm2", "vm3"}) {
+        unreachable.insert({name, site.parts.name(site.parts.home_of(id))});
+    }
+    const auto first = leader;
+    site.stop(first);
+    auto* const successor = site.await_leader(seconds{20});
+    ASSERT_NE(successor, nullptr);
+    // Longer than any lease of the first leader.
+    site.time.run_for(seconds{20});
+    ASSERT_EQ(site.workers.at(worker).tasks.size(), 1U);
+
+    site.cut(successor->name, worker);
+    site.workers.set_listed(worker, false);
+    site.time.run_for(milliseconds{2'700});
+    unreachable.clear();
+    site.time.run_for(seconds{15});
+
+    expect_started_again_later();
+}
+
 } // namespace
 } // namespace poplarstile::tests
