Leases: a leader with too few parts extends none, a worker is kept with its lease

A leader that had acquired fewer parts than extend leases reckoned its authority from the earliest time there is, which overflowed into a lease without limit. And a worker without registration and runs was forgotten while a lease that this leader had granted held a run of a part that it could not read yet; when the part was read, one unanswered poll ended the run.

Change: without enough parts there is no authority, and a worker is forgotten only after its leases are over.

--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -84,14 +84,20 @@
     return newest;
 }
 
-base::time_point leader::lease_authority_at() const
+std::optional<base::time_point> leader::lease_authority_at() const
 {
     std::vector<base::time_point> confirmed;
     for (const auto& part : parts_) {
-        confirmed.push_back(part.journal ? part.journal->confirmed_at() : base::time_point::min());
+        if (part.journal) {
+            confirmed.push_back(part.journal->confirmed_at());
+        }
+    }
+    const auto needed = parts_that_extend_leases(parts_.size());
+    if (confirmed.size() < needed) {
+        return std::nullopt;
     }
     std::ranges::sort(confirmed, std::greater{});
-    return confirmed.at(parts_that_extend_leases(parts_.size()) - 1);
+    return confirmed.at(needed - 1);
 }
 
 store::row_version leader::lease_version() const
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -167,8 +167,9 @@
     }
     /// Time at which the newest commit that is known to be applied was sent, over all parts.
     [[nodiscard]] base::time_point confirmed_at() const;
-    /// Time at which this leader was surely the only one that may extend leases at workers.
-    [[nodiscard]] base::time_point lease_authority_at() const;
+    /// Newest time at which this leader was surely the only one that may extend leases at workers;
+    /// empty when it has never been.
+    [[nodiscard]] std::optional<base::time_point> lease_authority_at() const;
     /// The part whose lease row was acquired first.
     [[nodiscard]] std::size_t first_part() const
     {
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -46,11 +46,12 @@
 
 std::optional<std::int64_t> leader::lease_for(worker_state& worker, base::time_point now) const
 {
-    if (!worker.clock.known()) {
+    const auto authority_at = lease_authority_at();
+    if (!worker.clock.known() || !authority_at) {
         return std::nullopt;
     }
     const auto authority = std::chrono::duration_cast<base::milliseconds>(
-        lease_authority_at() + options_.lease_horizon - now);
+        *authority_at + options_.lease_horizon - now);
     if (authority <= base::milliseconds{0}) {
         return std::nullopt;
     }
@@ -371,8 +372,9 @@
     if (due && needs_poll(worker) && (idle || urgent)) {
         poll_worker(worker);
     }
+    // Its lease may hold runs of a part that can't be read yet.
     const bool gone = !worker.listed && worker.runs.empty() && worker.lost_in_silence.empty() &&
-                      worker.polls_in_flight == 0;
+                      worker.polls_in_flight == 0 && now >= leases_expired_at(worker);
     if (gone && worker.last_received_end == worker.acknowledged) {
         log.info("worker_forgotten", {{"worker", worker.facts.life.worker}});
         workers_.erase(workers_.find(worker.facts.life.worker));
