A submission nested millions deep is refused before it takes memory

What callers saw: one POST of 4 MB of "[" under an open queue, or with any valid key, made the VM's process hold 311 MB and its reactor thread stand for 0.7 s; a few at once take a small VM over its memory limit.

Cause: the body was parsed whole before its form was looked at, and each level of JSON takes about 70 bytes for one byte of text.

--- a/tests/platform/caller_port_test.cpp
+++ b/tests/platform/caller_port_test.cpp
@@ -87,6 +87,17 @@
                                          R"({"steps":[{"count":"four"}]})", R"({"steps":[3]})",
                                          R"({"steps":[{"count":1,"after":"0"}]})"));
 
+TEST(caller_port, ADeeplyNestedSubmissionIsGivenUpBeforeItTakesMemory)
+{
+    constexpr std::size_t depth = 4'000'000;
+    const std::string body = R"({"steps":[{"count":1}],"new":)" + std::string(depth, '[');
+
+    const auto read = decode_submission(body);
+
+    ASSERT_FALSE(read.has_value());
+    EXPECT_NE(read.error().detail.find("nested"), std::string::npos) << read.error().detail;
+}
+
 TEST(caller_port, AnswersHaveTheirStatus)
 {
     const auto status = [](const frontend::caller_answer& answer) {
