--- a/tests/platform/store_wire_test.cpp
+++ b/tests/platform/store_wire_test.cpp
@@ -167,6 +167,16 @@
     EXPECT_EQ(store.commit(one_put()).outcome, store::call_outcome::unknown);
 }
 
+TEST(store_client, ADeeplyNestedAnswerDoesNotTakeTheProcessDown)
+{
+    constexpr std::size_t depth = 400'000;
+    canned_store store;
+    store.answer(200, R"({"ver":9,"rows":[],"more":)" + std::string(depth, '[') +
+                          std::string(depth, ']') + "}");
+
+    EXPECT_EQ(store.read().outcome, store::call_outcome::done);
+}
+
 TEST(configuration, IsReadWhole)
 {
     const auto read = decode_configuration(R"({"version":5,
