--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/site_settings.hpp"
 
+#include "base/json_member.hpp"
 #include "settings/internal/object_reader.hpp"
 #include "settings/internal/site_schema.hpp"
 
@@ -156,7 +157,7 @@
 bool is_site_settings(std::string_view text)
 {
     const auto document = internal::json::parse(text, nullptr, false);
-    return document.is_object() && document.value("backend", std::string{}) == "row_store";
+    return base::member_or(document, "backend", std::string{}) == "row_store";
 }
 
 BOOST_OUTCOME_V2_NAMESPACE::checked<site_settings, settings_faults>
--- a/tests/settings/site_settings_test.cpp
+++ b/tests/settings/site_settings_test.cpp
@@ -85,6 +85,7 @@
     EXPECT_TRUE(is_site_settings(valid_document().dump()));
     EXPECT_FALSE(is_site_settings(R"({"vm":{}})"));
     EXPECT_FALSE(is_site_settings("not json"));
+    EXPECT_FALSE(is_site_settings(R"({"backend":7})"));
 }
 
 } // namespace
