A change that was read late doesn't confirm the configuration any longer

A VM that was suspended, or behind a slow link, while it followed the operator's table reckoned its configuration up to 2 s younger than it was, and would take calls with a withdrawn key that much longer than its bound allows.

Cause: a feed's reply that is read after the poll's full wait was taken for one that the store sent after the wait. A reply with a change is sent at once; it says nothing of the time after that.

Fix: only a reply without any change counts as sent after the wait; any other confirms the time of its request.

Evidence: configuration_cache_test. The fixtures' feeds, which never bring a change, now say so.

--- a/src/catalog/configuration_cache.cpp
+++ b/src/catalog/configuration_cache.cpp
@@ -103,9 +103,10 @@
         return;
     }
     position_ = std::max(position_, reply.position);
-    // A long poll that lasted its full wait was answered after it, so the reply covers every
-    // version accepted until then.
-    const auto confirmed = time_.now() - requested_at >= wait ? requested_at + wait : requested_at;
+    // A long poll without a change was answered after its wait, so the reply covers every version
+    // accepted until then. One with a change was answered at any time, however late it is read.
+    const bool waited = reply.unchanged && time_.now() - requested_at >= wait;
+    const auto confirmed = waited ? requested_at + wait : requested_at;
     confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, confirmed) : confirmed;
     if (reply.newest) {
         activate(*reply.newest, "store");
--- a/src/catalog/configuration_cache.hpp
+++ b/src/catalog/configuration_cache.hpp
@@ -28,6 +28,8 @@
     std::optional<stored_configuration> newest{};
     /// The version to pass to the next `follow` call.
     store::row_version position = 0;
+    /// True if there was no change, so that a `follow` call was answered only after its full wait.
+    bool unchanged = false;
 };
 
 /// Access to the operator's configuration in the store. `follow` is a long poll: it replies when
--- a/tests/catalog/catalog_test.cpp
+++ b/tests/catalog/catalog_test.cpp
@@ -58,7 +58,7 @@
         source.follow = [this](store::row_version /*after*/, milliseconds wait,
                                const std::function<void(configuration_reply)>& handler) {
             time.after(wait, [this, handler] {
-                handler({reply.outcome, std::nullopt, reply.position});
+                handler({reply.outcome, std::nullopt, reply.position, true});
             });
         };
         source.decode = [](std::string_view document) {
@@ -123,5 +123,25 @@
         << "the cached configuration stays active while the store is unavailable";
 }
 
+TEST_F(configuration_cache_test, AChangeThatWasReadLateConfirmsNothingAfterItsRequest)
+{
+    // The store answers the feed at once; this VM is suspended and reads the answer 1.9 s later.
+    bool asked = false;
+    source.follow = [this, &asked](store::row_version /*after*/, milliseconds /*wait*/,
+                                   const std::function<void(configuration_reply)>& handler) {
+        if (!asked) {
+            asked = true;
+            time.after(milliseconds{5'000}, [handler] {
+                handler({store::call_outcome::done, stored_configuration{6, "123456"}, 6});
+            });
+        }
+    };
+    cache.start();
+    time.run_for(milliseconds{5'004});
+
+    ASSERT_EQ(cache.version(), 6U);
+    EXPECT_EQ(cache.age(), milliseconds{5'000});
+}
+
 } // namespace
 } // namespace poplarstile::catalog
--- a/tests/support/site_fixture.hpp
+++ b/tests/support/site_fixture.hpp
@@ -322,7 +322,7 @@
         source.follow = [this](store::row_version after, base::milliseconds wait,
                                std::function<void(catalog::configuration_reply)> handler) {
             time.after(wait, [handler = std::move(handler), after] {
-                handler({store::call_outcome::done, std::nullopt, after});
+                handler({store::call_outcome::done, std::nullopt, after, true});
             });
         };
         source.decode = [this](std::string_view /*document*/) {
