A heartbeat read after a suspension doesn't confirm the configuration

A VM that the store turns away lives on the leader's word that its configuration is the newest. Suspended for 10 s and woken, it would read a heartbeat that had waited for it, reckon its configuration 0.1 s old instead of 10.1 s, and go on to take calls with a key withdrawn meanwhile.

Cause: a heartbeat tells its age when it was sent; the receiver took that for its age when it was read.

Fix: the cache notes every 200 ms that the VM runs, on the clock that counts suspensions. After a gap of over 1 s, and for 1 s more until what waited is read, another VM's word confirms nothing; a newer configuration is taken all the same. The store's own answers are reckoned from their request and stay as they are. Delays of a message on its way, while the receiver runs, aren't covered: that takes an answer that the receiver asked for.

Evidence: suspended_configuration_test. A second test shows that heartbeats confirm again 1.5 s after the end. Run: catalog_test, 10 passed; frontend_test, 40 passed. No process was suspended in a run of the daemon.

--- a/src/catalog/configuration_cache.cpp
+++ b/src/catalog/configuration_cache.cpp
@@ -15,6 +15,11 @@
 /// never gets a reply is detected in time.
 constexpr base::milliseconds long_poll_timeout{2'000};
 constexpr base::milliseconds retry_interval{150};
+constexpr base::milliseconds watch_interval{200};
+/// A VM whose timers were not run for longer counts as suspended.
+constexpr base::milliseconds longest_stall{1'000};
+/// Within this time after a suspension a VM has read what waited for it.
+constexpr base::milliseconds catch_up_time{1'000};
 
 } // namespace
 
@@ -31,9 +36,31 @@
 
 void configuration_cache::start()
 {
+    watch_for_suspension();
     read();
 }
 
+void configuration_cache::watch_for_suspension()
+{
+    const auto now = time_.now();
+    if (running_at_ && now - *running_at_ > longest_stall) {
+        suspended_until_ = now;
+    }
+    running_at_ = now;
+    time_.after(watch_interval, [this, alive = alive_] {
+        if (*alive) {
+            watch_for_suspension();
+        }
+    });
+}
+
+bool configuration_cache::just_suspended() const
+{
+    const auto now = time_.now();
+    return (running_at_ && now - *running_at_ > longest_stall) ||
+           (suspended_until_ && now - *suspended_until_ <= catch_up_time);
+}
+
 base::milliseconds configuration_cache::age() const
 {
     if (!confirmed_at_) {
@@ -119,7 +146,8 @@
     if (received.version > stored_.version && !activate(received, "another VM")) {
         return;
     }
-    if (received.version >= stored_.version && age < base::milliseconds::max()) {
+    if (received.version >= stored_.version && age < base::milliseconds::max() &&
+        !just_suspended()) {
         const auto confirmed = time_.now() - age;
         confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, confirmed) : confirmed;
     }
--- a/src/catalog/configuration_cache.hpp
+++ b/src/catalog/configuration_cache.hpp
@@ -73,7 +73,9 @@
     [[nodiscard]] base::milliseconds age() const;
 
     /// Takes a configuration from another VM, or its confirmation that no newer version than
-    /// `received.version` exists. `age` is the time since that VM's own last confirmation.
+    /// `received.version` exists. `age` is the time since that VM's own last confirmation when it
+    /// sent the message. Right after a suspension of this VM a message may have waited to be read
+    /// for as long, so it confirms nothing.
     void receive_from_peer(const stored_configuration& received, base::milliseconds age);
 
     /// Called after each change of the current configuration.
@@ -86,6 +88,10 @@
     /// activates a newer one. `wait` is the long-poll timeout of the call, zero for a read.
     void apply_reply(const configuration_reply& reply, base::time_point requested_at,
                      base::milliseconds wait);
+    /// Notes at short intervals that this VM runs, to notice when it did not.
+    void watch_for_suspension();
+    /// True if messages may have waited to be read, because this VM was suspended until just now.
+    [[nodiscard]] bool just_suspended() const;
     /// Makes a newer configuration current. Returns false if it can't be decoded or if its version
     /// is lower than the current one's.
     bool activate(const stored_configuration& newer, std::string_view origin);
@@ -96,6 +102,9 @@
     stored_configuration stored_{};
     store::row_version position_ = 0;
     std::optional<base::time_point> confirmed_at_{};
+    /// When this VM last noted that it runs; empty before `start`.
+    std::optional<base::time_point> running_at_{};
+    std::optional<base::time_point> suspended_until_{};
     bool store_available_ = true;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/catalog/catalog_test.cpp
+++ b/tests/catalog/catalog_test.cpp
@@ -4,6 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <utility>
+#include <vector>
+
 namespace poplarstile::catalog
 {
 namespace
@@ -143,5 +147,75 @@
     EXPECT_EQ(cache.age(), milliseconds{5'000});
 }
 
+/// A VM without the store whose configuration the leader's heartbeats confirm, and that can be
+/// suspended: what is due meanwhile runs afterwards.
+class suspended_configuration_test : public configuration_cache_test
+{
+protected:
+    suspended_configuration_test()
+    {
+        timers.after = [this](milliseconds delay, std::function<void()> action) {
+            time.after(delay, [this, action = std::move(action)] {
+                if (suspended) {
+                    held.push_back(action);
+                } else {
+                    action();
+                }
+            });
+        };
+        reply.outcome = store::call_outcome::refused;
+        own.start();
+        time.run_for(milliseconds{100});
+        own.receive_from_peer({9, "123456789"}, milliseconds{100});
+    }
+
+    void suspend(milliseconds span)
+    {
+        suspended = true;
+        time.run_for(span);
+        suspended = false;
+    }
+
+    void run_held()
+    {
+        for (const auto& action : std::exchange(held, {})) {
+            action();
+        }
+    }
+
+    /// The leader's word that nothing newer was stored 100 ms before it was sent.
+    void receive_heartbeat()
+    {
+        own.receive_from_peer(own.stored(), milliseconds{100});
+    }
+
+    bool suspended = false;
+    std::vector<std::function<void()>> held{};
+    base::timers timers = time.timers();
+    configuration_cache own{source, timers};
+};
+
+TEST_F(suspended_configuration_test, AHeartbeatFromBeforeTheEndOfTheSuspensionConfirmsNothing)
+{
+    suspend(seconds{10});
+    receive_heartbeat();
+    EXPECT_EQ(own.age(), milliseconds{10'100}) << "read before the VM's own timers ran";
+
+    run_held();
+    time.run_for(milliseconds{200});
+    receive_heartbeat();
+    EXPECT_EQ(own.age(), milliseconds{10'300}) << "read after them";
+}
+
+TEST_F(suspended_configuration_test, HeartbeatsConfirmAgainSoonAfterASuspension)
+{
+    suspend(seconds{10});
+    run_held();
+    time.run_for(milliseconds{1'500});
+    receive_heartbeat();
+
+    EXPECT_EQ(own.age(), milliseconds{100});
+}
+
 } // namespace
 } // namespace poplarstile::catalog
