--- a/tests/platform/store_wire_test.cpp
+++ b/tests/platform/store_wire_test.cpp
@@ -93,6 +93,17 @@
     EXPECT_EQ(body["remove"][0]["key"], "old");
 }
 
+TEST(store_client, AKeyThatIsNoTextDoesNotTakeTheProcessDown)
+{
+    // Another VM reports keys of stored rows as bytes.
+    canned_store store;
+    store.answer(200, R"({"ver":8})");
+    auto made = one_put();
+    made.removes.push_back({"jobs", "p", "\xff"});
+
+    EXPECT_EQ(store.commit(std::move(made)).outcome, store::call_outcome::done);
+}
+
 TEST(store_client, AConflictBringsTheRowsAsTheyAre)
 {
     canned_store store;
