Workers: take no lease report of another worker or without every task

Callers saw: a task was started a second time while the first run worked on. The scheduler takes a confirmed task that a worker's report lacks for one that the worker has forgotten (gang.cpp, record_absence), and runs an idempotent one again. But any JSON object with status 200 was such a report: that of another worker at the address, one without "tasks", and one with an entry that can't be read. An entry with an unknown state was taken for an ended one at a takeover.

Now a report counts when it names the worker that was asked and every entry has an id and a state of docs/ASSUMPTIONS.md; everything else is `lost`, which only the end of the lease bounds.

--- a/apps/poplarstiled/scheduler_duty.cpp
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -263,8 +263,8 @@
 {
     const auto& times = node_.settings.times;
     node_.workers->renew(
-        action.address, node_.settings.vm.failure_domain, action.token, times.worker_lease,
-        times.worker_lease / 3,
+        action.address, action.worker, node_.settings.vm.failure_domain, action.token,
+        times.worker_lease, times.worker_lease / 3,
         [this, worker = action.worker, round = action.round](workers::lease_answer answer) {
             duty_.post(
                 scheduling::event{scheduling::worker_reported{worker, round, std::move(answer)}});
@@ -274,7 +274,7 @@
 void scheduler_duty::carry_out_one(scheduling::probe_worker& action)
 {
     node_.workers->list(
-        action.address, order_timeout,
+        action.address, action.worker, order_timeout,
         [this, worker = action.worker, round = action.round](workers::lease_answer answer) {
             duty_.post(
                 scheduling::event{scheduling::worker_reported{worker, round, std::move(answer)}});
--- a/bench/capacity/wire_slopes.cpp
+++ b/bench/capacity/wire_slopes.cpp
@@ -100,7 +100,7 @@
                                                    .body = lease_body(tasks)};
                        return least_cpu_us(
                            how.repeats * 4, [] {},
-                           [&] { const auto read = workers::read_lease_answer(reply); });
+                           [&] { const auto read = workers::read_lease_answer(reply, "w-00001"); });
                    });
 }
 
--- a/fuzz/worker_answer.cpp
+++ b/fuzz/worker_answer.cpp
@@ -20,6 +20,6 @@
         fuzz::expect(ran.request == "request-1" && ran.attempt == "attempt-1");
     }
     (void)workers::read_task_answer(reply, "task-1");
-    (void)workers::read_lease_answer(reply);
+    (void)workers::read_lease_answer(reply, "worker-1");
     return 0;
 }
--- a/src/workers/worker_client.cpp
+++ b/src/workers/worker_client.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <optional>
 #include <utility>
 
 namespace poplarstile::workers
@@ -104,23 +105,49 @@
             base::milliseconds{number_member(entry, "progress_ms")}};
 }
 
-lease_report read_report(const json& body)
+/// Nothing when an entry can't be read: a report that lacks a task would say that it is over.
+std::optional<std::vector<task_report>> read_tasks(const json& body)
 {
-    lease_report report{.worker = text_member(body, "worker"),
-                        .token = number_member(body, "token")};
-    for (const auto& entry : body.value("tasks", json::array())) {
-        if (entry.is_object()) {
-            report.tasks.push_back(read_task(entry));
+    const auto list = body.find("tasks");
+    if (list == body.end() || !list->is_array()) {
+        return std::nullopt;
+    }
+    std::vector<task_report> tasks;
+    for (const auto& entry : *list) {
+        if (!entry.is_object()) {
+            return std::nullopt;
+        }
+        tasks.push_back(read_task(entry));
+        if (tasks.back().task.empty() || tasks.back().state == task_state::absent) {
+            return std::nullopt;
         }
     }
+    return tasks;
+}
+
+std::vector<std::uint32_t> read_broken_accelerators(const json& body)
+{
+    std::vector<std::uint32_t> broken;
     for (const auto& entry : body.value("accelerators", json::array())) {
         if (base::member_or(entry, "broken", false)) {
-            report.broken_accelerators.push_back(
-                static_cast<std::uint32_t>(number_member(entry, "index")));
+            broken.push_back(static_cast<std::uint32_t>(number_member(entry, "index")));
         }
     }
-    report.leaving = base::member_or(body, "leaving", false);
-    return report;
+    return broken;
+}
+
+lease_answer read_report(const json& body, std::string_view worker)
+{
+    auto tasks = read_tasks(body);
+    if (!tasks || text_member(body, "worker") != worker) {
+        return {.result = lease_answer::kind::lost};
+    }
+    return {.result = lease_answer::kind::renewed,
+            .report = {.worker = std::string{worker},
+                       .token = number_member(body, "token"),
+                       .tasks = std::move(*tasks),
+                       .broken_accelerators = read_broken_accelerators(body),
+                       .leaving = base::member_or(body, "leaving", false)}};
 }
 
 } // namespace
@@ -195,7 +222,7 @@
     return {.result = kind::lost};
 }
 
-lease_answer read_lease_answer(const net::http_reply& reply)
+lease_answer read_lease_answer(const net::http_reply& reply, std::string_view worker)
 {
     using kind = lease_answer::kind;
     const auto body = json::parse(
@@ -204,7 +231,7 @@
         return {.result = kind::lost};
     }
     if (reply.status == 200) {
-        return {.result = kind::renewed, .report = read_report(body)};
+        return read_report(body, worker);
     }
     if (reply.status == 409 && text_member(body, "refused") == "token") {
         return {.result = kind::refused, .greatest = number_member(body, "token")};
@@ -287,27 +314,30 @@
         });
 }
 
-void worker_client::renew(std::string_view address, std::string_view failure_domain,
-                          fencing_token token, base::milliseconds lease, base::milliseconds timeout,
+void worker_client::renew(std::string_view address, std::string_view worker,
+                          std::string_view failure_domain, fencing_token token,
+                          base::milliseconds lease, base::milliseconds timeout,
                           lease_handler on_answer)
 {
     const json body{{"token", token}, {"domain", failure_domain}, {"lease_ms", lease.count()}};
     auto call = post(address, "/v1/lease", body, timeout);
     call.purpose = "worker_heartbeat";
-    client_.send(std::move(call), [on_answer = std::move(on_answer)](const net::http_reply& reply) {
-        on_answer(read_lease_answer(reply));
+    client_.send(std::move(call), [worker = std::string{worker},
+                                   on_answer = std::move(on_answer)](const net::http_reply& reply) {
+        on_answer(read_lease_answer(reply, worker));
     });
 }
 
-void worker_client::list(std::string_view address, base::milliseconds timeout,
-                         lease_handler on_answer)
+void worker_client::list(std::string_view address, std::string_view worker,
+                         base::milliseconds timeout, lease_handler on_answer)
 {
     net::http_call call{.method = "GET",
                         .url = fmt::format("http://{}/v1/tasks", address),
                         .timeout = timeout,
                         .fresh_connection = true};
-    client_.send(std::move(call), [on_answer = std::move(on_answer)](const net::http_reply& reply) {
-        on_answer(read_lease_answer(reply));
+    client_.send(std::move(call), [worker = std::string{worker},
+                                   on_answer = std::move(on_answer)](const net::http_reply& reply) {
+        on_answer(read_lease_answer(reply, worker));
     });
 }
 
--- a/src/workers/worker_client.hpp
+++ b/src/workers/worker_client.hpp
@@ -39,11 +39,13 @@
                fencing_token token, base::milliseconds timeout, task_handler on_answer);
 
     /// Renews all tasks of the failure domain's scheduler and lists them.
-    void renew(std::string_view address, std::string_view failure_domain, fencing_token token,
-               base::milliseconds lease, base::milliseconds timeout, lease_handler on_answer);
+    void renew(std::string_view address, std::string_view worker, std::string_view failure_domain,
+               fencing_token token, base::milliseconds lease, base::milliseconds timeout,
+               lease_handler on_answer);
 
     /// Lists the tasks without renewing anything.
-    void list(std::string_view address, base::milliseconds timeout, lease_handler on_answer);
+    void list(std::string_view address, std::string_view worker, base::milliseconds timeout,
+              lease_handler on_answer);
 
 private:
     net::http_client& client_;
@@ -57,6 +59,8 @@
 
 [[nodiscard]] task_answer read_task_answer(const net::http_reply& reply, std::string_view task);
 
-[[nodiscard]] lease_answer read_lease_answer(const net::http_reply& reply);
+/// `lost` unless it is a whole report of this worker: the scheduler takes a task that a report does
+/// not list for one that is over.
+[[nodiscard]] lease_answer read_lease_answer(const net::http_reply& reply, std::string_view worker);
 
 } // namespace poplarstile::workers
--- a/tests/scheduling/scheduler_short_job_test.cpp
+++ b/tests/scheduling/scheduler_short_job_test.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/scheduler.hpp"
+#include "workers/worker_client.hpp"
 
 #include <gtest/gtest.h>
 
@@ -37,6 +38,17 @@
         return tell(task_answered{task, order, {workers::task_answer::kind::accepted, state}});
     }
 
+    /// The task that a hold among the actions names; empty when there is none.
+    static std::string start_of(const actions& all)
+    {
+        for (const auto& action : all) {
+            if (const auto* const hold = std::get_if<hold_task>(&action)) {
+                return hold->call.task;
+            }
+        }
+        return {};
+    }
+
     scheduler scheduler_{{.failure_domain = "d", .run_id = "run"},
                          std::vector<worker_description>{{"w1", "127.0.0.1:1", "r1", 0, 8}}};
     base::time_point now_{base::milliseconds{10'000}};
@@ -68,5 +80,38 @@
     EXPECT_TRUE(std::ranges::any_of(out, is_start)) << "its start is missing from the time line";
 }
 
+// Somebody else answers at the worker's address, while the worker runs the task.
+TEST_F(scheduler_of_one_worker, does_not_run_a_task_again_that_another_worker_does_not_list)
+{
+    stored_job job;
+    job.spec.id = "j1";
+    job.spec.workspace = "kits";
+    job.spec.shape = {1, 1};
+    job.version = 1;
+    const auto task = start_of(tell(job_submitted{job}));
+    ASSERT_FALSE(task.empty());
+    (void)answer(task, "hold", workers::task_state::held);
+    (void)answer(task, "release", workers::task_state::running);
+
+    std::string again;
+    const auto end = now_ + base::milliseconds{1'500};
+    while (now_ < end) {
+        now_ += base::milliseconds{49};
+        const auto out = tell(time_passed{});
+        again += start_of(out);
+        for (const auto& action : out) {
+            if (const auto* const renewal = std::get_if<renew_worker>(&action)) {
+                const net::http_reply reply{.outcome = net::delivery::answered,
+                                            .status = 200,
+                                            .body = R"({"worker":"w2","token":1,"tasks":[]})"};
+                again += start_of(tell(worker_reported{
+                    "w1", renewal->round, workers::read_lease_answer(reply, renewal->worker)}));
+            }
+        }
+    }
+
+    EXPECT_EQ(again, "") << "the lease of the first run has not run out";
+}
+
 } // namespace
 } // namespace poplarstile::scheduling
