Scheduling: start nothing again that may still run on a worker not heard

Callers saw: after a takeover an idempotent task was started a second time while the first run worked on. The new holder waited two heartbeats (1 s) for its workers; a job with no task on the workers heard until then was queued, and a gang found in part was stopped and run again. The evidence was the worker's silence, while its lease of 3 s ran.

Rebuilding ends when every worker has listed its tasks or the leases there have run out, by the same reckoning that counts a silent worker as lost. A worker heard in between keeps its run. The price: a worker that is away at a takeover holds placement up for `worker_lease` + 0.2 s after its last renewal that may have arrived, in place of 1 s (3.2 to 4.7 s at the default times, derived, not measured). Jobs with no evidence about them can't be told from jobs that run there, since a row of idempotent work does not say that it was released.

This doesn't bound a former holder that lives without the table, reaches the worker alone and goes on renewing there.

--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -157,6 +157,8 @@
     void note_silence(worker_state& worker);
     void take_report(worker_state& worker, const workers::lease_report& report);
     void take_tasks(worker_state& worker);
+    /// True when no renewal or hold that may have reached the worker is young enough to count.
+    [[nodiscard]] bool leases_lapsed(const worker_state& worker) const;
     void lose_lapsed_workers();
     void stop_gangs_of(const worker_state& worker, bool lapsed);
     void stop_orphan(const worker_state& worker, const workers::task_report& task);
--- a/src/scheduling/scheduler_rebuild.cpp
+++ b/src/scheduling/scheduler_rebuild.cpp
@@ -68,11 +68,11 @@
 
 void scheduler::finish_rebuilding_if_ready()
 {
-    const bool all_heard = std::ranges::all_of(workers_, [](const worker_state& worker) {
-        return worker.condition != worker_condition::unknown;
+    // What runs on a worker that was not heard is not known until its leases have run out.
+    const bool runs_known = std::ranges::all_of(workers_, [this](const worker_state& worker) {
+        return worker.heard_at >= lease_gained_at_ || leases_lapsed(worker);
     });
-    const bool waited = now_ - lease_gained_at_ >= options_.worker_heartbeat * 2;
-    if (!jobs_known_ || !(all_heard || waited)) {
+    if (!jobs_known_ || !runs_known) {
         return;
     }
     phase_ = phase::active;
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -146,13 +146,18 @@
     }
 }
 
+bool scheduler::leases_lapsed(const worker_state& worker) const
+{
+    return now_ - worker.renewed_at >= options_.worker_lease + lease_margin;
+}
+
 void scheduler::lose_lapsed_workers()
 {
     for (auto& worker : workers_) {
         if (worker.condition != worker_condition::silent) {
             continue;
         }
-        const bool lapsed = now_ - worker.renewed_at >= options_.worker_lease + lease_margin;
+        const bool lapsed = leases_lapsed(worker);
         if (lapsed) {
             worker.condition = worker_condition::lost;
             out_.emplace_back(
--- a/tests/scheduling/ended_job_test.cpp
+++ b/tests/scheduling/ended_job_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace poplarstile::scheduling
@@ -121,6 +122,71 @@
     EXPECT_EQ(cluster.state_of("j1"), job_state::completed);
 }
 
+/// Two workers, one of them cut from the scheduler that takes over.
+class run_on_an_unheard_worker : public ended_job
+{
+protected:
+    void take_over_from(const job_spec& spec)
+    {
+        cluster.submit(spec);
+        run(base::milliseconds{300});
+        for (const auto& [address, worker] : cluster.workers) {
+            if (!worker.tasks.empty()) {
+                cluster.cut_workers.insert(address);
+                break;
+            }
+        }
+        cluster.kill_scheduler();
+        cluster.start_scheduler();
+    }
+
+    /// Attempts of which a member runs now.
+    [[nodiscard]] std::size_t attempts_running() const
+    {
+        std::set<std::string> attempts;
+        for (const auto& [address, worker] : cluster.workers) {
+            for (const auto& [id, task] : worker.tasks) {
+                if (task.state == workers::task_state::running) {
+                    attempts.insert(id.substr(0, id.rfind('.')));
+                }
+            }
+        }
+        return attempts.size();
+    }
+
+    void expect_one_attempt_at_a_time(base::milliseconds duration)
+    {
+        std::size_t most = 0;
+        cluster.run_for(duration, [&] { most = std::max(most, attempts_running()); });
+        EXPECT_EQ(most, 1U);
+    }
+};
+
+TEST_F(run_on_an_unheard_worker, IsNotStartedAgainBeforeItsLeaseRanOut)
+{
+    auto spec = job_of("j1");
+    spec.shape = {1, 8};
+    spec.payload = {{"run_ms", 10'000}};
+    take_over_from(spec);
+
+    expect_one_attempt_at_a_time(base::milliseconds{20'000});
+    EXPECT_EQ(cluster.state_of("j1"), job_state::completed);
+}
+
+TEST_F(run_on_an_unheard_worker, GoesOnWhenItsWorkerIsHeardInTime)
+{
+    auto spec = job_of("j1");
+    spec.shape = {1, 8};
+    spec.payload = {{"run_ms", 5'000}};
+    take_over_from(spec);
+    run(base::milliseconds{1'200});
+    cluster.cut_workers.clear();
+
+    expect_one_attempt_at_a_time(base::milliseconds{10'000});
+    EXPECT_EQ(cluster.state_of("j1"), job_state::completed);
+    EXPECT_EQ(attempts_started(), 1U);
+}
+
 TEST_F(ended_job, IsForgottenByItsWorkersWhenTheEndIsStored)
 {
     cluster.submit(job_of("j1"));
