Dispatch: answer unknown when the row of a key can't be read

A caller was told not_run although the work may have run: a ledger row under its key that can't be read (of a later release, or damaged) was answered with not_run. The row is another request's, so that work may have been sent under it; the same holds for a taken key whose row can't be fetched, which has been answered with unknown before.

Before: dispatcher_test.ARowThatCannotBeReadMayStandForWorkThatRan fails, answers.front().answer.result Which is: 03 (not_run), expected 04 (unknown) After: it passes, with dispatch_test's model.

--- a/src/dispatch/dispatcher_ledger.cpp
+++ b/src/dispatch/dispatcher_ledger.cpp
@@ -152,8 +152,12 @@
 {
     auto read = ledger::read_entry(row);
     if (!read.has_value()) {
+        // The row is another request's, whose work may have run.
         release_reserved(pending);
-        answer_not_run(pending, error_code::platform_answer_invalid, read.error().detail);
+        answer(pending, outcome::unknown,
+               error{error_code::platform_answer_invalid, pending.request.service,
+                     read.error().detail, ""},
+               "", "", retry_hint);
         return;
     }
     auto& found = read.value();
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -179,6 +179,20 @@
         << "the row is another request's, whose work may have run";
 }
 
+TEST_F(dispatcher_test, ARowThatCannotBeReadMayStandForWorkThatRan)
+{
+    const auto written = only<write_ledger>(ask(1, "sheet", milliseconds{5'000}));
+    ASSERT_EQ(written.size(), 1U);
+    (void)vm_.decide(ledger_written{1, {.state = table::commit_state::conflict}}, now_);
+
+    const table::table_row row{
+        written.front().transaction.writes.front().key, 7, {{"state", "of a later release"}}};
+    const auto answers = only<give_answer>(vm_.decide(ledger_read{1, std::optional{row}}, now_));
+
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().answer.result, outcome::unknown);
+}
+
 TEST_F(dispatcher_test, AWorkerThatLeftAndCameBackGetsWorkAgain)
 {
     request_number number = 0;
