Dispatch: take a conflict after a doubtful write for another's row

A caller could be told not_run for work that ran: the first write of a key's row was in doubt and came to nothing, another VM wrote a row under the key and ran the work, the second write conflicted and the row could not be read. A conflict counted as a taken key only before any doubt, on the guess that the row is the request's own. Whose it is only the row tells: without it the answer is unknown.

--- a/src/dispatch/dispatcher_ledger.cpp
+++ b/src/dispatch/dispatcher_ledger.cpp
@@ -94,8 +94,8 @@
         return;
     case commit_state::conflict:
     case commit_state::unknown:
-        pending->key_taken =
-            pending->key_taken || (state == commit_state::conflict && !pending->write_in_doubt);
+        // After a doubtful write the row may be this request's own or another's.
+        pending->key_taken = pending->key_taken || state == commit_state::conflict;
         pending->write_in_doubt = pending->write_in_doubt || state == commit_state::unknown;
         out_.emplace_back(read_ledger{happened.number, pending->ledger_key});
         return;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -193,6 +193,22 @@
     EXPECT_EQ(answers.front().answer.result, outcome::unknown);
 }
 
+// The first write came to nothing, and another VM's row came before the second.
+TEST_F(dispatcher_test, AConflictAfterADoubtfulWriteMayBeAnothersRow)
+{
+    (void)ask(1, "sheet", milliseconds{5'000});
+    (void)vm_.decide(ledger_written{1, {.state = table::commit_state::unknown}}, now_);
+    const auto again = only<write_ledger>(vm_.decide(ledger_read{1, std::nullopt}, now_));
+    ASSERT_EQ(again.size(), 1U);
+    (void)vm_.decide(ledger_written{1, {.state = table::commit_state::conflict}}, now_);
+
+    const base::error unreadable{base::error_code::platform_unreachable, "", "", ""};
+    const auto answers = only<give_answer>(vm_.decide(ledger_read{1, unreadable}, now_));
+
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().answer.result, outcome::unknown);
+}
+
 TEST_F(dispatcher_test, AWorkerThatLeftAndCameBackGetsWorkAgain)
 {
     request_number number = 0;
