Scheduling: let the tasks be whose job row can't be read

Found by reading; shown by a test: a live job row that can't be read (of a later release, or damaged) was skipped, so its job seemed not to be there. After a takeover its running tasks were stopped and the record of an ended one was forgotten at its worker, so a scheduler that can read the row would find no trace of the end and start the job again.

The listing now names the jobs whose rows it could not read, and their tasks are neither stopped nor forgotten; their accelerators stay taken. Not solved: a row that the same scheduler can read later is added without the tasks that are there, as before.

--- a/apps/poplarstiled/scheduler_duty.cpp
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -242,7 +242,7 @@
 void scheduler_duty::carry_out_one(scheduling::scan_jobs& /*action*/)
 {
     const auto prefix = scheduling::live_job_prefix(node_.settings.vm.failure_domain);
-    node_.table->scan(prefix, [this](auto rows) {
+    node_.table->scan(prefix, [this, prefix](auto rows) {
         if (!rows.has_value()) {
             return;
         }
@@ -253,6 +253,7 @@
                 listed.jobs.push_back(std::move(job).value());
             } else {
                 log.error("A job row can't be read: {}.", base::describe(job.error()));
+                listed.unreadable.push_back(row.key.substr(prefix.size()));
             }
         }
         duty_.post(scheduling::event{std::move(listed)});
--- a/src/scheduling/messages.hpp
+++ b/src/scheduling/messages.hpp
@@ -37,6 +37,8 @@
 /// All live job rows of the failure domain.
 struct jobs_listed {
     std::vector<stored_job> jobs{};
+    /// Ids of jobs whose live rows can't be read: what runs of them is let be.
+    std::vector<std::string> unreadable{};
 };
 /// A job accepted by some VM: its row was stored under this version, at any time before. Only a
 /// hint, since the row may be gone.
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -252,6 +252,8 @@
     /// Jobs whose cells are being reclaimed.
     std::vector<std::string> claimants_;
     ended_rows ended_{max_ended};
+    /// Jobs whose live rows the last scan could not read.
+    std::set<std::string, std::less<>> unreadable_;
     std::shared_ptr<const rules::ruleset> rules_ = std::make_shared<rules::ruleset>();
     phase phase_ = phase::inactive;
     workers::fencing_token token_ = 0;
--- a/src/scheduling/scheduler_jobs.cpp
+++ b/src/scheduling/scheduler_jobs.cpp
@@ -32,6 +32,7 @@
         return;
     }
     jobs_known_ = true;
+    unreadable_ = {happened.unreadable.begin(), happened.unreadable.end()};
     for (auto& job : happened.jobs) {
         add_job(std::move(job));
     }
--- a/src/scheduling/scheduler_workers.cpp
+++ b/src/scheduling/scheduler_workers.cpp
@@ -191,7 +191,7 @@
 
 void scheduler::stop_orphan(const worker_state& worker, const workers::task_report& task)
 {
-    if (task_jobs_.contains(task.task)) {
+    if (task_jobs_.contains(task.task) || unreadable_.contains(task.job)) {
         return;
     }
     const bool over = workers::ended(task.state);
--- a/tests/scheduling/scheduler_short_job_test.cpp
+++ b/tests/scheduling/scheduler_short_job_test.cpp
@@ -80,6 +80,30 @@
     EXPECT_TRUE(std::ranges::any_of(out, is_start)) << "its start is missing from the time line";
 }
 
+// Without its record a later scheduler would start the job again after its end.
+TEST_F(scheduler_of_one_worker, lets_tasks_be_whose_job_row_it_cannot_read)
+{
+    (void)tell(lease_lost{});
+    for (const auto& action : tell(lease_gained{131'072, "lease/d", 2})) {
+        if (const auto* const renewal = std::get_if<renew_worker>(&action)) {
+            round_ = renewal->round;
+        }
+    }
+    (void)tell(jobs_listed{.unreadable = {"j1"}});
+    workers::lease_answer report{.result = workers::lease_answer::kind::renewed};
+    report.report.tasks = {{"j1.65536.1.0", "j1", 1, 0, {0}, workers::task_state::completed},
+                           {"j2.65536.1.0", "j2", 1, 0, {1}, workers::task_state::completed}};
+
+    std::vector<std::string> forgotten;
+    for (const auto& action : tell(worker_reported{"w1", round_, std::move(report)})) {
+        if (const auto* const order = std::get_if<order_task>(&action)) {
+            forgotten.push_back(order->task);
+        }
+    }
+
+    EXPECT_EQ(forgotten, std::vector<std::string>{"j2.65536.1.0"});
+}
+
 // Somebody else answers at the worker's address, while the worker runs the task.
 TEST_F(scheduler_of_one_worker, does_not_run_a_task_again_that_another_worker_does_not_list)
 {
