--- a/apps/poplarstiled/scheduler_duty.cpp
+++ b/apps/poplarstiled/scheduler_duty.cpp
@@ -242,7 +242,7 @@
 void scheduler_duty::carry_out_one(scheduling::scan_jobs& /*action*/)
 {
     const auto prefix = scheduling::live_job_prefix(node_.settings.vm.failure_domain);
-    node_.table->scan(prefix, [this](auto rows) {
+    node_.table->scan(prefix, [this, prefix](auto rows) {
         if (!rows.has_value()) {
             return;
         }
@@ -253,6 +253,7 @@
                 listed.jobs.push_back(std::move(job).value());
             } else {
                 log.error("A job row can't be read: {}.", base::describe(job.error()));
+                listed.unreadable.push_back(row.key.substr(prefix.size()));
             }
         }
         duty_.post(scheduling::event{std::move(listed)});
@@ -263,8 +264,8 @@
 {
     const auto& times = node_.settings.times;
     node_.workers->renew(
-        action.address, node_.settings.vm.failure_domain, action.token, times.worker_lease,
-        times.worker_lease / 3,
+        action.address, action.worker, node_.settings.vm.failure_domain, action.token,
+        times.worker_lease, times.worker_lease / 3,
         [this, worker = action.worker, round = action.round](workers::lease_answer answer) {
             duty_.post(
                 scheduling::event{scheduling::worker_reported{worker, round, std::move(answer)}});
@@ -274,7 +275,7 @@
 void scheduler_duty::carry_out_one(scheduling::probe_worker& action)
 {
     node_.workers->list(
-        action.address, order_timeout,
+        action.address, action.worker, order_timeout,
         [this, worker = action.worker, round = action.round](workers::lease_answer answer) {
             duty_.post(
                 scheduling::event{scheduling::worker_reported{worker, round, std::move(answer)}});
--- a/src/dispatch/dispatcher_ledger.cpp
+++ b/src/dispatch/dispatcher_ledger.cpp
@@ -94,8 +94,8 @@
         return;
     case commit_state::conflict:
     case commit_state::unknown:
-        pending->key_taken =
-            pending->key_taken || (state == commit_state::conflict && !pending->write_in_doubt);
+        // After a doubtful write the row may be this request's own or another's.
+        pending->key_taken = pending->key_taken || state == commit_state::conflict;
         pending->write_in_doubt = pending->write_in_doubt || state == commit_state::unknown;
         out_.emplace_back(read_ledger{happened.number, pending->ledger_key});
         return;
@@ -152,8 +152,12 @@
 {
     auto read = ledger::read_entry(row);
     if (!read.has_value()) {
+        // The row is another request's, whose work may have run.
         release_reserved(pending);
-        answer_not_run(pending, error_code::platform_answer_invalid, read.error().detail);
+        answer(pending, outcome::unknown,
+               error{error_code::platform_answer_invalid, pending.request.service,
+                     read.error().detail, ""},
+               "", "", retry_hint);
         return;
     }
     auto& found = read.value();
