--- a/src/frontend/internal/pending_call.hpp
+++ b/src/frontend/internal/pending_call.hpp
@@ -14,6 +14,17 @@
 namespace internal
 {
 
+inline constexpr std::size_t job_id_length = 16;
+
+/// True for text with the form of a job id: hexadecimal digits.
+inline bool is_job_id(std::string_view text)
+{
+    return text.size() == job_id_length && std::ranges::all_of(text, [](char letter) {
+               return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'f') ||
+                      (letter >= 'A' && letter <= 'F');
+           });
+}
+
 inline constexpr base::milliseconds min_outage_retry{1'000};
 inline constexpr base::milliseconds max_outage_retry{5'000};
 
