Fault proxy: a link that refuses connections as the system does

The proxy's `cut` accepts a forward's connection and resets it, so no test with real processes ever saw ECONNREFUSED, the sign that the leader took for a worker's end. `refuse` closes the forward's listening port while the fault is in force, resets what is open, and opens the port again (with retries) when the fault is over or healed. A CONNECT source, whose target is not known before it is asked, answers 502 as for `cut`.

--- a/standins/fault_proxy/link_table.cpp
+++ b/standins/fault_proxy/link_table.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 9> fault_names{"none",          "cut",        "blackhole",
-                                                      "silence_open",  "delay",      "drop_answers",
-                                                      "drop_requests", "half_close", "freeze"};
+constexpr std::array<std::string_view, 10> fault_names{
+    "none",  "cut",          "refuse",        "blackhole",  "silence_open",
+    "delay", "drop_answers", "drop_requests", "half_close", "freeze"};
 
 bool name_matches(const std::string& pattern, const std::string& name)
 {
--- a/standins/fault_proxy/link_table.hpp
+++ b/standins/fault_proxy/link_table.hpp
@@ -17,6 +17,7 @@
 enum class fault_kind {
     none,
     cut,
+    refuse,
     blackhole,
     silence_open,
     delay,
--- a/standins/fault_proxy/proxy.cpp
+++ b/standins/fault_proxy/proxy.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <fmt/format.h>
 
@@ -17,11 +18,13 @@
 namespace
 {
 
+constexpr base::milliseconds reopen_retry{50};
+
 /// A listening port; an empty target means that connections name theirs by HTTP CONNECT.
 struct listener {
     std::string name{};
     std::string target{};
-    std::uint16_t port = 0;
+    asio::ip::tcp::endpoint endpoint{};
     asio::ip::tcp::acceptor acceptor;
 };
 
@@ -39,11 +42,49 @@
             .target = std::move(target),
             .acceptor = asio::ip::tcp::acceptor{context, endpoint, true},
         });
-        added->port = added->acceptor.local_endpoint().port();
+        added->endpoint = added->acceptor.local_endpoint();
         accept(*added);
         listeners.push_back(std::move(added));
     }
 
+    /// A port that leads to one target does not listen while its link refuses.
+    void open_and_close_ports()
+    {
+        bool failed = false;
+        for (const auto& each : listeners) {
+            if (each->target.empty()) {
+                continue;
+            }
+            const auto kind = links.fault_of({each->name, links.target_name(each->target)}).kind;
+            const bool refuses = kind == fault_kind::refuse;
+            std::error_code ignored;
+            if (refuses && each->acceptor.is_open()) {
+                each->acceptor.close(ignored);
+            } else if (!refuses && !each->acceptor.is_open()) {
+                failed = !reopen(*each) || failed;
+            }
+        }
+        if (failed) {
+            reopening.expires_after(reopen_retry);
+            reopening.async_wait([this](std::error_code failure) {
+                if (!failure) {
+                    open_and_close_ports();
+                }
+            });
+        }
+    }
+
+    bool reopen(listener& closed)
+    {
+        try {
+            closed.acceptor = asio::ip::tcp::acceptor{context, closed.endpoint, true};
+        } catch (const std::system_error&) {
+            return false;
+        }
+        accept(closed);
+        return true;
+    }
+
     void accept(listener& from)
     {
         from.acceptor.async_accept(
@@ -88,6 +129,7 @@
                 each->silence(rule);
             }
         }
+        open_and_close_ports();
         apply_to_all();
     }
 
@@ -96,6 +138,7 @@
     link_table links;
     std::vector<std::unique_ptr<listener>> listeners;
     std::set<std::shared_ptr<tunnel>> tunnels;
+    asio::steady_timer reopening{context};
     std::thread thread;
 };
 
@@ -141,6 +184,7 @@
 {
     asio::post(impl_->context, [this, done = std::move(done)] {
         impl_->links.heal();
+        impl_->open_and_close_ports();
         impl_->apply_to_all();
         done();
     });
@@ -155,7 +199,7 @@
 {
     for (const auto& each : impl_->listeners) {
         if (each->name == name) {
-            return each->port;
+            return each->endpoint.port();
         }
     }
     return 0;
--- a/standins/fault_proxy/tunnel.cpp
+++ b/standins/fault_proxy/tunnel.cpp
@@ -110,6 +110,7 @@
 {
     switch (links_.fault_of(link_).kind) {
     case fault_kind::cut:
+    case fault_kind::refuse:
         refuse();
         return;
     case fault_kind::blackhole:
@@ -308,7 +309,7 @@
         return;
     }
     const auto kind = links_.fault_of(link_).kind;
-    if (kind == fault_kind::cut) {
+    if (kind == fault_kind::cut || kind == fault_kind::refuse) {
         if (stage_ == stage::waiting) {
             refuse();
         } else {
--- a/tests/standins/fault_proxy/proxy_test.cpp
+++ b/tests/standins/fault_proxy/proxy_test.cpp
@@ -73,6 +73,38 @@
     EXPECT_TRUE(call().ok());
 }
 
+TEST_F(proxied_link, refuse_closes_the_port_until_healed)
+{
+    const auto address = fmt::format("127.0.0.1:{}", target->port());
+    auto forwarding = proxy::start("127.0.0.1", {.forwards = {{"vm-a1", 0, address}},
+                                                 .targets = {{"worker", {address}}}})
+                          .value();
+    const auto direct = net::http_client::start({}).value();
+    const auto call_forward = [&] {
+        return direct->send_and_wait(
+            {.method = "POST",
+             .url = fmt::format("http://127.0.0.1:{}/", forwarding->port_of("vm-a1")),
+             .body = "x",
+             .timeout = base::milliseconds{300}});
+    };
+    const auto wait_for = [](const auto& change) {
+        std::promise<void> done;
+        change([&done] { done.set_value(); });
+        done.get_future().wait();
+    };
+    ASSERT_TRUE(call_forward().ok());
+
+    wait_for([&](auto done) {
+        forwarding->set_fault({{"vm-a1", "worker"}, {fault_kind::refuse, {}}}, done);
+    });
+    EXPECT_FALSE(call_forward().ok()) << "the open connection is reset";
+    EXPECT_TRUE(call_forward().connection_refused);
+    EXPECT_EQ(handled, 1);
+    wait_for([&](auto done) { forwarding->heal(done); });
+
+    EXPECT_TRUE(call_forward().ok());
+}
+
 TEST_F(proxied_link, silence_open_spares_new_connections)
 {
     ASSERT_TRUE(call().ok());
