Soak: registrations that expire while their workers drain and run on

--lapsing_registrations adds, drawn from random streams of their own: 4 to 6 workers that drain for 9 to 14 s, their heartbeats saying what is left; an outage of the store of 4 to 5.6 s, or only of these workers' way to it for 6 to 9 s, in which registrations go 4.5 s after the last heartbeat and come back with the next; links to these workers that refuse, are reset or fall silent as that is seen; and jobs with runs of 8 to 10 s.

--- a/standins/site_standin/site_control.cpp
+++ b/standins/site_standin/site_control.cpp
@@ -30,8 +30,10 @@
         return outcome({});
     }
     if (path == "/control/worker") {
+        const base::milliseconds serves_on{
+            body.value("remaining_ms", std::int64_t{default_drain_time.count()})};
         return outcome(host.act_on_worker(body.at("worker").get<std::string>(),
-                                          body.at("action").get<std::string>()));
+                                          body.at("action").get<std::string>(), serves_on));
     }
     if (path == "/control/capacity") {
         return outcome(host.set_capacity(body.at("worker").get<std::string>(),
--- a/standins/site_standin/site_host.hpp
+++ b/standins/site_standin/site_host.hpp
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,7 @@
 
 /// Failed runs of a task after which it must not be started any more, as in the configuration.
 constexpr std::uint32_t max_attempts = 3;
+constexpr base::milliseconds default_drain_time{3'000};
 
 /// The store and the workers of a site behind real ports: the stand-ins of the unit tests, driven
 /// by the wall clock. All calls come from the thread that runs the host.
@@ -44,7 +46,9 @@
     void set_away_parts(std::set<std::string> parts);
     void forget_history();
     /// `place` is the worker's name in the settings; another worker may have taken its address.
-    [[nodiscard]] std::string act_on_worker(const std::string& place, const std::string& action);
+    /// `serves_on` is how long a worker that drains does so before it leaves.
+    [[nodiscard]] std::string act_on_worker(const std::string& place, const std::string& action,
+                                            base::milliseconds serves_on = default_drain_time);
     /// Its entry tells of it with its next heartbeat. Error text, empty for none.
     [[nodiscard]] std::string set_capacity(const std::string& place, std::int64_t percent);
     void set_configuration(const std::string& document);
@@ -74,7 +78,9 @@
     void crash_by(const fleet::start_order& order);
     /// It comes back, or another one does at its address.
     void replace_later(const std::string& worker, std::uint64_t born);
-    void drain(const std::string& worker);
+    void drain(const std::string& worker, base::milliseconds serves_on);
+    /// Its registration expires unless it is written again in time.
+    void expire_later(const std::string& worker);
     [[nodiscard]] json stored_jobs() const;
     [[nodiscard]] json ages_of_last_done() const;
     void handle_store(const vm_config& vm, const net::http_request& request,
@@ -99,6 +105,11 @@
     std::map<std::string, store_faults> store_faults_{};
     std::map<std::string, tests::fake_workers::fate> worker_faults_{};
     std::map<std::string, std::uint64_t> sequences_{};
+    /// When the registration of each worker was written last, and when draining ones leave.
+    std::map<std::string, base::time_point> published_at_{};
+    std::map<std::string, base::time_point> leaves_at_{};
+    /// Places whose workers do not reach the store.
+    std::set<std::string> cut_off_{};
     std::map<std::string, worker_config> places_{};
     /// By place, the worker that answers at its address, and the reverse for all that ever did.
     std::map<std::string, std::string> occupants_{};
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -32,6 +32,12 @@
     worker_calls,
     /// Its capacity shrinks for a while.
     worker_shrunk,
+    /// The store is away for all, and registrations expire meanwhile.
+    registrations_lapsed,
+    /// It does not reach the store, and its registration expires; it runs on.
+    worker_cut_off,
+    /// It drains and serves on before it leaves.
+    worker_serving_out,
 };
 
 [[nodiscard]] std::string_view name_of(fault_kind kind);
@@ -68,6 +74,12 @@
                                                                std::span<const std::string> workers,
                                                                base::milliseconds span);
 
+/// Registrations that expire while their workers drain and run on, with links to these that break
+/// as they do; drawn apart too.
+[[nodiscard]] std::vector<planned_fault>
+plan_lapsing_registrations(std::uint64_t seed, std::span<const std::string> workers,
+                           base::milliseconds span);
+
 /// Both plans as one, in order of time.
 [[nodiscard]] std::vector<planned_fault> merge_plans(std::vector<planned_fault> faults,
                                                      const std::vector<planned_fault>& more);
--- a/tests/soak/soak_faults_test.cpp
+++ b/tests/soak/soak_faults_test.cpp
@@ -111,4 +111,39 @@
     }
 }
 
+TEST(plan_lapsing_registrations, same_seed_gives_the_same_plan_within_the_span)
+{
+    const auto first = soak::plan_lapsing_registrations(7, workers, span);
+    const auto second = soak::plan_lapsing_registrations(7, workers, span);
+
+    ASSERT_FALSE(first.empty());
+    ASSERT_EQ(first.size(), second.size());
+    EXPECT_TRUE(std::ranges::is_sorted(first, {}, &soak::planned_fault::at));
+    EXPECT_LT(first.back().at, span);
+    for (std::size_t index = 0; index < first.size(); ++index) {
+        EXPECT_EQ(describe(first.at(index)), describe(second.at(index)));
+    }
+}
+
+TEST(plan_lapsing_registrations, both_lapses_and_refused_links_come_over_some_seeds)
+{
+    std::set<fault_kind> seen;
+    bool refused = false;
+
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const auto& fault : soak::plan_lapsing_registrations(seed, workers, span)) {
+            seen.insert(fault.kind);
+            refused = refused || fault.variant == "refuse";
+            if (fault.kind != fault_kind::registrations_lapsed) {
+                EXPECT_THAT(workers, testing::Contains(fault.worker));
+            }
+        }
+    }
+
+    EXPECT_THAT(seen, testing::UnorderedElementsAre(
+                          fault_kind::registrations_lapsed, fault_kind::worker_cut_off,
+                          fault_kind::worker_serving_out, fault_kind::worker_link));
+    EXPECT_TRUE(refused);
+}
+
 } // namespace
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -21,6 +21,8 @@
     bool deadly_jobs = false;
     /// Workers shrink and grow.
     bool capacity_changes = false;
+    /// Registrations expire while their workers drain and run on; some runs take long.
+    bool lapsing_registrations = false;
     /// Logs and settings of the run go here.
     std::string folder{};
 };
