--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -104,6 +104,9 @@
 void leader::collect_workers(plan_input& input)
 {
     const auto now = ports_.time->now();
+    const auto authority_at = lease_authority_at();
+    // A start without a lease is rejected as late.
+    const bool may_grant = authority_at && now - *authority_at < options_.lease_horizon;
     for (const auto& [id, worker] : workers_) {
         planning::worker_candidate candidate;
         candidate.facts = &worker->facts;
@@ -120,9 +123,10 @@
                 return now - failed.second < recent_failure_window;
             });
         candidate.suspicion = suspicion_of(recent_failures, crashed_recently(*worker));
-        candidate.schedulable = worker->listed && !worker->facts.draining && worker->fenced &&
-                                worker->unanswered_polls == 0 && worker->clock.known() &&
-                                worker->unknown_jobs.empty() && is_capacity_known(*worker) &&
+        candidate.schedulable = may_grant && worker->listed && !worker->facts.draining &&
+                                worker->fenced && worker->unanswered_polls == 0 &&
+                                worker->clock.known() && worker->unknown_jobs.empty() &&
+                                is_capacity_known(*worker) &&
                                 recent_failures < static_cast<std::ptrdiff_t>(failed_jobs_limit);
         worker->plan_index = input.workers.size();
         input.workers.push_back(candidate);
--- a/tests/control/silent_worker_test.cpp
+++ b/tests/control/silent_worker_test.cpp
@@ -85,6 +85,15 @@
             }
         }
     }
+    /// Id of a job, not that of the test's own, whose home is this part.
+    [[nodiscard]] std::string id_of_part(std::size_t part) const
+    {
+        auto number = 2;
+        while (site.parts.home_of(fmt::format("{:016}", number)) != part) {
+            ++number;
+        }
+        return fmt::format("{:016}", number);
+    }
     void expect_started_again_later() const
     {
         EXPECT_EQ(site.workers.starts().size(), 2U);
@@ -150,6 +159,33 @@
     expect_started_again_later();
 }
 
+// Its starts carried no lease, were rejected as late and sent again without a pause.
+TEST_F(silent_worker, IsSentNoStartByALeaderThatHasTooFewParts)
+{
+    ASSERT_NO_FATAL_FAILURE(run_job());
+    const auto only = site.parts.home_of(id);
+    std::size_t sent = 0;
+    for (const std::string name : {"vm1", "vm2", "vm3"}) {
+        for (std::size_t part = 0; part < site.parts.size(); ++part) {
+            if (part != only) {
+                unreachable.insert({name, site.parts.name(part)});
+            }
+        }
+        auto& orders = site.at(name).orders;
+        orders.start = [&sent, start = orders.start](const fleet::start_order& order, auto reply) {
+            ++sent;
+            start(order, reply);
+        };
+    }
+    site.stop(std::string{leader});
+    ASSERT_NE(site.await_leader(seconds{20}), nullptr);
+
+    site.submit(make_job(id_of_part(only), 1, small_task));
+    site.time.run_for(seconds{5});
+
+    EXPECT_EQ(sent, 0U);
+}
+
 // A leader extends the lease of a worker whose run is stored in a part that it can't read yet. The
 // worker falls silent without a registration and is forgotten, and with it until when its lease
 // lasts; then the part is read.
