HTTP client: descriptors belong to the library, which closes some without a word

Cause: reactor_client opened sockets itself and kept them in a table by descriptor until the library's close callback. libcurl 7.88 closes a socket that it gives up while it connects (a timed-out call, as in each cut) by itself, without that callback. The entry stayed; when the system gave the same number to the next socket, replacing the entry closed that new one. Then the number was free again while the library used it, and two of its connections shared one socket: orders and polls for one worker went out on a connection to another, and answers (421, but also 200 to a stop) were taken for the wrong one's.

Mend: the library owns its sockets. The client only watches what the library waits for, and leaves off when the library says so, which it does before it closes, also while a handler of the watch runs.

reactor_client.ReachesWhomItCallsAfterConnectsThatTimedOut fails on the code before (24 failed expectations: "Couldn't connect to server" to servers that listen). net_test (19) and platform_test (52) pass.

--- a/src/net/reactor_client.cpp
+++ b/src/net/reactor_client.cpp
@@ -2,7 +2,7 @@
 
 #include "net/internal/exchange.hpp"
 
-#include <asio/ip/tcp.hpp>
+#include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -38,13 +38,30 @@
     set_int_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, options.keep_alive_probes);
 }
 
-/// A socket that the library uses and this context watches.
+/// The watch of a socket that the library waits for. The library owns the descriptor: it closes
+/// some sockets, those that it gives up while they connect, without calling a close callback, and
+/// the system then gives the same descriptor to the next socket.
 struct watched_socket {
-    explicit watched_socket(asio::io_context& context) : socket{context} {}
+    explicit watched_socket(asio::io_context& context) : descriptor{context} {}
+    ~watched_socket()
+    {
+        leave();
+    }
+    watched_socket(const watched_socket&) = delete;
+    watched_socket& operator=(const watched_socket&) = delete;
+
+    /// Ends the watch and leaves the descriptor open.
+    void leave()
+    {
+        wanted = 0;
+        if (descriptor.is_open()) {
+            descriptor.release();
+        }
+    }
 
-    asio::ip::tcp::socket socket;
+    asio::posix::stream_descriptor descriptor;
     /// What the library waits for: `CURL_POLL_*`.
-    int wanted = CURL_POLL_REMOVE;
+    int wanted = 0;
     bool reading = false;
     bool writing = false;
 };
@@ -78,10 +95,8 @@
 
     void set_socket_options(CURL* easy)
     {
-        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
-        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
-        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
-        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, prepare_socket);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
     }
 
     void begin(std::unique_ptr<exchange> current)
@@ -149,13 +164,13 @@
         const bool wants_write = (watched->wanted & CURL_POLL_OUT) != 0;
         if (wants_read && !watched->reading) {
             watched->reading = true;
-            watched->socket.async_wait(asio::ip::tcp::socket::wait_read,
-                                       ready_handler(descriptor, watched, CURL_CSELECT_IN));
+            watched->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                           ready_handler(descriptor, watched, CURL_CSELECT_IN));
         }
         if (wants_write && !watched->writing) {
             watched->writing = true;
-            watched->socket.async_wait(asio::ip::tcp::socket::wait_write,
-                                       ready_handler(descriptor, watched, CURL_CSELECT_OUT));
+            watched->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                           ready_handler(descriptor, watched, CURL_CSELECT_OUT));
         }
     }
 
@@ -184,14 +199,36 @@
                          void* /*socket_context*/)
     {
         auto& self = *static_cast<implementation*>(context);
-        const auto found = self.sockets.find(descriptor);
-        if (found != self.sockets.end()) {
-            found->second->wanted = wanted == CURL_POLL_REMOVE ? 0 : wanted;
-            self.watch(descriptor);
+        if (wanted == CURL_POLL_REMOVE) {
+            self.stop_watching(descriptor);
+            return 0;
+        }
+        auto& watched = self.sockets[descriptor];
+        if (!watched) {
+            watched = std::make_shared<watched_socket>(self.context);
+            std::error_code failure;
+            if (watched->descriptor.assign(descriptor, failure)) {
+                // Nobody hears of the socket; the call's time-out ends it.
+                self.sockets.erase(descriptor);
+                return 0;
+            }
         }
+        watched->wanted = wanted;
+        self.watch(descriptor);
         return 0;
     }
 
+    /// Called before the library closes the socket, and must have ended by then, even while a
+    /// handler of the watch runs.
+    void stop_watching(curl_socket_t descriptor)
+    {
+        const auto found = sockets.find(descriptor);
+        if (found != sockets.end()) {
+            found->second->leave();
+            sockets.erase(found);
+        }
+    }
+
     static int on_timer(CURLM* /*multi*/, long timeout_ms, void* context)
     {
         auto& self = *static_cast<implementation*>(context);
@@ -207,31 +244,12 @@
         return 0;
     }
 
-    static curl_socket_t open_socket(void* context, curlsocktype /*purpose*/,
-                                     curl_sockaddr* address)
+    static int prepare_socket(void* context, curl_socket_t descriptor, curlsocktype /*purpose*/)
     {
         auto& self = *static_cast<implementation*>(context);
-        auto watched = std::make_shared<watched_socket>(self.context);
-        std::error_code failure;
-        const auto protocol =
-            address->family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4();
-        if (watched->socket.open(protocol, failure)) {
-            return CURL_SOCKET_BAD;
-        }
-        watched->socket.non_blocking(true, failure);
-        const auto descriptor = watched->socket.native_handle();
         set_liveness_options(descriptor, self.options);
-        self.sockets.insert_or_assign(descriptor, std::move(watched));
         ++self.opened;
-        return descriptor;
-    }
-
-    static int close_socket(void* context, curl_socket_t descriptor)
-    {
-        auto& self = *static_cast<implementation*>(context);
-        // Destroying the Asio socket closes the descriptor.
-        self.sockets.erase(descriptor);
-        return 0;
+        return CURL_SOCKOPT_OK;
     }
 
     asio::io_context& context;
