Log: decisive lines keep a share of the budget

The log has one budget of 300 lines a second and 1,500 at once for all lines.

Warnings, errors and lines written with `keep` (orders, ends of runs, placements, changes of leadership) now have a budget and waiting bytes of their own besides the shared ones; both stay bounded.

--- a/apps/poplarstiled/metrics.cpp
+++ b/apps/poplarstiled/metrics.cpp
@@ -114,6 +114,11 @@
     impl_->set_counter(name, {{"cause", std::string{cause}}}, value);
 }
 
+void daemon_metrics::set_counter_of_kind(std::string_view kind, std::string_view name, double value)
+{
+    impl_->set_counter(name, {{"kind", std::string{kind}}}, value);
+}
+
 std::string daemon_metrics::text() const
 {
     return prometheus::TextSerializer{}.Serialize(impl_->registry.Collect());
--- a/apps/poplarstiled/metrics.hpp
+++ b/apps/poplarstiled/metrics.hpp
@@ -33,6 +33,9 @@
     /// The counter of one cause among those with this name.
     void set_counter_of_cause(std::string_view cause, std::string_view name, double value);
 
+    /// The counter of one kind among those with this name.
+    void set_counter_of_kind(std::string_view kind, std::string_view name, double value);
+
     /// Text for `/metrics`.
     [[nodiscard]] std::string text() const;
 
--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -118,7 +118,11 @@
     made.count("poplarstile_status_store_reads_total", frontend.counters().store_reads);
     made.count("poplarstile_cancels_before_job_total", frontend.counters().cancelled_before_job);
     made.count("poplarstile_unreadable_leases_total", node.election().unreadable_leases());
-    made.count("poplarstile_log_lines_left_out_total", base::event_lines_left_out());
+    const auto left_out = base::event_lines_left_out();
+    made.own.set_counter_of_kind("decisive", "poplarstile_log_lines_left_out_total",
+                                 static_cast<double>(left_out.decisive));
+    made.own.set_counter_of_kind("routine", "poplarstile_log_lines_left_out_total",
+                                 static_cast<double>(left_out.routine));
     made.own.set_gauge("poplarstile_store_served", link.served() ? 1.0 : 0.0);
     made.own.set_gauge(
         "poplarstile_configuration_version",
--- a/src/base/event_line.hpp
+++ b/src/base/event_line.hpp
@@ -53,14 +53,29 @@
     variant value_;
 };
 
-/// Bounds of the structured log.
+/// Whether an account of what happened is wrong without the line. Warnings and errors are decisive.
+enum class line_weight : std::uint8_t { routine, decisive };
+
+/// Bounds of the structured log. What comes beyond them is counted and left out.
 struct event_line_options {
     log_level least = log_level::info;
     /// Lines a second over a longer time, and at once.
     double lines_per_s = 300.0;
     double burst_lines = 1'500.0;
-    /// Bytes that wait for a slow reader; what comes beyond is counted and left out.
+    /// The same, in addition, for decisive lines. Load pattern: a leader with several hundred
+    /// workers that loses many of them at once.
+    double reserved_lines_per_s = 1'200.0;
+    double reserved_burst_lines = 10'000.0;
+    /// Bytes that wait for a slow reader.
     std::size_t max_waiting_bytes = std::size_t{512} * 1024;
+    /// The same, in addition, for decisive lines.
+    std::size_t reserved_waiting_bytes = std::size_t{2'048} * 1024;
+};
+
+/// Numbers of lines that were left out.
+struct left_out_lines {
+    std::uint64_t routine = 0;
+    std::uint64_t decisive = 0;
 };
 
 /// Begins the log of a process; `vm` stands on every line.
@@ -68,13 +83,14 @@
 
 /// Writes one line: time, VM, level, part, event, then the fields.
 void write_event_line(log_level level, std::string_view part, std::string_view event,
-                      std::initializer_list<line_field> fields);
+                      std::initializer_list<line_field> fields,
+                      line_weight weight = line_weight::routine);
 
 /// Hands waiting lines to standard output without blocking; false while some still wait.
 bool flush_event_lines();
 
 /// Lines left out since the start.
-[[nodiscard]] std::uint64_t event_lines_left_out();
+[[nodiscard]] left_out_lines event_lines_left_out();
 
 /// The structured log of one part of the process.
 class event_logger
@@ -90,6 +106,11 @@
     {
         write_event_line(log_level::info, part_, event, fields);
     }
+    /// A decisive line of level `info`.
+    void keep(std::string_view event, std::initializer_list<line_field> fields) const
+    {
+        write_event_line(log_level::info, part_, event, fields, line_weight::decisive);
+    }
     void warning(std::string_view event, std::initializer_list<line_field> fields) const
     {
         write_event_line(log_level::warning, part_, event, fields);
--- a/src/control/cluster_handover.cpp
+++ b/src/control/cluster_handover.cpp
@@ -45,7 +45,7 @@
     const auto* const next = choose_successor();
     vacant_ = true;
     successor_ = next == nullptr ? std::string{} : next->entry.vm;
-    log.info("handed_back", {{"epoch", leader_->epoch()}, {"successor", successor_}});
+    log.keep("handed_back", {{"epoch", leader_->epoch()}, {"successor", successor_}});
     for (auto& [address, peer] : vms_) {
         send_heartbeat(address, peer);
     }
@@ -66,7 +66,7 @@
         return;
     }
     yielding_ = true;
-    log.info("yielding", {{"epoch", leader_->epoch()},
+    log.keep("yielding", {{"epoch", leader_->epoch()},
                           {"to", next->entry.vm},
                           {"its_processor_millis", next->entry.processor_millis},
                           {"its_link_kbit", next->entry.link_kbit},
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -48,7 +48,7 @@
 
 void leader::start()
 {
-    log.info("taking_over", {{"epoch", epoch_}, {"parts", parts_.size()}});
+    log.keep("taking_over", {{"epoch", epoch_}, {"parts", parts_.size()}});
     for (std::size_t part = 0; part < parts_.size(); ++part) {
         if (part == first_part_) {
             read_runs(part, {});
@@ -62,7 +62,7 @@
 
 void leader::hand_back(std::function<void()> on_done)
 {
-    log.info("handing_back", {{"epoch", epoch_}, {"open_jobs", jobs_.size()}});
+    log.keep("handing_back", {{"epoch", epoch_}, {"open_jobs", jobs_.size()}});
     handing_back_ = true;
     // Waits only for the first part's row, which is the one that a successor acquires first.
     for (std::size_t part = 0; part < parts_.size(); ++part) {
--- a/src/control/leader_cancels.cpp
+++ b/src/control/leader_cancels.cpp
@@ -38,7 +38,7 @@
         return;
     }
     entry.state.cancel();
-    log.info("job_cancelled", {{"job", id}, {"placed_tasks", entry.state.placed_tasks()}});
+    log.keep("job_cancelled", {{"job", id}, {"placed_tasks", entry.state.placed_tasks()}});
     if (active_ && parts_.at(entry.part).phase == part_phase::active) {
         stop_job(entry, stop_reason::cancelled);
         mark_dirty(id);
--- a/src/control/leader_crashes.cpp
+++ b/src/control/leader_crashes.cpp
@@ -61,7 +61,7 @@
     const bool was_open = entry.state.open();
     const bool counted = entry.state.record_crash(ref, crashed.run, crashed.evidence);
     const auto& history = entry.state.crashes_of(ref);
-    log.info("worker_crashed_under_run", {{"job", crashed.job},
+    log.keep("worker_crashed_under_run", {{"job", crashed.job},
                                           {"task", task},
                                           {"run", crashed.run},
                                           {"worker", worker},
--- a/src/control/leader_election.cpp
+++ b/src/control/leader_election.cpp
@@ -69,7 +69,7 @@
         return false;
     }
     if (heartbeat.epoch > epoch_ || heartbeat.leader.vm != leader_.vm) {
-        log.info("leader_known", {{"leader", heartbeat.leader.vm},
+        log.keep("leader_known", {{"leader", heartbeat.leader.vm},
                                   {"epoch", heartbeat.epoch},
                                   {"silence_ms", leader_silence().count()}});
     }
@@ -81,7 +81,7 @@
     const bool newly_vacant = heartbeat.vacant && !vacant_;
     vacant_ = heartbeat.vacant;
     if (newly_vacant) {
-        log.info("lease_vacant", {{"epoch", heartbeat.epoch}, {"successor", heartbeat.successor}});
+        log.keep("lease_vacant", {{"epoch", heartbeat.epoch}, {"successor", heartbeat.successor}});
         handle_vacant_lease(heartbeat);
     }
     return true;
--- a/src/control/leader_election_attempts.cpp
+++ b/src/control/leader_election_attempts.cpp
@@ -265,7 +265,7 @@
     epoch_ = record.epoch;
     acquisition_sent_ = sent;
     leader_ = options_.self;
-    log.info("elected",
+    log.keep("elected",
              {{"epoch", epoch_},
               {"silence_ms", base::milliseconds_between(last_heartbeat_at_, ports_.time->now())}});
     ports_.on_elected(record, part, version);
--- a/src/control/leader_ends.cpp
+++ b/src/control/leader_ends.cpp
@@ -66,7 +66,7 @@
         }
     }
     finished.ended_at = store_clock_->estimate(ports_.time->now());
-    log.info("job_ended", {{"job", id},
+    log.keep("job_ended", {{"job", id},
                            {"status", batch::name_of(finished.status)},
                            {"queue", finished.queue},
                            {"age_ms", ports_.time->unix_ms() - entry.state.accepted().accepted_ms},
@@ -148,7 +148,7 @@
     journal.add(
         {{{jobs_row(expired.part, expired.id), store::row_removal{}}}, [this, expired, now] {
              ++counters_.expired_rows_removed;
-             log.info("job_row_removed", {{"job", expired.id},
+             log.keep("job_row_removed", {{"job", expired.id},
                                           {"cause", "expired"},
                                           {"store_part", options_.parts.name(expired.part)},
                                           {"ended_store_ms", base::to_stored_ms(expired.at)},
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -144,7 +144,7 @@
     order.lease_until = run->lease_until;
     order.token = epoch_;
     order.checkpoint = run->start_checkpoint;
-    log.info("start_sent", {{"job", run->job},
+    log.keep("start_sent", {{"job", run->job},
                             {"task", key.task},
                             {"run", run->run},
                             {"worker", key.worker},
@@ -275,7 +275,7 @@
         return;
     }
     run.stopping = why;
-    log.info("stop_decided", {{"job", run.job},
+    log.keep("stop_decided", {{"job", run.job},
                               {"step", run.ref.step},
                               {"index", run.ref.index},
                               {"run", run.run},
@@ -374,7 +374,7 @@
         ++counters_.lost_runs_by_evidence.at(static_cast<std::size_t>(evidence));
         log_lost_run(worker, task, run, evidence);
     }
-    log.info("run_ended", {{"job", run.job},
+    log.keep("run_ended", {{"job", run.job},
                            {"task", task},
                            {"run", run.run},
                            {"worker", worker.facts.life.worker},
@@ -416,7 +416,7 @@
     const auto now = ports_.time->now();
     const bool answered = worker.answered_at != base::time_point{};
     const bool unlisted = !worker.listed;
-    log.info("run_given_up",
+    log.keep("run_given_up",
              {{"job", run.job},
               {"task", task},
               {"run", run.run},
@@ -441,7 +441,7 @@
         !found->second.state.finish_earlier_run(ref, end.run)) {
         return;
     }
-    log.info("earlier_run_done",
+    log.keep("earlier_run_done",
              {{"job", end.task.job}, {"task", batch::to_text(end.task)}, {"run", end.run}});
     mark_dirty(end.task.job);
     const bool gang = found->second.state.spec_of(ref.step).gang;
--- a/src/control/leader_parts.cpp
+++ b/src/control/leader_parts.cpp
@@ -278,7 +278,7 @@
         }
     }
     record_jobs_outside_home();
-    log.info("took_over", {{"epoch", epoch_},
+    log.keep("took_over", {{"epoch", epoch_},
                            {"jobs", jobs_.size()},
                            {"workers", workers_.size()},
                            {"all_parts", all_parts_active()},
@@ -304,7 +304,7 @@
         }
         publish_status(id, entry, entry.published_status);
     }
-    log.info("part_adopted", {{"store_part", options_.parts.name(part)},
+    log.keep("part_adopted", {{"store_part", options_.parts.name(part)},
                               {"placed_tasks", adopted},
                               {"ended_jobs", ended_.count_in(part)},
                               {"ended_without_time", ended_.count_without_end(part)}});
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -299,7 +299,7 @@
     }
     starts_held_back_ = admitted.held_back > 0;
     if (starts_held_back_) {
-        log.info("starts_held_back", {{"tasks", admitted.held_back},
+        log.keep("starts_held_back", {{"tasks", admitted.held_back},
                                       {"most_under_way", pacing_.max_starts()},
                                       {"retry_after_ms", pacing_.retry_after().count()}});
     }
@@ -348,7 +348,7 @@
         entry.unsent.push_back({worker.facts.life.worker, task});
         worker.runs.insert_or_assign(task, std::move(run));
     }
-    log.info("unit_placed", {{"job", origin.job},
+    log.keep("unit_placed", {{"job", origin.job},
                              {"occurrence", origin.occurrence},
                              {"step", origin.step},
                              {"tasks", placed.tasks.size()},
--- a/src/control/leader_second_rows.cpp
+++ b/src/control/leader_second_rows.cpp
@@ -85,7 +85,7 @@
         parts_.at(part).journal->add({std::move(writes), [this, id, part] {
                                           ended_.release(id);
                                           ++counters_.duplicate_rows_removed;
-                                          log.info("job_row_removed",
+                                          log.keep("job_row_removed",
                                                    {{"job", id},
                                                     {"cause", "duplicate"},
                                                     {"store_part", options_.parts.name(part)},
--- a/src/control/leader_store.cpp
+++ b/src/control/leader_store.cpp
@@ -244,7 +244,7 @@
     const auto position = jobs_.emplace(id, job_entry{std::move(accepted), part}).first;
     position->second.known_since = ports_.time->now();
     restore_runs(position->second);
-    log.info("job_known", {{"job", id},
+    log.keep("job_known", {{"job", id},
                            {"queue", queue},
                            {"workspace", position->second.state.accepted().workspace},
                            {"store_part", options_.parts.name(part)},
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -295,7 +295,7 @@
     const auto found = worker.runs.find(task);
     ++counters_.ends.at(static_cast<std::size_t>(end.how));
     if (found == worker.runs.end() || found->second.run != end.run) {
-        log.info("end_of_unknown_run", {{"job", end.task.job},
+        log.keep("end_of_unknown_run", {{"job", end.task.job},
                                         {"task", task},
                                         {"run", end.run},
                                         {"how", batch::name_of(end.how)},
