Leader: says what keeps work that has waited for 3 s

`work_waits` tells the cause for each unit whose turn has come and that waits for 3 s, with the room that each of the causes would leave and the unusable workers by reason; the gauge `poplarstile_waiting_units` counts them by cause. The cause is a pure function of the input of a plan (planning/waiting_cause). It is computed once a second for at most 64 units, and logged for at most 16. No decision changes: why_unusable has the conditions of `schedulable`.

--- a/apps/poplarstiled/metrics.cpp
+++ b/apps/poplarstiled/metrics.cpp
@@ -38,6 +38,17 @@
                             .Add(of);
         counter.Increment(value - counter.Value());
     }
+
+    void set_gauge(std::string_view name, const prometheus::Labels& of, double value)
+    {
+        prometheus::BuildGauge()
+            .Name(std::string{name})
+            .Help("See docs/OPERATIONS.md")
+            .Labels(labels)
+            .Register(registry)
+            .Add(of)
+            .Set(value);
+    }
 };
 
 daemon_metrics::daemon_metrics(std::string_view vm, std::string_view failure_domain)
@@ -89,13 +100,12 @@
 
 void daemon_metrics::set_gauge(std::string_view name, double value)
 {
-    prometheus::BuildGauge()
-        .Name(std::string{name})
-        .Help("See docs/OPERATIONS.md")
-        .Labels(impl_->labels)
-        .Register(impl_->registry)
-        .Add({})
-        .Set(value);
+    impl_->set_gauge(name, {}, value);
+}
+
+void daemon_metrics::set_gauge_of_cause(std::string_view cause, std::string_view name, double value)
+{
+    impl_->set_gauge(name, {{"cause", std::string{cause}}}, value);
 }
 
 void daemon_metrics::set_counter(std::string_view name, double value)
--- a/apps/poplarstiled/metrics.hpp
+++ b/apps/poplarstiled/metrics.hpp
@@ -27,6 +27,8 @@
     void record_control_bytes(std::string_view purpose, std::size_t bytes);
 
     void set_gauge(std::string_view name, double value);
+    /// The gauge of one cause among those with this name.
+    void set_gauge_of_cause(std::string_view cause, std::string_view name, double value);
     void set_counter(std::string_view name, double value);
     /// The counter of one purpose among those with this name.
     void set_counter_of(std::string_view purpose, std::string_view name, double value);
--- a/apps/poplarstiled/site_metrics.cpp
+++ b/apps/poplarstiled/site_metrics.cpp
@@ -39,6 +39,11 @@
         own.set_counter(name, static_cast<double>(value));
     }
 
+    void waiting(std::string_view cause, std::size_t units)
+    {
+        own.set_gauge_of_cause(cause, "poplarstile_waiting_units", static_cast<double>(units));
+    }
+
     void leader(const control::leader& leading)
     {
         const auto counted = leading.counters();
@@ -66,6 +71,11 @@
         own.set_gauge("poplarstile_ended_jobs", static_cast<double>(leading.stored_ends()));
         own.set_gauge("poplarstile_open_jobs", static_cast<double>(leading.open_jobs()));
         own.set_gauge("poplarstile_known_workers", static_cast<double>(leading.known_workers()));
+        for (std::size_t index = 0; index < planning::waiting_cause_count; ++index) {
+            waiting(planning::name_of(static_cast<planning::waiting_cause>(index)),
+                    leading.waiting_by_cause().at(index));
+        }
+        waiting("not_examined", leading.waiting_unexamined());
         own.set_gauge("poplarstile_commit_backlog", static_cast<double>(counted.commit_backlog));
     }
 
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -186,6 +186,7 @@
     settle_ends();
     remove_expired_jobs();
     remove_unneeded_cancels();
+    report_waiting_work();
     schedule_plan();
 }
 
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -11,10 +11,12 @@
 #include "control/order_pacing.hpp"
 #include "control/plan_input.hpp"
 #include "control/run_evidence.hpp"
+#include "control/waiting_units.hpp"
 #include "control/worker_state.hpp"
 #include "fleet/worker_directory.hpp"
 #include "fleet/worker_orders.hpp"
 #include "planning/planner.hpp"
+#include "planning/waiting_cause.hpp"
 #include "store/journal.hpp"
 #include "store/part_map.hpp"
 #include "store/store_clock_reading.hpp"
@@ -76,6 +78,9 @@
 
 [[nodiscard]] std::string_view name_of(leader_span span);
 
+/// Numbers of waiting units of work, by `planning::waiting_cause`.
+using waiting_cause_counts = std::array<std::size_t, planning::waiting_cause_count>;
+
 /// Interfaces through which the leader reaches the store, the workers, the clock and its owner.
 struct leader_ports {
     const store::row_store* rows = nullptr;
@@ -192,6 +197,16 @@
     {
         return jobs_.size();
     }
+    /// Numbers of units of work that have waited for long, by what keeps them.
+    [[nodiscard]] const waiting_cause_counts& waiting_by_cause() const
+    {
+        return waiting_by_cause_;
+    }
+    /// Number of such units beyond those whose causes are computed.
+    [[nodiscard]] std::size_t waiting_unexamined() const
+    {
+        return waiting_unexamined_;
+    }
     [[nodiscard]] std::size_t known_workers() const
     {
         return workers_.size();
@@ -460,7 +475,15 @@
     [[nodiscard]] std::size_t unanswered_starts() const;
     void start_placed(const plan_input& input, std::vector<planning::placed_unit> placed);
     void collect_workers(plan_input& input);
+    /// Why no new work may be placed on the worker. `may_grant` is set while this leader may extend
+    /// leases.
+    [[nodiscard]] planning::unusable_reason why_unusable(const worker_state& worker, bool may_grant,
+                                                         std::ptrdiff_t recent_failures) const;
+    /// True when the part that holds the job answers, and no other part may have a row of it.
+    [[nodiscard]] bool is_placeable(const job_entry& entry,
+                                    const std::set<std::string>& elsewhere) const;
     void collect_units(plan_input& input);
+    void collect_units_of(plan_input& input, const job_entry& entry) const;
     void collect_unit(plan_input& input, const job_entry& entry, const unit_origin& origin) const;
     void collect_victims(plan_input& input) const;
     [[nodiscard]] step_tasks tasks_of(const batch::job& job, const unit_origin& origin) const;
@@ -470,6 +493,10 @@
     void apply_plan(const plan_input& input, planning::plan made);
     void start_unit(const plan_input& input, const planning::placed_unit& placed);
 
+    // What keeps work that has waited for long (leader_waiting.cpp).
+    /// Logs and counts it by cause, once in a while.
+    void report_waiting_work();
+
     void report_span(leader_span span, base::milliseconds took) const;
     /// Time since a job was accepted, by the wall clock.
     [[nodiscard]] base::milliseconds age_of(const batch::job& accepted) const;
@@ -502,6 +529,12 @@
     /// The last plan left out work because too many starts were under way.
     bool starts_held_back_ = false;
 
+    waiting_units waiting_{};
+    base::time_point waiting_looked_at_{};
+    waiting_cause_counts waiting_by_cause_{};
+    /// Units that have waited for long and whose causes were not computed.
+    std::size_t waiting_unexamined_ = 0;
+
     std::unordered_map<std::string, job_entry> jobs_{};
     std::set<std::string> dirty_{};
 
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -123,45 +123,84 @@
                 return now - failed.second < recent_failure_window;
             });
         candidate.suspicion = suspicion_of(recent_failures, crashed_recently(*worker));
-        candidate.schedulable = may_grant && worker->listed && !worker->facts.draining &&
-                                worker->fenced && worker->unanswered_polls == 0 &&
-                                worker->clock.known() && worker->unknown_jobs.empty() &&
-                                is_capacity_known(*worker) &&
-                                recent_failures < static_cast<std::ptrdiff_t>(failed_jobs_limit);
+        candidate.unusable = why_unusable(*worker, may_grant, recent_failures);
+        candidate.schedulable = candidate.unusable == planning::unusable_reason::none;
         worker->plan_index = input.workers.size();
         input.workers.push_back(candidate);
         input.worker_states.push_back(worker.get());
     }
 }
 
+planning::unusable_reason leader::why_unusable(const worker_state& worker, bool may_grant,
+                                               std::ptrdiff_t recent_failures) const
+{
+    using planning::unusable_reason;
+    if (!may_grant) {
+        return unusable_reason::no_lease_authority;
+    }
+    if (!worker.listed) {
+        return unusable_reason::unlisted;
+    }
+    if (worker.facts.draining) {
+        return unusable_reason::draining;
+    }
+    if (worker.unanswered_polls > 0) {
+        return unusable_reason::silent;
+    }
+    if (!worker.fenced) {
+        return unusable_reason::not_fenced;
+    }
+    if (!worker.clock.known()) {
+        return unusable_reason::clock_unknown;
+    }
+    if (!worker.unknown_jobs.empty()) {
+        return unusable_reason::unknown_jobs;
+    }
+    if (!is_capacity_known(worker)) {
+        return unusable_reason::capacity_too_old;
+    }
+    return recent_failures < static_cast<std::ptrdiff_t>(failed_jobs_limit)
+               ? unusable_reason::none
+               : unusable_reason::recent_failures;
+}
+
+bool leader::is_placeable(const job_entry& entry, const std::set<std::string>& elsewhere) const
+{
+    return parts_.at(entry.part).phase == part_phase::active && part_answers(entry.part) &&
+           may_place(entry, elsewhere);
+}
+
 void leader::collect_units(plan_input& input)
 {
     std::vector<job_entry*> open;
     const auto elsewhere = jobs_recorded_elsewhere();
     for (auto& [id, entry] : jobs_) {
-        const bool usable =
-            parts_.at(entry.part).phase == part_phase::active && part_answers(entry.part);
-        if (entry.state.open() && usable && may_place(entry, elsewhere)) {
+        if (entry.state.open() && is_placeable(entry, elsewhere)) {
             open.push_back(&entry);
         }
     }
     std::ranges::sort(open, {}, [](const job_entry* entry) {
         return std::pair{entry->state.accepted().accepted_ms, entry->state.id()};
     });
-    const auto unix_ms = ports_.time->unix_ms();
     std::map<std::string, std::int64_t> urgent_need;
     for (auto* entry : open) {
         entry->guaranteed = count_guaranteed(*entry, urgent_need);
-        const auto& occurrences = entry->state.occurrences();
-        for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
-            if (entry->state.due_ms(occurrence) > unix_ms) {
-                break;
-            }
-            const auto steps = static_cast<std::uint32_t>(occurrences.at(occurrence).steps.size());
-            for (std::uint32_t step = 0; step < steps; ++step) {
-                if (entry->state.step_ready(occurrence, step)) {
-                    collect_unit(input, *entry, {entry->state.id(), occurrence, step});
-                }
+        collect_units_of(input, *entry);
+    }
+}
+
+void leader::collect_units_of(plan_input& input, const job_entry& entry) const
+{
+    const auto unix_ms = ports_.time->unix_ms();
+    const auto& occurrences = entry.state.occurrences();
+    for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
+        if (entry.state.due_ms(occurrence) > unix_ms) {
+            break;
+        }
+        const auto steps = static_cast<std::uint32_t>(occurrences.at(occurrence).steps.size());
+        for (std::uint32_t step = 0; step < steps; ++step) {
+            if (entry.state.step_ready(occurrence, step)) {
+                collect_unit(input, entry, {entry.state.id(), occurrence, step});
             }
         }
     }
@@ -348,6 +387,10 @@
         entry.unsent.push_back({worker.facts.life.worker, task});
         worker.runs.insert_or_assign(task, std::move(run));
     }
+    const auto& unit = input.units.at(placed.unit);
+    if (placed.tasks.size() == unit.tasks.size()) {
+        waiting_.forget({origin.job, origin.occurrence, origin.step, unit.isolated});
+    }
     log.keep("unit_placed", {{"job", origin.job},
                              {"occurrence", origin.occurrence},
                              {"step", origin.step},
--- a/src/planning/plan_types.hpp
+++ b/src/planning/plan_types.hpp
@@ -3,6 +3,7 @@
 #include "batch/job_spec.hpp"
 #include "fleet/worker_facts.hpp"
 #include "planning/ranking.hpp"
+#include "planning/unusable_reason.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -26,6 +27,8 @@
     batch::resources held_for_urgent{};
     /// False while no new work may be placed there.
     bool schedulable = true;
+    /// Why not; `none` while `schedulable` is set.
+    unusable_reason unusable = unusable_reason::none;
     /// Something runs or may run there.
     bool occupied = false;
     /// Holds work that does not end by itself.
