Control: what a worker lists beyond the leader's record holds its room

Callers saw LIMIT: a worker that does not guard its capacity was brought over it. Room was reckoned from the runs that the leader knows (`worker_state::used`). A run that only the worker tells of was sent a stop (`unknown_run_stopped`) and counted nowhere, so the same plan gave its room to another start.

Now `room_of` (worker_room) alone says what may be in use: all that was ordered and is not surely over, and what the worker lists beyond that (`unknown_runs`). Plans, the check before a start is sent, preemption and isolation ask it; the running sum `used` is gone. The need of a listed run is that of its job where the job is known; where it is not, or where an entry of the list can't be read, nothing starts there. Stops are sent again at intervals that double from 0.3 to 2.4 s, polls go on, and a run that lasts for 3 s is logged (`unknown_run_lasts`).

What bounds each case: a listed run counts until its end is listed, or a complete list lacks it whose poll was sent after the run was last shown (an answer that was overtaken frees nothing; one with unknown runs is asked again without a wait); on a silent worker until its leases are over; on a new incarnation of the worker not at all. An unreadable entry of `running` counts until a readable list of a poll that was sent later; one of `ended` does not count. A start of an earlier leader that the worker has not listed can't begin once a poll with this leader's token was answered.

--- a/src/batch/task_id.hpp
+++ b/src/batch/task_id.hpp
@@ -16,6 +16,8 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
+    // clang-tidy 14 takes the 0 in what the compiler makes of <=> for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const task_id&) const = default;
 };
 
--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -386,6 +386,11 @@
     void receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
                             const fleet::look_reply& reply);
     void process_running(worker_state& worker, const fleet::look_reply& reply);
+    /// The need of a task whose job is known.
+    [[nodiscard]] std::optional<batch::resources> need_of(const batch::task_id& task) const;
+    /// Drops unknown runs that the reply shows to be gone.
+    void settle_unknown(worker_state& worker, base::time_point sent,
+                        const fleet::look_reply& reply);
     void process_ends(worker_state& worker, const fleet::look_reply& reply);
     void process_end(worker_state& worker, const fleet::ended_task& end);
     void acknowledge_ends(const std::string& id, std::uint64_t born, std::uint64_t number);
@@ -439,6 +444,10 @@
     void stop_run(worker_state& worker, live_run& run, stop_reason why);
     void send_stop(worker_state& worker, live_run& run);
     void stop_unknown(worker_state& worker, const fleet::running_task& running);
+    /// Stops a run that only the worker tells of, unless that was done a short time ago.
+    void stop_unknown_when_due(worker_state& worker, const listed_run& listed, unknown_run& shown);
+    /// Sends stops of such runs again, and logs runs that go on in spite of them.
+    void retry_unknown_stops(worker_state& worker);
     void stop_job(job_entry& entry, stop_reason why);
     void end_run(worker_state& worker, const std::string& task, batch::run_end how,
                  std::string_view checkpoint, run_evidence evidence);
--- a/src/control/leader_departures.cpp
+++ b/src/control/leader_departures.cpp
@@ -85,7 +85,7 @@
 void leader::end_expired_runs(worker_state& worker)
 {
     const bool unreachable = worker.unanswered_polls > 0 || worker.facts.address.empty();
-    if (!unreachable || worker.runs.empty()) {
+    if (!unreachable || (worker.runs.empty() && worker.unknown.empty())) {
         return;
     }
     const bool deregistered = has_deregistered(worker);
@@ -99,6 +99,7 @@
                  {"unanswered_polls", worker.unanswered_polls},
                  {"silent_ms", base::milliseconds_between(std::max(worker.answered_at, began_),
                                                           ports_.time->now())}});
+    worker.unknown.clear();
     std::vector<crashed_run> crashed;
     if (worker.displaced) {
         // Another worker has taken its address, so it does not come back to show how it ended.
--- a/src/control/leader_isolation.cpp
+++ b/src/control/leader_isolation.cpp
@@ -1,5 +1,6 @@
 #include "control/leader.hpp"
 
+#include "control/worker_room.hpp"
 #include "planning/isolation.hpp"
 
 #include <algorithm>
@@ -73,7 +74,7 @@
     std::map<step_key, suspected_step> steps;
     const auto use_of = [&](const worker_state& worker) {
         worker_use use;
-        use.others = !worker.unknown_jobs.empty();
+        use.others = !worker.unknown_jobs.empty() || room_of(worker).unknown_runs > 0;
         for (const auto& [task, run] : worker.runs) {
             const auto entry = jobs_.find(run.job);
             if (entry == jobs_.end()) {
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -1,6 +1,7 @@
 #include "control/leader.hpp"
 
 #include "base/event_line.hpp"
+#include "control/worker_room.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -19,6 +20,8 @@
 constexpr base::milliseconds stop_retry{300};
 /// A stop without an answer is sent again after an interval that doubles up to this many times.
 constexpr std::uint32_t max_stop_backoff = 3;
+/// A run without a record that goes on for longer than this is logged.
+constexpr base::milliseconds lasting_unknown_run{3'000};
 
 } // namespace
 
@@ -68,7 +71,6 @@
     run.planned_at = began_;
     run.sent_at = began_;
     run.saved_at = began_;
-    slot->used += run.need;
     slot->runs.insert_or_assign(
         batch::to_text({entry.state.id(), ref.occurrence, ref.step, ref.index}), std::move(run));
 }
@@ -86,26 +88,31 @@
 bool leader::may_send_start(const worker_state& worker, const std::string& task,
                             const live_run& run) const
 {
-    const bool fits = is_within_capacity(worker);
+    const auto room = room_of(worker);
+    const bool fits = room.fits(worker.facts.capacity);
     if (fits && is_capacity_known(worker)) {
         return true;
     }
     const auto now = ports_.time->now();
     const auto& capacity = worker.facts.capacity;
+    const auto* const cause = !room.known ? "unknown_runs"
+                              : fits      ? "registrations_too_old"
+                                          : "over_capacity";
     log.warning("start_held_back",
                 {{"job", run.job},
                  {"task", task},
                  {"run", run.run},
                  {"worker", worker.facts.life.worker},
-                 {"cause", fits ? "registrations_too_old" : "over_capacity"},
+                 {"cause", cause},
                  {"cpu_milli", capacity.cpu_milli},
                  {"memory_mb", capacity.memory_mb},
                  {"accelerators", capacity.accelerators},
-                 {"used_cpu_milli", worker.used.cpu_milli},
-                 {"used_memory_mb", worker.used.memory_mb},
-                 {"used_accelerators", worker.used.accelerators},
+                 {"used_cpu_milli", room.in_use.cpu_milli},
+                 {"used_memory_mb", room.in_use.memory_mb},
+                 {"used_accelerators", room.in_use.accelerators},
                  {"capacity_read_ms_ago", base::milliseconds_between(worker.registered_at, now)},
                  {"confirmed_ms_ago", base::milliseconds_between(registrations_seen_at_, now)},
+                 {"unknown_runs", room.unknown_runs},
                  {"planned_ms_ago", base::milliseconds_between(run.planned_at, now)},
                  {"sends", run.sends}});
     return false;
@@ -343,10 +350,44 @@
                                         {"epoch", epoch_}});
     fleet::stop_order order{
         {worker.facts.life, worker.facts.address}, running.task, running.run, epoch_};
-    // Polls list the run until it has ended, so an unanswered stop is sent again after a poll.
+    // The run counts until it is gone, and its stop is sent again until then.
     ports_.orders->stop(std::move(order), [](const fleet::order_reply& /*reply*/) {});
 }
 
+void leader::stop_unknown_when_due(worker_state& worker, const listed_run& listed,
+                                   unknown_run& shown)
+{
+    const auto now = ports_.time->now();
+    const auto interval = stop_retry * (1 << std::min(shown.stop_sends, max_stop_backoff));
+    if (shown.stop_sends > 0 && now - shown.stop_sent_at < interval) {
+        return;
+    }
+    ++shown.stop_sends;
+    shown.stop_sent_at = now;
+    stop_unknown(worker, {listed.task, listed.run, {}, 0});
+}
+
+void leader::retry_unknown_stops(worker_state& worker)
+{
+    const auto now = ports_.time->now();
+    for (auto& [listed, shown] : worker.unknown.runs()) {
+        if (shown.stop_sends > 0) {
+            stop_unknown_when_due(worker, listed, shown);
+        }
+        if (!shown.reported && now - shown.first_shown_at >= lasting_unknown_run) {
+            shown.reported = true;
+            log.warning("unknown_run_lasts",
+                        {{"job", listed.task.job},
+                         {"task", batch::to_text(listed.task)},
+                         {"run", listed.run},
+                         {"worker", worker.facts.life.worker},
+                         {"stops", shown.stop_sends},
+                         {"need_known", shown.need.has_value()},
+                         {"shown_ms_ago", base::milliseconds_between(shown.shown_at, now)}});
+        }
+    }
+}
+
 void leader::stop_job(job_entry& entry, stop_reason why)
 {
     for (auto& [id, worker] : workers_) {
@@ -367,7 +408,6 @@
     }
     const auto run = std::move(found->second);
     worker.runs.erase(found);
-    worker.used -= run.need;
     const auto now = ports_.time->now();
     if (how == batch::run_end::lost) {
         ++counters_.lost_runs;
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -2,6 +2,7 @@
 
 #include "base/event_line.hpp"
 #include "control/plan_input.hpp"
+#include "control/worker_room.hpp"
 #include "planning/plan_pause.hpp"
 #include "planning/start_limit.hpp"
 
@@ -110,14 +111,10 @@
     for (const auto& [id, worker] : workers_) {
         planning::worker_candidate candidate;
         candidate.facts = &worker->facts;
-        candidate.free = worker->facts.capacity - worker->used;
-        candidate.free_after_stops = candidate.free;
+        const auto room = room_of(*worker);
+        candidate.free = worker->facts.capacity - room.in_use;
+        candidate.free_after_stops = candidate.free + room.being_stopped;
         candidate.held_for_urgent = worker->urgent_hold.held(now);
-        for (const auto& [task, run] : worker->runs) {
-            if (run.stopping != stop_reason::none) {
-                candidate.free_after_stops += run.need;
-            }
-        }
         const auto recent_failures =
             std::ranges::count_if(worker->failed_jobs, [&](const auto& failed) {
                 return now - failed.second < recent_failure_window;
@@ -126,7 +123,7 @@
         candidate.schedulable = may_grant && worker->listed && !worker->facts.draining &&
                                 worker->fenced && worker->unanswered_polls == 0 &&
                                 worker->clock.known() && worker->unknown_jobs.empty() &&
-                                is_capacity_known(*worker) &&
+                                room.known && is_capacity_known(*worker) &&
                                 recent_failures < static_cast<std::ptrdiff_t>(failed_jobs_limit);
         worker->plan_index = input.workers.size();
         input.workers.push_back(candidate);
@@ -341,7 +338,6 @@
         run.lease_until = lease_for(worker, now).value_or(0);
         entry.state.place(ref, run.run, worker.facts.life, worker.facts.address);
         const auto task = batch::to_text({origin.job, ref.occurrence, ref.step, ref.index});
-        worker.used += run.need;
         if (entry.state.accepted().policy.priority == planning::urgent_priority) {
             worker.urgent_hold.take(run.need);
         }
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -238,6 +238,7 @@
     worker.unstored_ends.clear();
     worker.deferred_ends.clear();
     worker.unknown_jobs.clear();
+    worker.unknown.clear();
     worker.fenced = false;
     worker.unanswered_polls = 0;
     worker.displaced = false;
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -40,8 +40,8 @@
     }
     const bool unusable = !worker.fenced || worker.unanswered_polls > 0;
     return !worker.runs.empty() || !worker.lost_in_silence.empty() ||
-           !worker.unknown_jobs.empty() || worker.last_received_end > worker.acknowledged ||
-           (worker.listed && unusable);
+           !worker.unknown_jobs.empty() || !worker.unknown.empty() ||
+           worker.last_received_end > worker.acknowledged || (worker.listed && unusable);
 }
 
 std::optional<std::int64_t> leader::lease_for(worker_state& worker, base::time_point now) const
@@ -179,6 +179,7 @@
     worker.answered_at = now;
     worker.next_poll_at = now;
     process_running(worker, reply);
+    settle_unknown(worker, sent, reply);
     process_ends(worker, reply);
     check_missing(worker, sent, reply);
     if (first_answer) {
@@ -198,14 +199,17 @@
         const auto task = batch::to_text(running.task);
         const auto found = worker.runs.find(task);
         if (found == worker.runs.end() || found->second.run != running.run) {
+            const listed_run listed{running.task, running.run};
+            auto& shown = worker.unknown.show(listed, need_of(running.task), now);
             if (all_parts_active()) {
-                stop_unknown(worker, running);
+                stop_unknown_when_due(worker, listed, shown);
             } else {
                 // The run may belong to a part that cannot be read yet.
                 worker.unknown_jobs.insert(running.task.job);
             }
             continue;
         }
+        worker.unknown.forget({running.task, running.run});
         auto& run = found->second;
         run.adopted = false;
         run.listed = true;
@@ -231,6 +235,41 @@
     }
 }
 
+std::optional<batch::resources> leader::need_of(const batch::task_id& task) const
+{
+    const auto found = jobs_.find(task.job);
+    const batch::task_ref ref{task.occurrence, task.step, task.index};
+    if (found == jobs_.end() || !found->second.state.has(ref)) {
+        return std::nullopt;
+    }
+    return found->second.state.spec_of(ref.step).need;
+}
+
+void leader::settle_unknown(worker_state& worker, base::time_point sent,
+                            const fleet::look_reply& reply)
+{
+    const bool any_before = !worker.unknown.empty();
+    for (const auto& end : reply.ended) {
+        worker.unknown.forget({end.task, end.run});
+    }
+    worker_list list;
+    list.sent = sent;
+    list.received = ports_.time->now();
+    list.unreadable = reply.unreadable_running;
+    list.complete = !reply.more_ends;
+    for (const auto& running : reply.running) {
+        list.running.insert({running.task, running.run});
+    }
+    worker.unknown.settle(list);
+    // An answer that was overtaken may show runs that have ended since: ask again without a wait.
+    const bool overtaken = sent < worker.newest_list_sent;
+    worker.newest_list_sent = std::max(worker.newest_list_sent, sent);
+    worker.urgent_poll = worker.urgent_poll || (overtaken && !worker.unknown.empty());
+    if (any_before && worker.unknown.empty()) {
+        schedule_plan();
+    }
+}
+
 void leader::process_ends(worker_state& worker, const fleet::look_reply& reply)
 {
     if (reply.unreadable > 0) {
@@ -364,6 +403,7 @@
     end_expired_runs(worker);
     settle_silent_losses(worker);
     retry_orders(worker);
+    retry_unknown_stops(worker);
     const bool due = now >= worker.next_poll_at;
     const bool unsettled = !worker.unstored_ends.empty() || !worker.deferred_ends.empty();
     const bool stuck = unsettled && now - worker.answered_at >= storing_poll_interval;
@@ -374,7 +414,8 @@
     }
     // Its lease may hold runs of a part that can't be read yet.
     const bool gone = !worker.listed && worker.runs.empty() && worker.lost_in_silence.empty() &&
-                      worker.polls_in_flight == 0 && now >= leases_expired_at(worker);
+                      worker.unknown.empty() && worker.polls_in_flight == 0 &&
+                      now >= leases_expired_at(worker);
     if (gone && worker.last_received_end == worker.acknowledged) {
         log.info("worker_forgotten", {{"worker", worker.facts.life.worker}});
         workers_.erase(workers_.find(worker.facts.life.worker));
--- /dev/null
+++ b/src/control/worker_room.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "control/worker_state.hpp"
+
+#include <cstddef>
+
+namespace poplarstile::control
+{
+
+/// What may be in use on a worker: all that was ordered there and is not surely over, and what the
+/// worker lists beyond that. Every start is judged by this.
+struct worker_room {
+    batch::resources in_use{};
+    /// The part of `in_use` that is being stopped, and counts until it has ended.
+    batch::resources being_stopped{};
+    /// Runs that only the worker tells of.
+    std::size_t unknown_runs = 0;
+    /// False while something may run there whose need is not known: then nothing may start there.
+    bool known = true;
+
+    /// True when all of it is known and fits into `capacity`.
+    [[nodiscard]] bool fits(const batch::resources& capacity) const
+    {
+        return known && in_use.fits(capacity);
+    }
+};
+
+[[nodiscard]] worker_room room_of(const worker_state& worker);
+
+} // namespace poplarstile::control
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -87,9 +87,4 @@
     worker.newest_clock = std::max(worker.newest_clock, worker_ms);
 }
 
-bool is_within_capacity(const worker_state& worker)
-{
-    return worker.used.fits(worker.facts.capacity);
-}
-
 } // namespace poplarstile::control
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -3,6 +3,7 @@
 #include "base/timers.hpp"
 #include "batch/crash_history.hpp"
 #include "batch/job.hpp"
+#include "control/unknown_runs.hpp"
 #include "fleet/worker_clock.hpp"
 #include "fleet/worker_facts.hpp"
 #include "planning/capacity_hold.hpp"
@@ -146,9 +147,12 @@
     /// Valid while `listed` is false and no poll has been answered since `unlisted_at`.
     departure_evidence departure{};
     fleet::worker_clock clock{};
-    batch::resources used{};
     /// Runs that may be on the worker, by task.
     std::map<std::string, live_run> runs{};
+    /// What the worker lists beyond that.
+    unknown_runs unknown{};
+    /// When the newest of the polls was sent whose answers were taken.
+    base::time_point newest_list_sent{};
     /// Ends up to this number are durable.
     std::uint64_t acknowledged = 0;
     /// Latest clock in a reply of this incarnation, in milliseconds.
@@ -198,8 +202,4 @@
     std::size_t plan_index = 0;
 };
 
-/// True when all that may run on the worker fits the capacity that it has registered, which may
-/// shrink below what runs there.
-[[nodiscard]] bool is_within_capacity(const worker_state& worker);
-
 } // namespace poplarstile::control
--- a/src/fleet/worker_orders.hpp
+++ b/src/fleet/worker_orders.hpp
@@ -108,6 +108,8 @@
     std::vector<ended_task> ended{};
     /// Entries of the two lists that could not be read.
     std::uint32_t unreadable = 0;
+    /// Those of them that are in `running`.
+    std::uint32_t unreadable_running = 0;
     /// The worker may have more ends than it lists at once.
     bool more_ends = false;
     /// The connection was refused, by the host or by anything on the way to it.
--- a/tests/platform/worker_wire_test.cpp
+++ b/tests/platform/worker_wire_test.cpp
@@ -130,6 +130,7 @@
 
     EXPECT_TRUE(reply.running.empty());
     EXPECT_EQ(reply.unreadable, 4U);
+    EXPECT_EQ(reply.unreadable_running, 2U);
 }
 
 TEST(worker_client, AListThatIsNoneIsNotAnEmptyOne)
