--- a/src/control/unknown_run.cpp
+++ b/src/control/unknown_run.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 #include <utility>
 
 namespace poplarstile::control
@@ -44,11 +43,10 @@
 
 const given_up_run* given_up_runs::find(std::string_view task, std::uint32_t run) const
 {
-    const auto newest_first = runs_ | std::views::reverse;
-    const auto found = std::ranges::find_if(newest_first, [&](const given_up_run& entry) {
+    const auto found = std::find_if(runs_.rbegin(), runs_.rend(), [&](const given_up_run& entry) {
         return entry.run == run && entry.task == task;
     });
-    return found == newest_first.end() ? nullptr : &*found;
+    return found == runs_.rend() ? nullptr : &*found;
 }
 
 } // namespace poplarstile::control
--- a/src/control/waiting_units.hpp
+++ b/src/control/waiting_units.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace poplarstile::control
 {
@@ -17,7 +18,11 @@
     std::uint32_t step = 0;
     bool isolated = false;
 
-    auto operator<=>(const waiting_key&) const = default;
+    [[nodiscard]] friend bool operator<(const waiting_key& one, const waiting_key& other)
+    {
+        return std::tie(one.job, one.occurrence, one.step, one.isolated) <
+               std::tie(other.job, other.occurrence, other.step, other.isolated);
+    }
 };
 
 /// Since when each unit of work waits, as it was seen now and then.
