Starts: a worker at whose address somebody else answers gets no further runs until it answers

Cause: a start answered 421 ended its run and left the worker as it was: listed, usable and, being idle, not polled. Each plan placed the next run there.

Mend: such an answer counts as silence from the start's sending on, and the worker is polled at once. It gets work again when it answers.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -385,6 +385,8 @@
                           const fleet::look_reply& reply);
     void receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
                             const fleet::look_reply& reply);
+    /// Another process answers at the worker's address.
+    static void note_address_taken(worker_state& worker);
     void process_running(worker_state& worker, const fleet::look_reply& reply);
     void process_ends(worker_state& worker, const fleet::look_reply& reply);
     void process_end(worker_state& worker, const fleet::ended_task& end);
--- a/src/control/leader_orders.cpp
+++ b/src/control/leader_orders.cpp
@@ -215,6 +215,16 @@
         }
         worker.urgent_poll = true;
         return;
+    case fleet::order_outcome::other_life:
+        // Whoever answered, it was not the worker, which gets nothing else until it answers a poll.
+        if (same_incarnation && sent.at >= worker.answered_at) {
+            note_address_taken(worker);
+            worker.silent_since = worker.unanswered_polls > 0 ? worker.silent_since : sent.at;
+            worker.unanswered_polls = std::max(worker.unanswered_polls, 1U);
+            worker.urgent_poll = true;
+            worker.next_poll_at = now;
+        }
+        break;
     default:
         break;
     }
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -129,12 +129,7 @@
         worker.next_poll_at = now + storing_poll_interval;
         return;
     case fleet::order_outcome::other_life:
-        // The worker itself may be cut off and run on, so its runs count until their leases are
-        // over.
-        if (!worker.displaced) {
-            log.warning("address_taken", {{"worker", id}, {"runs", worker.runs.size()}});
-            worker.displaced = true;
-        }
+        note_address_taken(worker);
         count_unanswered_poll(worker, {sent, now, false});
         worker.next_poll_at = now + storing_poll_interval;
         return;
@@ -190,6 +185,16 @@
     }
 }
 
+void leader::note_address_taken(worker_state& worker)
+{
+    // The worker itself may be cut off and run on, so its runs count until their leases are over.
+    if (!worker.displaced) {
+        log.warning("address_taken",
+                    {{"worker", worker.facts.life.worker}, {"runs", worker.runs.size()}});
+        worker.displaced = true;
+    }
+}
+
 void leader::process_running(worker_state& worker, const fleet::look_reply& reply)
 {
     const auto now = ports_.time->now();
