--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -402,6 +402,8 @@
                           const fleet::look_reply& reply);
     void receive_poll_reply(const std::string& id, std::uint64_t born, base::time_point sent,
                             const fleet::look_reply& reply);
+    /// Another process answers at the worker's address.
+    static void note_address_taken(worker_state& worker);
     void process_running(worker_state& worker, const fleet::look_reply& reply);
     /// The need of a task whose job is known.
     [[nodiscard]] std::optional<batch::resources> need_of(const batch::task_id& task) const;
