Planner: urgent work no longer reserves free capacity that it could use

Cause, two places of one kind. A gang of priority 0 that prefers one rack and finds none was given to the search for victims, which looks across racks and found room there without any victim; the room was then reserved, for a gang that is placed in one rack only. In each plan the gang was left waiting and the room was kept from all others, until the gang became overdue. Tasks of priority 0 that do not fit on the rack of their data reserved free room of other racks in the same way.

Fix: what is free now is used now; only room that waits for stops is reserved. Also, tasks that were placed in the same plan count for `max_per_worker` of the rest.

--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace poplarstile::planning
 {
@@ -155,14 +156,19 @@
     {
         auto placed = place_individually(unit, view_, capacity_kind::free, data_locality::local);
         const auto missing = unit.tasks.size() - placed.size();
+        auto rest = unit;
+        add_present(rest, placed);
         if (!placed.empty()) {
             start(index, unit, std::move(placed));
         }
         if (missing > 0 && unit.rank.priority == urgent_priority) {
-            auto rest = unit;
             rest.tasks.assign(unit.tasks.end() - static_cast<std::ptrdiff_t>(missing),
                               unit.tasks.end());
-            if (auto placed_later = place_all(rest, view_, capacity_kind::free_after_stops)) {
+            // Capacity that is free already is not reserved: it would be left idle.
+            if (auto placed_now = place_all(rest, view_, capacity_kind::free)) {
+                start(index, unit, std::move(*placed_now));
+            } else if (auto placed_later =
+                           place_all(rest, view_, capacity_kind::free_after_stops)) {
                 reserve(index, rest, *placed_later);
             } else {
                 (void)preempt(index, rest);
@@ -193,6 +199,19 @@
         }
     }
 
+    static void add_present(work_unit& unit, std::span<const assignment> tasks)
+    {
+        for (const auto& placed : tasks) {
+            const auto found = std::ranges::find(unit.present, placed.worker,
+                                                 &std::pair<std::size_t, std::uint32_t>::first);
+            if (found == unit.present.end()) {
+                unit.present.emplace_back(placed.worker, 1U);
+            } else {
+                ++found->second;
+            }
+        }
+    }
+
     /// Preempts other work for the unit. Returns false when the unit may not preempt, when no set
     /// of victims is sufficient, or when the loss is too high.
     [[nodiscard]] bool preempt(std::size_t index, const work_unit& unit)
@@ -206,6 +225,13 @@
         if (!found || too_costly) {
             return false;
         }
+        if (found->victims.empty()) {
+            // Across racks there is capacity enough: reserved, it would be left idle.
+            if (auto placed = place_across_racks(unit, view_, capacity_kind::free)) {
+                start(index, unit, std::move(*placed));
+                return true;
+            }
+        }
         for (const auto stop : found->victims) {
             victims_.stop(stop);
             plan_.stops.push_back(stop);
--- a/tests/planning/planner_test.cpp
+++ b/tests/planning/planner_test.cpp
@@ -210,6 +210,32 @@
     EXPECT_EQ(started(input.make()), std::set{unit});
 }
 
+TEST(planner, UrgentTasksDoNotReserveFreeCapacityThatTheyCouldUse)
+{
+    plan_fixture input;
+    input.occupy(input.add_worker("r1"), 8);
+    const auto remote = input.add_worker("r2");
+    auto& spec = input.add_spec(1, 8, false);
+    spec.data_rack = "r1";
+    const auto unit = input.add_unit(spec, in_time(0, 1));
+
+    EXPECT_EQ(workers_of(input.make(), unit), std::set{remote});
+}
+
+TEST(planner, AnUrgentGangDoesNotReserveFreeCapacityOfSeveralRacksThatItCouldUse)
+{
+    plan_fixture input;
+    const std::set<std::size_t> all{input.add_worker("r1"), input.add_worker("r2")};
+    for (const auto* const rack : {"r1", "r2"}) {
+        input.occupy(input.add_worker(rack), 1);
+    }
+    auto& gang = input.add_spec(2, 8, true);
+    gang.one_rack = true;
+    const auto unit = input.add_unit(gang, in_time(0, 1));
+
+    EXPECT_EQ(workers_of(input.make(), unit), all);
+}
+
 TEST(planner, CapacityGoesToWorkThatCanMeetItsObjectiveFirst)
 {
     plan_fixture input;
