Planner: a wait for one rack, or for held workers, has an end

Cause: a gang that prefers one rack went across racks only when overdue, past three times its objective (50 to 100 s on that site), however much room was free. Workers that are held for an isolated unit stayed held while that unit could not use them. And a gang that waits for a rack was taken as proof that a like gang fails, which now depends on how long each has waited.

Fix: the leader tells the planner how long the tasks of a step have waited (new leader: from when it first sees them wait). - A gang waits for one rack no longer than running there saves: twice its estimate, since work across racks takes three times as long (remote_factor 3, a constant here). - While less than half of the service is in use (by core weight), a unit that has waited for 2 s takes any free room, across racks and on workers that are held back for others.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -29,6 +29,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -219,6 +220,8 @@
         /// Orders that are sent once the job's next record is durable.
         std::vector<run_key> unsent{};
         base::time_point known_since{};
+        /// Since when tasks of a step wait, by occurrence, step and whether they are isolated.
+        std::map<std::tuple<std::uint32_t, std::uint32_t, bool>, base::time_point> waits_since{};
         /// Covered by its workspace's guarantee, as far as the newest plan knows.
         bool guaranteed = true;
     };
@@ -461,7 +464,7 @@
     void start_placed(const plan_input& input, std::vector<planning::placed_unit> placed);
     void collect_workers(plan_input& input);
     void collect_units(plan_input& input);
-    void collect_unit(plan_input& input, const job_entry& entry, const unit_origin& origin) const;
+    void collect_unit(plan_input& input, job_entry& entry, const unit_origin& origin) const;
     void collect_victims(plan_input& input) const;
     [[nodiscard]] step_tasks tasks_of(const batch::job& job, const unit_origin& origin) const;
     void mark_isolated_workers(plan_input& input) const;
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -190,8 +190,7 @@
     return sum <= workspace->guaranteed_accelerators;
 }
 
-void leader::collect_unit(plan_input& input, const job_entry& entry,
-                          const unit_origin& origin) const
+void leader::collect_unit(plan_input& input, job_entry& entry, const unit_origin& origin) const
 {
     const auto& job = entry.state;
     const auto& spec = job.spec_of(origin.step);
@@ -221,7 +220,13 @@
         unit.isolated = isolated;
         unit.work = batch::core_weight(spec.need) * static_cast<double>(unit.tasks.size()) *
                     static_cast<double>(spec.estimate.count()) / milliseconds_per_second;
-        if (!unit.tasks.empty()) {
+        if (unit.tasks.empty()) {
+            entry.waits_since.erase({origin.occurrence, origin.step, isolated});
+        } else {
+            const auto now = ports_.time->now();
+            const auto since =
+                entry.waits_since.try_emplace({origin.occurrence, origin.step, isolated}, now);
+            unit.waited = std::chrono::floor<base::milliseconds>(now - since.first->second);
             input.units.push_back(unit);
             input.origins.push_back(origin);
         }
@@ -325,6 +330,8 @@
     }
     const auto now = ports_.time->now();
     const auto& spec = entry.state.spec_of(origin.step);
+    const bool isolated = input.units.at(placed.unit).isolated;
+    entry.waits_since.erase({origin.occurrence, origin.step, isolated});
     const auto gang_run =
         entry.state.next_run({origin.occurrence, origin.step, placed.tasks.front().task});
     for (const auto& assigned : placed.tasks) {
--- a/src/planning/capacity_view.cpp
+++ b/src/planning/capacity_view.cpp
@@ -47,6 +47,20 @@
     racks_.clear();
 }
 
+void capacity_view::end_hold_back()
+{
+    held_back_.clear();
+    racks_.clear();
+}
+
+void capacity_view::close(std::span<const assignment> tasks)
+{
+    for (const auto& placed : tasks) {
+        workers_[placed.worker].isolated = true;
+    }
+    racks_.clear();
+}
+
 void capacity_view::withhold_urgent_capacity()
 {
     for (auto& worker : workers_) {
--- a/src/planning/capacity_view.hpp
+++ b/src/planning/capacity_view.hpp
@@ -43,6 +43,12 @@
     /// From now on, only guaranteed units may use these workers.
     void hold_back(std::span<const std::size_t> workers);
 
+    /// From now on, every unit may use the workers that were held back.
+    void end_hold_back();
+
+    /// From now on, no other unit is placed on the workers of these tasks.
+    void close(std::span<const assignment> tasks);
+
     /// From now on, capacity that is held for urgent work counts as taken.
     void withhold_urgent_capacity();
 
--- a/src/planning/plan_types.hpp
+++ b/src/planning/plan_types.hpp
@@ -52,6 +52,8 @@
     work_rank rank{};
     /// Core-seconds of the waiting tasks, by their estimate.
     double work = 0.0;
+    /// How long the tasks have waited since they last ran, or could first have run.
+    base::milliseconds waited{0};
 };
 
 /// Running work that may be preempted: one task, or all members of a gang.
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -3,9 +3,12 @@
 #include "planning/isolation.hpp"
 #include "planning/placement.hpp"
 #include "planning/preemption.hpp"
+#include "planning/progress.hpp"
 
 #include <algorithm>
 #include <numeric>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace poplarstile::planning
@@ -36,7 +39,8 @@
                                   failed_spec.gang == other_spec.gang;
         const bool same_rank =
             unit->guaranteed == other.guaranteed && unit->rank.priority == other.rank.priority &&
-            unit->rank.late == other.rank.late && unit->rank.overdue == other.rank.overdue;
+            unit->rank.late == other.rank.late && unit->rank.overdue == other.rank.overdue &&
+            no_longer_waits_for_a_rack(*unit) == no_longer_waits_for_a_rack(other);
         return same_workers && same_rank && failed_spec.max_per_worker == 0 &&
                failed_spec.need.fits(other_spec.need) && unit->tasks.size() <= other.tasks.size();
     }
@@ -48,7 +52,8 @@
 public:
     plan_builder(std::span<const work_unit> units, std::vector<worker_candidate> workers,
                  std::span<const victim> victims)
-        : units_{units}, view_{std::move(workers)}, victims_{victims, view_.workers().size()}
+        : units_{units}, view_{std::move(workers)}, victims_{victims, view_.workers().size()},
+          mostly_free_{mostly_free_services(view_.workers())}
     {
     }
 
@@ -66,6 +71,7 @@
             consider_other_racks(index);
         }
         start_isolated_units();
+        start_long_waiting(order);
         return std::move(plan_);
     }
 
@@ -88,6 +94,40 @@
             if (!placed.empty()) {
                 start(held.unit, unit, std::move(placed));
                 plan_.starts.back().isolated = true;
+                view_.close(plan_.starts.back().tasks);
+            }
+        }
+    }
+
+    [[nodiscard]] bool has_start(std::size_t index) const
+    {
+        return std::ranges::find(plan_.starts, index, &placed_unit::unit) != plan_.starts.end();
+    }
+
+    /// Starts units that have waited for long on free capacity of any rack, also that which is held
+    /// back for units that can't use it yet, while their service is mostly free.
+    void start_long_waiting(std::span<const std::size_t> order)
+    {
+        const auto waits = [this](std::size_t index) {
+            const auto& unit = units_[index];
+            return takes_any_free_capacity(unit) && mostly_free_.contains(*unit.service) &&
+                   !(unit.spec->gang && has_start(index)) &&
+                   std::ranges::find(plan_.reserved, index) == plan_.reserved.end();
+        };
+        if (std::ranges::none_of(order, waits)) {
+            return;
+        }
+        view_.end_hold_back();
+        for (const auto index : order) {
+            if (!waits(index)) {
+                continue;
+            }
+            const auto& unit = units_[index];
+            if (!unit.spec->gang) {
+                start_individually(index, data_locality::local);
+                start_individually(index, data_locality::remote);
+            } else if (auto placed = place_across_racks(unit, view_, capacity_kind::free)) {
+                start(index, unit, std::move(*placed));
             }
         }
     }
@@ -132,6 +172,12 @@
             start_across_racks(index, unit);
             return;
         }
+        if (no_longer_waits_for_a_rack(unit)) {
+            if (auto placed = place_across_racks(unit, view_, capacity_kind::free)) {
+                start(index, unit, std::move(*placed));
+                return;
+            }
+        }
         if (auto placed = place_all(unit, view_, capacity_kind::free_after_stops)) {
             reserve(index, unit, *placed);
             return;
@@ -184,19 +230,7 @@
         if (unit.spec->gang || unit.spec->data_rack.empty()) {
             return;
         }
-        auto rest = unit;
-        for (const auto& started : plan_.starts) {
-            if (started.unit == index) {
-                std::erase_if(rest.tasks, [&started](std::uint32_t task) {
-                    return std::ranges::find(started.tasks, task, &assignment::task) !=
-                           started.tasks.end();
-                });
-            }
-        }
-        auto placed = place_individually(rest, view_, capacity_kind::free, data_locality::remote);
-        if (!placed.empty()) {
-            start(index, unit, std::move(placed));
-        }
+        start_individually(index, data_locality::remote);
     }
 
     static void add_present(work_unit& unit, std::span<const assignment> tasks)
@@ -212,6 +246,26 @@
         }
     }
 
+    /// Starts as many as fit of the unit's tasks that this plan has not started.
+    void start_individually(std::size_t index, data_locality side)
+    {
+        const auto& unit = units_[index];
+        auto rest = unit;
+        for (const auto& started : plan_.starts) {
+            if (started.unit == index) {
+                std::erase_if(rest.tasks, [&started](std::uint32_t task) {
+                    return std::ranges::find(started.tasks, task, &assignment::task) !=
+                           started.tasks.end();
+                });
+                add_present(rest, started.tasks);
+            }
+        }
+        auto placed = place_individually(rest, view_, capacity_kind::free, side);
+        if (!placed.empty()) {
+            start(index, unit, std::move(placed));
+        }
+    }
+
     /// Preempts other work for the unit. Returns false when the unit may not preempt, when no set
     /// of victims is sufficient, or when the loss is too high.
     [[nodiscard]] bool preempt(std::size_t index, const work_unit& unit)
@@ -259,6 +313,8 @@
     std::span<const work_unit> units_;
     capacity_view view_;
     victim_table victims_;
+    /// Services of which less than half of the capacity was in use before this plan.
+    std::set<std::string_view> mostly_free_;
     isolation_plan isolation_{};
     std::vector<failed_request> failed_{};
     plan plan_{};
--- a/tests/planning/isolation_test.cpp
+++ b/tests/planning/isolation_test.cpp
@@ -205,6 +205,20 @@
     EXPECT_TRUE(workers_of(result, later).empty());
 }
 
+TEST(isolation, AWorkerIsNotHeldForAGangThatCannotStartWhileOthersWaitBesideMuchFreeCapacity)
+{
+    plan_fixture input;
+    const auto idle = add_workers(input, "r1", 1, 0);
+    add_workers(input, "r1", 7, 1);
+    input.add_isolated_unit(input.add_spec(2, whole_worker, true), in_time(1, 1));
+    const auto other = input.add_unit(input.add_spec(1, whole_worker, true), in_time(1, 2));
+    EXPECT_TRUE(workers_of(input.make(), other).empty());
+
+    input.units.at(other).waited = base::milliseconds{2'000};
+
+    EXPECT_EQ(workers_of(input.make(), other), idle);
+}
+
 TEST(isolation, LimitLabelAndRackOfTheDataAreRespected)
 {
     plan_fixture input;
--- a/tests/planning/planner_test.cpp
+++ b/tests/planning/planner_test.cpp
@@ -236,6 +236,67 @@
     EXPECT_EQ(workers_of(input.make(), unit), all);
 }
 
+/// Leaves nothing free on the worker.
+void fill(plan_fixture& input, std::size_t worker)
+{
+    input.workers.at(worker).free = {};
+    input.workers.at(worker).free_after_stops = {};
+    input.workers.at(worker).occupied = true;
+}
+
+/// A gang of two whole workers that prefers one rack, none of which has two empty workers.
+std::size_t add_gang_without_a_rack(plan_fixture& input, base::milliseconds waited)
+{
+    auto& gang = input.add_spec(2, 8, true);
+    gang.one_rack = true;
+    const auto unit = input.add_unit(gang, in_time(1, 1));
+    input.units.at(unit).waited = waited;
+    return unit;
+}
+
+TEST(planner, AGangIsNotKeptFromMuchFreeCapacityForOneRack)
+{
+    plan_fixture input;
+    for (const auto* const rack : {"r1", "r2", "r3", "r4"}) {
+        input.add_worker(rack);
+        input.occupy(input.add_worker(rack), 1);
+    }
+    const auto unit = add_gang_without_a_rack(input, base::milliseconds{1'999});
+    EXPECT_TRUE(input.make().starts.empty());
+
+    input.units.at(unit).waited = base::milliseconds{2'000};
+
+    EXPECT_EQ(started(input.make()), std::set{unit});
+}
+
+TEST(planner, AGangDoesNotWaitForOneRackLongerThanThatSaves)
+{
+    plan_fixture input;
+    for (const auto* const rack : {"r1", "r2"}) {
+        input.add_worker(rack);
+        fill(input, input.add_worker(rack));
+    }
+    const auto unit = add_gang_without_a_rack(input, base::milliseconds{3'999});
+    EXPECT_TRUE(input.make().starts.empty());
+
+    input.units.at(unit).waited = base::milliseconds{4'000};
+
+    EXPECT_EQ(started(input.make()), std::set{unit});
+}
+
+TEST(planner, AGangThatWaitsForOneRackImpliesNoFailureOfOneThatNoLongerDoes)
+{
+    plan_fixture input;
+    for (const auto* const rack : {"r1", "r2"}) {
+        input.add_worker(rack);
+        fill(input, input.add_worker(rack));
+    }
+    add_gang_without_a_rack(input, base::milliseconds{0});
+    const auto longer = add_gang_without_a_rack(input, base::milliseconds{4'000});
+
+    EXPECT_EQ(started(input.make()), std::set{longer});
+}
+
 TEST(planner, CapacityGoesToWorkThatCanMeetItsObjectiveFirst)
 {
     plan_fixture input;
