Isolation: suspects use idle workers beyond the quarter that nothing else wants

Cause: isolated units had a quarter of the workers, also when all others were idle, and a unit that had to wait closed the service to those behind it. The restriction keeps deadly tasks from taking many workers and others' work along; on workers that are idle and that nothing wants it has no aim.

Fix: the quarter stays what is held back from others, occupied or not. After all other units of a plan are placed, isolated units that have no start take workers that are still idle, in the order of acceptance: so that at most half of the service is closed, three quarters for a unit that has waited for 2 s; for one unit no more workers than the quarter; none that is held for another isolated unit. A unit that cannot start is passed by later ones for 10 s of its wait, then has its turn. What isolation means, nothing of others beside it, is unchanged, and so is what a crash counts.

--- a/src/planning/isolation.hpp
+++ b/src/planning/isolation.hpp
@@ -13,8 +13,9 @@
 namespace poplarstile::planning
 {
 
-/// Number of workers of a service, out of `workers`, that may hold isolated units or be held back
-/// for them. The only worker of a service is never kept from other work.
+/// Number of workers of a service, out of `workers`, that are kept from other work for isolated
+/// units, whether those can start there yet or not. The only worker of a service is never kept from
+/// other work.
 [[nodiscard]] std::size_t isolation_limit(std::size_t workers);
 
 /// The workers held back for a unit.
@@ -29,6 +30,8 @@
     /// it is placed as any other.
     std::vector<bool> isolated{};
     std::vector<held_workers> held{};
+    /// The isolated units, the earliest accepted first.
+    std::vector<std::size_t> order{};
 };
 
 /// Holds back idle workers, or else the least used ones, for the isolated units, earliest first.
@@ -41,4 +44,16 @@
 [[nodiscard]] std::vector<assignment>
 place_isolated(const work_unit& unit, std::span<const std::size_t> held, const capacity_view& view);
 
+/// Places tasks of an isolated unit on idle workers beyond the limit, after all other units have
+/// been placed: on none that is held for other isolated units, on no more workers for one unit than
+/// the limit, and so that no more than half of the workers of the service are closed to others;
+/// three quarters, when the unit has waited for long.
+[[nodiscard]] std::vector<assignment>
+place_beyond_limit(const work_unit& unit, std::span<const std::size_t> held_for_others,
+                   const capacity_view& view);
+
+/// True when an isolated unit has waited for so long that later ones no longer take the idle
+/// workers beyond the limit before it.
+[[nodiscard]] bool is_no_longer_passed(const work_unit& unit);
+
 } // namespace poplarstile::planning
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -71,6 +71,7 @@
             consider_other_racks(index);
         }
         start_isolated_units();
+        start_isolated_units_beyond_limit();
         start_long_waiting(order);
         return std::move(plan_);
     }
@@ -92,18 +93,54 @@
             const auto& unit = units_[held.unit];
             auto placed = place_isolated(unit, held.workers, view_);
             if (!placed.empty()) {
-                start(held.unit, unit, std::move(placed));
-                plan_.starts.back().isolated = true;
-                view_.close(plan_.starts.back().tasks);
+                start_isolated(held.unit, std::move(placed));
             }
         }
     }
 
+    /// Starts isolated units for which the limit left no workers on idle ones that no unit of this
+    /// plan wanted, in the order of their acceptance.
+    void start_isolated_units_beyond_limit()
+    {
+        std::set<std::string_view> closed_services;
+        for (const auto index : isolation_.order) {
+            const auto& unit = units_[index];
+            if (has_start(index) || closed_services.contains(*unit.service)) {
+                continue;
+            }
+            auto placed = place_beyond_limit(unit, held_for_others(index), view_);
+            if (!placed.empty()) {
+                start_isolated(index, std::move(placed));
+            } else if (is_no_longer_passed(unit)) {
+                closed_services.insert(*unit.service);
+            }
+        }
+    }
+
+    /// Workers that are held back for other isolated units which this plan has not started.
+    [[nodiscard]] std::vector<std::size_t> held_for_others(std::size_t index) const
+    {
+        std::vector<std::size_t> workers;
+        for (const auto& held : isolation_.held) {
+            if (held.unit != index && !has_start(held.unit)) {
+                workers.insert(workers.end(), held.workers.begin(), held.workers.end());
+            }
+        }
+        return workers;
+    }
+
     [[nodiscard]] bool has_start(std::size_t index) const
     {
         return std::ranges::find(plan_.starts, index, &placed_unit::unit) != plan_.starts.end();
     }
 
+    void start_isolated(std::size_t index, std::vector<assignment> tasks)
+    {
+        start(index, units_[index], std::move(tasks));
+        plan_.starts.back().isolated = true;
+        view_.close(plan_.starts.back().tasks);
+    }
+
     /// Starts units that have waited for long on free capacity of any rack, also that which is held
     /// back for units that can't use it yet, while their service is mostly free.
     void start_long_waiting(std::span<const std::size_t> order)
--- a/tests/control/waiting_gang_test.cpp
+++ b/tests/control/waiting_gang_test.cpp
@@ -97,5 +97,33 @@
         site.time.run_until([&] { return starts_of(first_gang) == members; }, longest_wait));
 }
 
+TEST_F(waiting_gang, ThatIsSuspectedIsNotKeptWaitingBesideIdleWorkers)
+{
+    constexpr std::size_t crashed_runs = 2;
+    start_site(4);
+    std::map<std::string, std::size_t> starts;
+    site.workers.on_start = [&](const fleet::start_order& order) {
+        const auto task = batch::to_text(order.task);
+        if (!task.ends_with(".0") || ++starts[task] > crashed_runs) {
+            return;
+        }
+        const auto worker = order.to.life.worker;
+        site.time.after(milliseconds{500}, [this, worker] { site.workers.crash(worker); });
+        site.time.after(seconds{3}, [this, worker] { site.workers.restart(worker); });
+    };
+    site.submit(make_gang(first_gang));
+    site.submit(make_gang(second_gang));
+
+    const auto third_run = [&](const std::string& job) {
+        return starts[job + ".0.0.0"] > crashed_runs;
+    };
+    ASSERT_TRUE(site.time.run_until([&] { return third_run(first_gang) || third_run(second_gang); },
+                                    seconds{60}));
+
+    EXPECT_TRUE(site.time.run_until([&] { return third_run(first_gang) && third_run(second_gang); },
+                                    longest_wait))
+        << "one of them waits for the other to end";
+}
+
 } // namespace
 } // namespace poplarstile::tests
--- a/tests/planning/isolation_test.cpp
+++ b/tests/planning/isolation_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <vector>
 
 /// Plans with tasks that are suspected of crashing workers, which run where nothing else runs.
 namespace poplarstile::planning
@@ -205,6 +206,60 @@
     EXPECT_TRUE(workers_of(result, later).empty());
 }
 
+TEST(isolation, IdleWorkersThatNothingElseWantsTakeSuspectsBeyondTheQuarter)
+{
+    plan_fixture input;
+    add_workers(input, "r1", 8, 0);
+    std::vector<std::size_t> suspects;
+    for (int index = 0; index < 3; ++index) {
+        suspects.push_back(
+            input.add_isolated_unit(input.add_spec(2, whole_worker, true), in_time(1, index)));
+    }
+
+    const auto result = input.make();
+
+    EXPECT_EQ(workers_of(result, suspects.at(0)).size(), 2U);
+    EXPECT_EQ(workers_of(result, suspects.at(1)).size(), 2U);
+    EXPECT_TRUE(workers_of(result, suspects.at(2)).empty()) << "half of the workers stays open";
+    EXPECT_TRUE(std::ranges::all_of(result.starts, &placed_unit::isolated));
+
+    input.units.at(suspects.at(2)).waited = base::milliseconds{2'000};
+    EXPECT_EQ(workers_of(input.make(), suspects.at(2)).size(), 2U);
+}
+
+TEST(isolation, OtherWorkGetsIdleWorkersBeyondTheQuarterFirst)
+{
+    plan_fixture input;
+    add_workers(input, "r1", 8, 0);
+    std::vector<std::size_t> suspects;
+    for (int index = 0; index < 3; ++index) {
+        suspects.push_back(input.add_isolated_unit(input.add_spec(1, 1, false), in_time(0, index)));
+    }
+    const auto others = input.add_unit(input.add_spec(6, whole_worker, false), {true, 2, false, 9});
+
+    const auto result = input.make();
+
+    EXPECT_EQ(workers_of(result, others).size(), 6U);
+    EXPECT_TRUE(workers_of(result, suspects.at(2)).empty());
+}
+
+TEST(isolation, ALaterSuspectPassesAGangThatHasToWaitForALimitedTime)
+{
+    plan_fixture input;
+    for (const auto worker : add_workers(input, "r1", 2, 1)) {
+        input.workers.at(worker).isolated = true;
+    }
+    const auto idle = add_workers(input, "r1", 1, 0);
+    add_workers(input, "r1", 5, 1);
+    const auto gang = input.add_isolated_unit(input.add_spec(2, whole_worker, true), in_time(1, 1));
+    const auto later = input.add_isolated_unit(input.add_spec(1, 1, false), in_time(1, 2));
+
+    EXPECT_EQ(workers_of(input.make(), later), idle);
+
+    input.units.at(gang).waited = base::milliseconds{10'000};
+    EXPECT_TRUE(workers_of(input.make(), later).empty());
+}
+
 TEST(isolation, AWorkerIsNotHeldForAGangThatCannotStartWhileOthersWaitBesideMuchFreeCapacity)
 {
     plan_fixture input;
--- a/tests/planning/progress_model_test.cpp
+++ b/tests/planning/progress_model_test.cpp
@@ -18,6 +18,9 @@
 constexpr int max_units = 10;
 /// Longest wait beside free capacity for twice the work, while less than half is in use.
 constexpr base::milliseconds longest_wait{2'000};
+/// After this time an isolated unit is no longer passed by later ones.
+constexpr base::milliseconds longest_passed{10'000};
+
 void fill_at_random(plan_fixture& input)
 {
     const auto workers = *rc::gen::inRange(4, max_workers);
@@ -157,5 +160,31 @@
     }
 }
 
+RC_GTEST_PROP(progress_model, ASuspectThatHasWaitedIsNotLeftBesideIdleWorkers, ())
+{
+    plan_fixture input;
+    fill_at_random(input);
+
+    const after_plan left{input};
+
+    const auto workers = input.workers.size();
+    const auto limit = std::max<std::size_t>(workers / 4, 1);
+    const auto closed =
+        static_cast<std::size_t>(std::ranges::count_if(left.workers, &worker_candidate::isolated));
+    const auto idle =
+        workers -
+        static_cast<std::size_t>(std::ranges::count_if(left.workers, &worker_candidate::occupied));
+    bool turn_of_earlier = false;
+    for (std::size_t index = 0; index < input.units.size(); ++index) {
+        const auto& unit = input.units.at(index);
+        const bool waits = unit.isolated && left.missing(unit, index) == unit.tasks.size();
+        if (waits && unit.tasks.size() == 1 && unit.waited >= longest_wait && !turn_of_earlier) {
+            // Those that are left are held for suspects that need more of them.
+            RC_ASSERT(idle <= limit || closed >= workers - limit);
+        }
+        turn_of_earlier = turn_of_earlier || (waits && unit.waited >= longest_passed);
+    }
+}
+
 } // namespace
 } // namespace poplarstile::planning
