--- a/tests/planning/isolation_test.cpp
+++ b/tests/planning/isolation_test.cpp
@@ -211,6 +211,7 @@
     plan_fixture input;
     add_workers(input, "r1", 8, 0);
     std::vector<std::size_t> suspects;
+    suspects.reserve(3);
     for (int index = 0; index < 3; ++index) {
         suspects.push_back(
             input.add_isolated_unit(input.add_spec(2, whole_worker, true), in_time(1, index)));
@@ -232,6 +233,7 @@
     plan_fixture input;
     add_workers(input, "r1", 8, 0);
     std::vector<std::size_t> suspects;
+    suspects.reserve(3);
     for (int index = 0; index < 3; ++index) {
         suspects.push_back(input.add_isolated_unit(input.add_spec(1, 1, false), in_time(0, index)));
     }
