--- a/src/control/leader_waiting.cpp
+++ b/src/control/leader_waiting.cpp
@@ -87,7 +87,7 @@
     collect_units(input);
     const auto placeable = input.units.size();
     const auto elsewhere = jobs_recorded_elsewhere();
-    for (const auto& [id, entry] : jobs_) {
+    for (auto& [id, entry] : jobs_) {
         if (entry.state.open() && !is_placeable(entry, elsewhere)) {
             collect_units_of(input, entry);
         }
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -3,9 +3,13 @@
 #include "planning/isolation.hpp"
 #include "planning/placement.hpp"
 #include "planning/preemption.hpp"
+#include "planning/progress.hpp"
 
 #include <algorithm>
 #include <numeric>
+#include <set>
+#include <string_view>
+#include <utility>
 
 namespace poplarstile::planning
 {
@@ -35,7 +39,8 @@
                                   failed_spec.gang == other_spec.gang;
         const bool same_rank =
             unit->guaranteed == other.guaranteed && unit->rank.priority == other.rank.priority &&
-            unit->rank.late == other.rank.late && unit->rank.overdue == other.rank.overdue;
+            unit->rank.late == other.rank.late && unit->rank.overdue == other.rank.overdue &&
+            no_longer_waits_for_a_rack(*unit) == no_longer_waits_for_a_rack(other);
         return same_workers && same_rank && failed_spec.max_per_worker == 0 &&
                failed_spec.need.fits(other_spec.need) && unit->tasks.size() <= other.tasks.size();
     }
@@ -47,7 +52,8 @@
 public:
     plan_builder(std::span<const work_unit> units, std::vector<worker_candidate> workers,
                  std::span<const victim> victims)
-        : units_{units}, view_{std::move(workers)}, victims_{victims, view_.workers().size()}
+        : units_{units}, view_{std::move(workers)}, victims_{victims, view_.workers().size()},
+          mostly_free_{mostly_free_services(view_.workers())}
     {
     }
 
@@ -65,6 +71,8 @@
             consider_other_racks(index);
         }
         start_isolated_units();
+        start_isolated_units_beyond_limit();
+        start_long_waiting(order);
         return std::move(plan_);
     }
 
@@ -85,8 +93,78 @@
             const auto& unit = units_[held.unit];
             auto placed = place_isolated(unit, held.workers, view_);
             if (!placed.empty()) {
-                start(held.unit, unit, std::move(placed));
-                plan_.starts.back().isolated = true;
+                start_isolated(held.unit, std::move(placed));
+            }
+        }
+    }
+
+    /// Starts isolated units for which the limit left no workers on idle ones that no unit of this
+    /// plan wanted, in the order of their acceptance.
+    void start_isolated_units_beyond_limit()
+    {
+        std::set<std::string_view> closed_services;
+        for (const auto index : isolation_.order) {
+            const auto& unit = units_[index];
+            if (has_start(index) || closed_services.contains(*unit.service)) {
+                continue;
+            }
+            auto placed = place_beyond_limit(unit, held_for_others(index), view_);
+            if (!placed.empty()) {
+                start_isolated(index, std::move(placed));
+            } else if (is_no_longer_passed(unit)) {
+                closed_services.insert(*unit.service);
+            }
+        }
+    }
+
+    /// Workers that are held back for other isolated units which this plan has not started.
+    [[nodiscard]] std::vector<std::size_t> held_for_others(std::size_t index) const
+    {
+        std::vector<std::size_t> workers;
+        for (const auto& held : isolation_.held) {
+            if (held.unit != index && !has_start(held.unit)) {
+                workers.insert(workers.end(), held.workers.begin(), held.workers.end());
+            }
+        }
+        return workers;
+    }
+
+    [[nodiscard]] bool has_start(std::size_t index) const
+    {
+        return std::ranges::find(plan_.starts, index, &placed_unit::unit) != plan_.starts.end();
+    }
+
+    void start_isolated(std::size_t index, std::vector<assignment> tasks)
+    {
+        start(index, units_[index], std::move(tasks));
+        plan_.starts.back().isolated = true;
+        view_.close(plan_.starts.back().tasks);
+    }
+
+    /// Starts units that have waited for long on free capacity of any rack, also that which is held
+    /// back for units that can't use it yet, while their service is mostly free.
+    void start_long_waiting(std::span<const std::size_t> order)
+    {
+        const auto waits = [this](std::size_t index) {
+            const auto& unit = units_[index];
+            return takes_any_free_capacity(unit) && mostly_free_.contains(*unit.service) &&
+                   !(unit.spec->gang && has_start(index)) &&
+                   std::ranges::find(plan_.reserved, index) == plan_.reserved.end();
+        };
+        if (std::ranges::none_of(order, waits)) {
+            return;
+        }
+        view_.end_hold_back();
+        for (const auto index : order) {
+            if (!waits(index)) {
+                continue;
+            }
+            const auto& unit = units_[index];
+            if (!unit.spec->gang) {
+                start_individually(index, data_locality::local);
+                start_individually(index, data_locality::remote);
+            } else if (auto placed = place_across_racks(unit, view_, capacity_kind::free)) {
+                start(index, unit, std::move(*placed));
             }
         }
     }
@@ -131,6 +209,12 @@
             start_across_racks(index, unit);
             return;
         }
+        if (no_longer_waits_for_a_rack(unit)) {
+            if (auto placed = place_across_racks(unit, view_, capacity_kind::free)) {
+                start(index, unit, std::move(*placed));
+                return;
+            }
+        }
         if (auto placed = place_all(unit, view_, capacity_kind::free_after_stops)) {
             reserve(index, unit, *placed);
             return;
@@ -155,14 +239,19 @@
     {
         auto placed = place_individually(unit, view_, capacity_kind::free, data_locality::local);
         const auto missing = unit.tasks.size() - placed.size();
+        auto rest = unit;
+        add_present(rest, placed);
         if (!placed.empty()) {
             start(index, unit, std::move(placed));
         }
         if (missing > 0 && unit.rank.priority == urgent_priority) {
-            auto rest = unit;
             rest.tasks.assign(unit.tasks.end() - static_cast<std::ptrdiff_t>(missing),
                               unit.tasks.end());
-            if (auto placed_later = place_all(rest, view_, capacity_kind::free_after_stops)) {
+            // Capacity that is free already is not reserved: it would be left idle.
+            if (auto placed_now = place_all(rest, view_, capacity_kind::free)) {
+                start(index, unit, std::move(*placed_now));
+            } else if (auto placed_later =
+                           place_all(rest, view_, capacity_kind::free_after_stops)) {
                 reserve(index, rest, *placed_later);
             } else {
                 (void)preempt(index, rest);
@@ -178,6 +267,26 @@
         if (unit.spec->gang || unit.spec->data_rack.empty()) {
             return;
         }
+        start_individually(index, data_locality::remote);
+    }
+
+    static void add_present(work_unit& unit, std::span<const assignment> tasks)
+    {
+        for (const auto& placed : tasks) {
+            const auto found = std::ranges::find(unit.present, placed.worker,
+                                                 &std::pair<std::size_t, std::uint32_t>::first);
+            if (found == unit.present.end()) {
+                unit.present.emplace_back(placed.worker, 1U);
+            } else {
+                ++found->second;
+            }
+        }
+    }
+
+    /// Starts as many as fit of the unit's tasks that this plan has not started.
+    void start_individually(std::size_t index, data_locality side)
+    {
+        const auto& unit = units_[index];
         auto rest = unit;
         for (const auto& started : plan_.starts) {
             if (started.unit == index) {
@@ -185,9 +294,10 @@
                     return std::ranges::find(started.tasks, task, &assignment::task) !=
                            started.tasks.end();
                 });
+                add_present(rest, started.tasks);
             }
         }
-        auto placed = place_individually(rest, view_, capacity_kind::free, data_locality::remote);
+        auto placed = place_individually(rest, view_, capacity_kind::free, side);
         if (!placed.empty()) {
             start(index, unit, std::move(placed));
         }
@@ -206,6 +316,13 @@
         if (!found || too_costly) {
             return false;
         }
+        if (found->victims.empty()) {
+            // Across racks there is capacity enough: reserved, it would be left idle.
+            if (auto placed = place_across_racks(unit, view_, capacity_kind::free)) {
+                start(index, unit, std::move(*placed));
+                return true;
+            }
+        }
         for (const auto stop : found->victims) {
             victims_.stop(stop);
             plan_.stops.push_back(stop);
@@ -233,6 +350,8 @@
     std::span<const work_unit> units_;
     capacity_view view_;
     victim_table victims_;
+    /// Services of which less than half of the capacity was in use before this plan.
+    std::set<std::string_view> mostly_free_;
     isolation_plan isolation_{};
     std::vector<failed_request> failed_{};
     plan plan_{};
--- a/src/planning/waiting_cause.cpp
+++ b/src/planning/waiting_cause.cpp
@@ -1,6 +1,7 @@
 #include "planning/waiting_cause.hpp"
 
 #include "planning/placement.hpp"
+#include "planning/progress.hpp"
 
 #include <algorithm>
 #include <array>
@@ -165,9 +166,9 @@
                                   const unit_slots& slots, const waiting_reason& reason)
 {
     const auto needed = needed_slots(unit);
-    // As the planner places gangs: overdue ones, and those that no rack could hold, across racks.
-    const bool wants_rack = unit.spec->gang && unit.spec->one_rack && !unit.rank.overdue &&
-                            slots.best_rack.if_empty >= needed;
+    // As the planner places gangs: those that no rack could hold go across racks.
+    const bool wants_rack = unit.spec->gang && unit.spec->one_rack &&
+                            !no_longer_waits_for_a_rack(unit) && slots.best_rack.if_empty >= needed;
     const auto& counts = wants_rack ? slots.best_rack : slots.all;
     if (counts.open >= needed) {
         return cause_with_room(view);
