Tests: the model of unknown runs keeps the rows of ended jobs

A print of the stuck job showed that its row was gone and nothing ran: the play took 223 s of virtual time, longer than the rows of ended jobs are kept (120 s and 10 s), so the model read no end of a job that had ended. The model now keeps rows for longer than any play; nothing else is changed.

--- a/tests/control/unknown_run_model_test.cpp
+++ b/tests/control/unknown_run_model_test.cpp
@@ -25,6 +25,8 @@
     {{2'000, 4'000, 2}, {4'000, 8'000, 4}, {8'000, 8'000, 6}, {20'000, 32'000, 0}}};
 constexpr std::array<const char*, 3> worker_ids{"w1", "w2", "w3"};
 constexpr std::array<const char*, 3> orders{"start", "stop", "look"};
+/// Longer than any play, so that the row of an ended job is there to be read.
+constexpr seconds rows_kept{100'000};
 /// A worker that is silent for longer has no lease left.
 constexpr seconds leases_over{8};
 
@@ -80,6 +82,7 @@
             const bool fails = found != faults_.end() && site_.time.now() < found->second.until;
             return fails ? found->second.becomes : fate::serve;
         };
+        site_.leading.status_retention = rows_kept;
         for (const auto* const name : {"vm1", "vm2", "vm3"}) {
             start_vm(name);
         }
