Soak: hand-overs, reborn workers, and work that waits beside free room

- The stand-in tells of a start that brings a worker over its capacity which run it was, what the worker held of which runs, the epoch of the leader that sent each, and what was being stopped.
- `--handovers`: half of six workers are silent for longer than a lease, so that runs are given up, end as done there and are run elsewhere; as they answer again and the later runs are being stopped, leaders are terminated, killed and paused every 0.5 to 1.3 s, while three in four stops and three in ten starts are late or lose their answers.
Leases of 3 s, jobs that fill the workers, a quarter cancelled.
- `--reborn_workers`: two in five to a half of twenty workers are cut off together for 1 to 2 s, crash behind the cut and come back as other incarnations, three times in a row; callers go on for 9 s after the last fault, so that waiting is seen beside new work.
`--keep_logs` keeps logs of a run that kept its promises.
- Jobs that overload the site (`--handovers`) get as much longer to end as their work takes on half of the workers; the bound of all other runs is what it was.

--- a/standins/site_standin/job_script.cpp
+++ b/standins/site_standin/job_script.cpp
@@ -17,6 +17,9 @@
                 {"gang", step.gang},
                 {"fails", step.fails},
                 {"after", step.after}};
+    if (step.one_rack) {
+        object["one_rack"] = true;
+    }
     if (step.crashes_after) {
         object["crashes_after_ms"] = step.crashes_after->count();
     }
@@ -32,6 +35,7 @@
     step.need = {need.at(0).get<std::int64_t>(), need.at(1).get<std::int64_t>(),
                  need.at(2).get<std::int64_t>()};
     step.gang = object.at("gang").get<bool>();
+    step.one_rack = object.value("one_rack", false);
     step.fails = object.at("fails").get<bool>();
     step.after = object.at("after").get<std::vector<std::uint32_t>>();
     if (object.contains("crashes_after_ms")) {
--- a/standins/site_standin/job_script.hpp
+++ b/standins/site_standin/job_script.hpp
@@ -20,6 +20,8 @@
     batch::resources need{};
     /// All tasks work only together.
     bool gang = false;
+    /// Its tasks are asked to lie in one rack; here they take as long across racks.
+    bool one_rack = false;
     /// Every run ends as failed.
     bool fails = false;
     /// The first task crashes its worker so long after each start of it.
--- a/standins/site_standin/site_config.cpp
+++ b/standins/site_standin/site_config.cpp
@@ -40,6 +40,10 @@
         for (const auto& worker : text.at("workers")) {
             config.workers.push_back(parse_worker(worker));
         }
+        config.longest_lease = base::milliseconds{
+            text.value("longest_lease_ms", std::int64_t{config.longest_lease.count()})};
+        config.stop_time =
+            base::milliseconds{text.value("stop_time_ms", std::int64_t{config.stop_time.count()})};
         config.configuration = text.at("configuration").dump();
         return config;
     } catch (const json::exception& failure) {
--- a/standins/site_standin/site_config.hpp
+++ b/standins/site_standin/site_config.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.hpp"
+#include "base/time.hpp"
 #include "batch/resources.hpp"
 #include "standins/common/json_http.hpp"
 
@@ -34,6 +35,10 @@
     std::uint16_t control_port = 0;
     std::vector<vm_config> vms{};
     std::vector<worker_config> workers{};
+    /// The most that workers keep a lease for.
+    base::milliseconds longest_lease{6'000};
+    /// How long a task takes to end once it is told to stop.
+    base::milliseconds stop_time{100};
     /// The operator's configuration, as text.
     std::string configuration{};
 };
--- a/standins/site_standin/site_host.cpp
+++ b/standins/site_standin/site_host.cpp
@@ -8,6 +8,8 @@
 #include "store/lease_record.hpp"
 #include "store/row_keys.hpp"
 
+#include <fmt/format.h>
+
 #include <array>
 #include <optional>
 #include <utility>
@@ -23,6 +25,13 @@
 using worker_fate = tests::fake_workers::fate;
 
 constexpr base::milliseconds tick_interval{1};
+/// Of an order that only a share of all meets: less than a lease, and more than a takeover takes.
+constexpr int shortest_delay_ms = 300;
+/// Stops more than starts: what is being stopped still fills its worker meanwhile.
+constexpr double share_of_starts = 0.3;
+constexpr double share_of_stops = 0.75;
+constexpr int longest_delay_ms = 5'000;
+constexpr base::milliseconds usual_delay{4'000};
 
 constexpr std::array<named_fate<store_fate>, 5> store_fates{
     {{"serve", store_fate::serve},
@@ -30,6 +39,30 @@
      {"swallow", store_fate::swallow},
      {"lose_answer", store_fate::lose_answer},
      {"late", store_fate::late}}};
+
+json to_json(const batch::resources& amount)
+{
+    return json::array({amount.cpu_milli, amount.memory_mb, amount.accelerators});
+}
+
+std::string describe(const tests::held_run& run)
+{
+    return fmt::format("{} run {} (epoch {}{})", run.task, run.run, run.token,
+                       run.being_stopped ? ", being stopped" : "");
+}
+
+/// Which task, where, what the worker held of which runs, and who sent each.
+std::string describe(const tests::overfull_start& start)
+{
+    std::string beside;
+    for (const auto& run : start.beside) {
+        beside += (beside.empty() ? "" : ", ") + describe(run);
+    }
+    return fmt::format("{}: holds more than it has: {} was started beside {}; {} of {}",
+                       start.worker, describe(start.started), beside, to_json(start.used).dump(),
+                       to_json(start.capacity).dump());
+}
+
 /// Sends an encoded answer; where there is none the caller hears nothing.
 template <class Reply>
 auto answer_with(const net::http_responder& responder)
@@ -46,6 +79,8 @@
 site_host::site_host(const site_config& config) : address_{config.address}
 {
     orders_ = workers_.orders();
+    workers_.longest_lease = config.longest_lease;
+    workers_.stop_time = config.stop_time;
     connect_judge();
     for (const auto& vm : config.vms) {
         store_ports_[vm.name] = store_.port(vm.name);
@@ -89,9 +124,8 @@
         const auto* const step = judge_.step_of(task);
         return step != nullptr && step->gang ? step->tasks : 0U;
     };
-    workers_.decide = [this](const std::string& worker, const std::string& /*order*/) {
-        const auto found = worker_faults_.find(place_of_.at(worker));
-        return found == worker_faults_.end() ? worker_fate::serve : found->second;
+    workers_.decide = [this](const std::string& worker, const std::string& order) {
+        return fate_of(worker, order);
     };
     store_.decide = [this](const std::string& vm, bool is_write) {
         const auto found = store_faults_.find(vm);
@@ -199,14 +233,35 @@
     store_.put({wire::operator_table, {}, wire::configuration_row}, document);
 }
 
+worker_fate site_host::fate_of(const std::string& worker, const std::string& order)
+{
+    const auto found = worker_faults_.find(place_of_.at(worker));
+    if (found == worker_faults_.end()) {
+        return worker_fate::serve;
+    }
+    const auto& fault = found->second;
+    workers_.late_by = usual_delay;
+    if (!fault.only_some_orders) {
+        return fault.fate;
+    }
+    const auto share = order == "start" ? share_of_starts : order == "stop" ? share_of_stops : 0.0;
+    const bool meets = std::uniform_real_distribution{0.0, 1.0}(chances_) < share;
+    if (!meets) {
+        return worker_fate::serve;
+    }
+    workers_.late_by = base::milliseconds{
+        std::uniform_int_distribution{shortest_delay_ms, longest_delay_ms}(chances_)};
+    return fault.fate;
+}
+
 json site_host::report() const
 {
     json violations = judge_.violations();
     for (const auto& task : workers_.doubled()) {
         violations.push_back(task + ": ran twice at the same time");
     }
-    for (const auto& worker : workers_.overfull()) {
-        violations.push_back(worker + ": holds more than it has");
+    for (const auto& start : workers_.overfull_starts()) {
+        violations.push_back(describe(start));
     }
     std::string leader;
     for (const auto& row : store_.all(store::lease_row({}).table)) {
@@ -222,7 +277,40 @@
             {"writes", store_.writes()},
             {"looks", workers_.looks()},
             {"stored_jobs", stored_jobs()},
-            {"last_done_ms_ago", ages_of_last_done()}};
+            {"last_done_ms_ago", ages_of_last_done()},
+            {"room", room_of_workers()},
+            {"running", running_tasks()},
+            {"done_tasks", judge_.done()}};
+}
+
+json site_host::room_of_workers() const
+{
+    json room = json::array();
+    for (const auto& [id, worker] : workers_.machines()) {
+        if (!worker.up || worker.displaced || worker.facts.draining) {
+            continue;
+        }
+        batch::resources used;
+        for (const auto& [task, run] : worker.tasks) {
+            used += workers_.need(task);
+        }
+        room.push_back(
+            {{"worker", id}, {"capacity", to_json(worker.capacity)}, {"used", to_json(used)}});
+    }
+    return room;
+}
+
+json site_host::running_tasks() const
+{
+    json running = json::array();
+    for (const auto& [id, worker] : workers_.machines()) {
+        for (const auto& [task, run] : worker.tasks) {
+            if (worker.up && !run.being_stopped) {
+                running.push_back(task);
+            }
+        }
+    }
+    return running;
 }
 
 json site_host::stored_jobs() const
--- a/standins/site_standin/site_host.hpp
+++ b/standins/site_standin/site_host.hpp
@@ -13,6 +13,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,6 +59,11 @@
     [[nodiscard]] json report() const;
 
 private:
+    struct worker_fault {
+        tests::fake_workers::fate fate = tests::fake_workers::fate::serve;
+        /// Only a share of the starts and stops meets it, and no poll.
+        bool only_some_orders = false;
+    };
     struct store_faults {
         tests::fake_store::fate fate = tests::fake_store::fate::serve;
         bool only_writes = false;
@@ -83,6 +90,11 @@
     void expire_later(const std::string& worker);
     [[nodiscard]] json stored_jobs() const;
     [[nodiscard]] json ages_of_last_done() const;
+    [[nodiscard]] tests::fake_workers::fate fate_of(const std::string& worker,
+                                                    const std::string& order);
+    /// What each worker that is up has and uses.
+    [[nodiscard]] json room_of_workers() const;
+    [[nodiscard]] json running_tasks() const;
     void handle_store(const vm_config& vm, const net::http_request& request,
                       const net::http_responder& responder);
     void handle_worker(const std::string& place, const net::http_request& request,
@@ -103,7 +115,9 @@
     std::map<std::string, base::time_point> last_done_{};
     std::map<std::string, store::row_store> store_ports_{};
     std::map<std::string, store_faults> store_faults_{};
-    std::map<std::string, tests::fake_workers::fate> worker_faults_{};
+    std::map<std::string, worker_fault> worker_faults_{};
+    /// Which orders meet a fault that only a share of them meets.
+    std::mt19937_64 chances_{1};
     std::map<std::string, std::uint64_t> sequences_{};
     /// When the registration of each worker was written last, and when draining ones leave.
     std::map<std::string, base::time_point> published_at_{};
--- a/standins/site_standin/site_judge.hpp
+++ b/standins/site_standin/site_judge.hpp
@@ -49,6 +49,11 @@
     }
     /// How many workers each job has crashed.
     [[nodiscard]] std::map<std::string, std::uint64_t> crashes() const;
+    /// Tasks that have ended as done, known or not.
+    [[nodiscard]] const std::set<std::string>& done() const
+    {
+        return done_;
+    }
     /// How many tasks of each job have ended as done.
     [[nodiscard]] std::map<std::string, std::uint64_t> done_tasks() const;
 
--- a/standins/site_standin/site_workers.cpp
+++ b/standins/site_standin/site_workers.cpp
@@ -26,6 +26,9 @@
      {"swallow", worker_fate::swallow},
      {"lose_answer", worker_fate::lose_answer},
      {"late", worker_fate::late}}};
+/// The same for a share of the starts and stops only.
+constexpr std::array<named_fate<worker_fate>, 2> fates_of_some_orders{
+    {{"some_late", worker_fate::late}, {"some_lost", worker_fate::lose_answer}}};
 
 } // namespace
 
@@ -179,7 +182,9 @@
     } else if (action == "reach_store") {
         cut_off_.erase(place);
     } else if (const auto fate = find_fate(worker_fates, action)) {
-        worker_faults_[place] = *fate;
+        worker_faults_[place] = {*fate, false};
+    } else if (const auto some = find_fate(fates_of_some_orders, action)) {
+        worker_faults_[place] = {*some, true};
     } else {
         return "unknown action";
     }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,7 +18,7 @@
 ABSL_FLAG(std::string, seeds, "1", "seeds to play, such as 1,4 or 1-50");
 ABSL_FLAG(std::int64_t, seconds, 10, "how long callers and faults go on, for each seed");
 ABSL_FLAG(std::uint64_t, vms, 4, "entry VMs");
-ABSL_FLAG(std::uint64_t, workers, 8, "workers");
+ABSL_FLAG(std::uint64_t, workers, 0, "workers; 0: as many as suit the faults");
 ABSL_FLAG(std::uint64_t, callers, 8, "callers, each with one call at a time");
 ABSL_FLAG(std::int64_t, retention_s, poplarstile::soak::site_shape{}.status_retention.count(),
           "how long the state of an ended job is promised");
@@ -28,7 +28,11 @@
 ABSL_FLAG(bool, capacity_changes, false, "workers of --seeds shrink and grow");
 ABSL_FLAG(bool, lapsing_registrations, false,
           "registrations of --seeds expire while their workers drain and run on");
+ABSL_FLAG(bool, handovers, false,
+          "leaders of --seeds change again and again beside late orders and full workers");
+ABSL_FLAG(bool, reborn_workers, false, "workers of --seeds are cut off and reborn again and again");
 ABSL_FLAG(std::string, folder, "", "where logs go; a folder of the build by default");
+ABSL_FLAG(bool, keep_logs, false, "logs stay though every promise was kept");
 ABSL_FLAG(std::string, regressions, "", "file with the seeds that ever failed; played first");
 
 namespace
@@ -43,8 +47,30 @@
     bool deadly_jobs = false;
     bool capacity_changes = false;
     bool lapsing_registrations = false;
+    bool handovers = false;
+    bool reborn_workers = false;
 };
 
+constexpr std::size_t usual_workers = 8;
+/// Few, so that each is nearly full.
+constexpr std::size_t workers_with_handovers = 6;
+/// Short, so that leases end within a run.
+constexpr base::milliseconds lease_with_handovers{3'000};
+constexpr base::milliseconds stop_time_with_handovers{190};
+/// Five racks, and five workers for isolated work.
+constexpr std::size_t workers_that_are_reborn = 20;
+
+std::size_t worker_count(const seed_case& played)
+{
+    if (const auto asked = absl::GetFlag(FLAGS_workers); asked > 0) {
+        return asked;
+    }
+    if (played.reborn_workers) {
+        return workers_that_are_reborn;
+    }
+    return played.handovers ? workers_with_handovers : usual_workers;
+}
+
 /// Nothing when a part of the text is neither a number nor a range.
 std::optional<std::vector<seed_case>> parse_seeds(const std::string& text, std::int64_t seconds)
 {
@@ -60,7 +86,8 @@
             cases.push_back({seed, seconds, absl::GetFlag(FLAGS_await_removal),
                              absl::GetFlag(FLAGS_deadly_jobs),
                              absl::GetFlag(FLAGS_capacity_changes),
-                             absl::GetFlag(FLAGS_lapsing_registrations)});
+                             absl::GetFlag(FLAGS_lapsing_registrations),
+                             absl::GetFlag(FLAGS_handovers), absl::GetFlag(FLAGS_reborn_workers)});
         }
     }
     return cases;
@@ -74,7 +101,8 @@
         cases.push_back({entry.at("seed").get<std::uint64_t>(),
                          entry.at("seconds").get<std::int64_t>(), false,
                          entry.value("deadly_jobs", false), entry.value("capacity_changes", false),
-                         entry.value("lapsing_registrations", false)});
+                         entry.value("lapsing_registrations", false),
+                         entry.value("handovers", false), entry.value("reborn_workers", false)});
     }
     return cases;
 }
@@ -85,12 +113,18 @@
     soak::run_options options;
     options.seed = played.seed;
     options.span = std::chrono::seconds{played.seconds};
-    options.shape = {absl::GetFlag(FLAGS_vms), absl::GetFlag(FLAGS_workers),
+    options.shape = {absl::GetFlag(FLAGS_vms), worker_count(played),
                      std::chrono::seconds{absl::GetFlag(FLAGS_retention_s)}};
+    if (played.handovers) {
+        options.shape.longest_lease = lease_with_handovers;
+        options.shape.stop_time = stop_time_with_handovers;
+    }
     options.await_removal = played.await_removal;
     options.deadly_jobs = played.deadly_jobs;
     options.capacity_changes = played.capacity_changes;
     options.lapsing_registrations = played.lapsing_registrations;
+    options.handovers = played.handovers;
+    options.reborn_workers = played.reborn_workers;
     options.callers = absl::GetFlag(FLAGS_callers);
     const auto base_folder = absl::GetFlag(FLAGS_folder);
     options.folder = fmt::format("{}/seed-{}-{}s",
@@ -112,7 +146,7 @@
         std::cout << "  " << violation << "\n";
     }
     std::cout << std::flush;
-    if (seen.violations.empty()) {
+    if (seen.violations.empty() && !absl::GetFlag(FLAGS_keep_logs)) {
         std::filesystem::remove_all(options.folder);
     } else {
         std::cout << "  logs: " << options.folder << std::endl;
--- a/tests/soak/site_judge_test.cpp
+++ b/tests/soak/site_judge_test.cpp
@@ -106,4 +106,36 @@
     EXPECT_THAT(workers_.overfull(), testing::ElementsAre("w1"));
 }
 
+TEST_F(shrinking_worker, TellsWhichStartMadeItOverfullAndWhatItHeldStillBeingStopped)
+{
+    start_after(100ms);
+    fleet::stop_order stop;
+    stop.to.life = workers_.at("w1").facts.life;
+    stop.task = batch::parse_task_id(deadly_task).value();
+    stop.run = 1;
+    stop.token = 2;
+    auto next = make_start(1);
+    next.task.index = 1;
+    next.to.life = stop.to.life;
+    next.lease_until = 60'000;
+    next.token = 2;
+    workers_.stop_time = 50ms;
+
+    workers_.orders().stop(stop, [](const fleet::order_reply& /*reply*/) {});
+    time_.run_for(10ms);
+    workers_.orders().start(next, [](const fleet::order_reply& /*reply*/) {});
+    time_.run_for(10ms);
+
+    ASSERT_EQ(workers_.overfull_starts().size(), 1U);
+    const auto& found = workers_.overfull_starts().front();
+    EXPECT_EQ(found.worker, "w1");
+    EXPECT_EQ(found.started.task, "job.0.0.1");
+    EXPECT_EQ(found.started.token, 2U);
+    EXPECT_EQ(found.used, (batch::resources{0, 0, 16}));
+    ASSERT_EQ(found.beside.size(), 1U);
+    EXPECT_EQ(found.beside.front().task, deadly_task);
+    EXPECT_EQ(found.beside.front().token, 0U);
+    EXPECT_TRUE(found.beside.front().being_stopped);
+}
+
 } // namespace
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -33,6 +33,15 @@
 constexpr int shortest_long_run_ms = 8'000;
 constexpr int longest_long_run_ms = 10'000;
 constexpr std::uint64_t lengths_salt = 0xa0761d6478bd642f;
+constexpr std::int64_t half_of_worker = 2;
+constexpr std::int64_t small_part_of_worker = 8;
+constexpr double usual_cancel_share = 0.06;
+/// Enough that stops are always under way.
+constexpr double crowded_cancel_share = 0.25;
+constexpr int longest_until_cancel_ms = 2'500;
+constexpr int shortest_sparse_pause_ms = 1'000;
+constexpr int longest_sparse_pause_ms = 2'000;
+constexpr int times_longer_when_calm = 2;
 
 int between(std::mt19937_64& random, int least, int most)
 {
@@ -68,6 +77,52 @@
     return step;
 }
 
+batch::resources part_of_worker(std::int64_t part)
+{
+    return {worker_cpu_milli / part, 64'000 / part, worker_accelerators / part};
+}
+
+/// Tasks of half a worker, small ones, and gangs that prefer one rack.
+step_script make_crowding_step(std::mt19937_64& random)
+{
+    step_script step;
+    step.work = base::milliseconds{between(random, 800, 4'000)};
+    // Many on a worker, so that each that is silent holds some that end meanwhile.
+    step.tasks = static_cast<std::uint32_t>(between(random, 4, 16));
+    step.need = part_of_worker(small_part_of_worker);
+    const int drawn = between(random, 1, 10);
+    if (drawn <= 3) {
+        step.tasks = static_cast<std::uint32_t>(between(random, 1, 3));
+        step.need = part_of_worker(half_of_worker);
+    } else if (drawn <= 5) {
+        step.gang = true;
+        step.one_rack = true;
+        step.tasks = static_cast<std::uint32_t>(between(random, 2, 4));
+        step.need = part_of_worker(half_of_worker);
+    }
+    return step;
+}
+
+/// Tasks long enough to meet a crash, gangs as wide as a rack, and small tasks beside them.
+step_script make_sparse_step(std::mt19937_64& random)
+{
+    step_script step;
+    step.work = base::milliseconds{between(random, 4'000, 9'000)};
+    step.need = part_of_worker(half_of_worker);
+    const int drawn = between(random, 1, 10);
+    if (drawn <= 1) {
+        step.gang = true;
+        step.one_rack = true;
+        step.tasks = workers_of_rack;
+        step.need.cpu_milli += worker_cpu_milli / small_part_of_worker;
+        step.need.accelerators += worker_accelerators / small_part_of_worker;
+    } else if (drawn <= 3) {
+        step.tasks = static_cast<std::uint32_t>(between(random, 1, 3));
+        step.need = part_of_worker(small_part_of_worker);
+    }
+    return step;
+}
+
 json encode_step(const step_script& step)
 {
     json object{{"count", step.tasks},
@@ -80,6 +135,9 @@
     if (step.gang) {
         object["gang"] = true;
     }
+    if (step.one_rack) {
+        object["same_rack"] = true;
+    }
     if (!step.after.empty()) {
         object["after"] = step.after;
     }
@@ -128,11 +186,11 @@
     return clock::now() >= open_at + retention;
 }
 
-caller_crowd::caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers,
-                           std::size_t most_deadly_jobs, bool long_runs)
-    : site_{site}, seed_{seed}, long_runs_{long_runs}, deadly_jobs_left_{most_deadly_jobs}
+caller_crowd::caller_crowd(soak_site& site, std::uint64_t seed, const crowd_options& options)
+    : site_{site}, seed_{seed}, long_runs_{options.long_runs}, mix_{options.mix},
+      deadly_jobs_left_{options.most_deadly_jobs}
 {
-    for (std::size_t index = 0; index < callers; ++index) {
+    for (std::size_t index = 0; index < options.callers; ++index) {
         threads_.emplace_back([this, index] { work(seed_ * 1'000 + index); });
     }
 }
@@ -157,6 +215,19 @@
     return violations_;
 }
 
+std::map<std::string, job_script> caller_crowd::owed_scripts()
+{
+    const std::lock_guard lock{mutex_};
+    std::map<std::string, job_script> owed;
+    for (const auto& [id, noted] : notes_) {
+        if (noted.accepted && !noted.cancelled && noted.can_be_done() &&
+            noted.final_state != "failed") {
+            owed.emplace(id, noted.script);
+        }
+    }
+    return owed;
+}
+
 void caller_crowd::note(const std::string& violation)
 {
     const std::lock_guard lock{mutex_};
@@ -187,6 +258,20 @@
         if (chance(questions, earlier_job_share)) {
             ask_for_earlier_job(questions);
         }
+        pause_between_jobs(random);
+    }
+}
+
+void caller_crowd::pause_between_jobs(std::mt19937_64& random) const
+{
+    if (mix_ != job_mix::sparse) {
+        pause(random);
+        return;
+    }
+    const auto drawn =
+        base::milliseconds{between(random, shortest_sparse_pause_ms, longest_sparse_pause_ms)};
+    const auto until = clock::now() + (calm_ ? drawn * times_longer_when_calm : drawn);
+    while (!stopping_ && clock::now() < until) {
         pause(random);
     }
 }
@@ -216,6 +301,11 @@
     job_note job;
     job.prefix = chance(random, 0.2) ? urgent_prefix : batch_prefix;
     job.script.job = fmt::format("{:08x}{:08x}", seed_ & 0xffffffffU, next_job_++);
+    if (mix_ != job_mix::usual) {
+        job.script.steps.push_back(mix_ == job_mix::crowded ? make_crowding_step(random)
+                                                            : make_sparse_step(random));
+        return job;
+    }
     const auto steps = static_cast<std::uint32_t>(between(random, 1, 3));
     for (std::uint32_t number = 0; number < steps; ++number) {
         job.script.steps.push_back(make_step(random, number));
@@ -272,8 +362,7 @@
         // The same job once more, at any VM: it stays one job.
         (void)site_.call(any_vm(random), "POST", path_of(id), encode_job(job.script));
     }
-    if (chance(random, 0.06)) {
-        cancel(any_vm(random), id);
+    if (cancel_in_time(random, id)) {
         return;
     }
     for (int question = 0; question < most_questions && !stopping_; ++question) {
@@ -284,6 +373,20 @@
     }
 }
 
+bool caller_crowd::cancel_in_time(std::mt19937_64& random, const std::string& job)
+{
+    const bool crowded = mix_ == job_mix::crowded;
+    if (!chance(random, crowded ? crowded_cancel_share : usual_cancel_share)) {
+        return false;
+    }
+    if (crowded) {
+        std::this_thread::sleep_for(
+            base::milliseconds{between(random, 0, longest_until_cancel_ms)});
+    }
+    cancel(any_vm(random), job);
+    return true;
+}
+
 caller_crowd::attempt_outcome caller_crowd::hand_in(std::mt19937_64& random, const job_note& job)
 {
     const auto body = encode_job(job.script);
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -45,17 +45,41 @@
     [[nodiscard]] bool may_be_removed(std::chrono::seconds retention) const;
 };
 
+/// What the jobs are like.
+enum class job_mix : std::uint8_t {
+    /// All kinds; few are cancelled.
+    usual,
+    /// They fill the workers nearly whole, and many are cancelled while they run.
+    crowded,
+    /// Tasks and gangs of seconds, so that many meet crashes; once the faults are over, less than
+    /// half of the workers' capacity.
+    sparse,
+};
+
+struct crowd_options {
+    std::size_t callers = 8;
+    std::size_t most_deadly_jobs = 0;
+    /// Some runs take as long as a worker drains.
+    bool long_runs = false;
+    job_mix mix = job_mix::usual;
+};
+
 /// Callers that hand jobs in, ask for their states and cancel some, each on its own thread.
 class caller_crowd
 {
 public:
-    caller_crowd(soak_site& site, std::uint64_t seed, std::size_t callers,
-                 std::size_t most_deadly_jobs = 0, bool long_runs = false);
+    caller_crowd(soak_site& site, std::uint64_t seed, const crowd_options& options);
     /// Ends the callers.
     ~caller_crowd();
     caller_crowd(const caller_crowd&) = delete;
     caller_crowd& operator=(const caller_crowd&) = delete;
 
+    /// The faults are over.
+    void calm_down()
+    {
+        calm_ = true;
+    }
+
     /// Lets each caller finish what it is at.
     void stop();
 
@@ -65,6 +89,9 @@
         return notes_;
     }
     [[nodiscard]] std::vector<std::string> violations();
+    /// Jobs that have to be done: accepted, possible, not shown as failed, and nobody wished
+    /// otherwise.
+    [[nodiscard]] std::map<std::string, job_script> owed_scripts();
 
     /// Asks `vm` for the job's state and holds it against what was shown before. The state, or the
     /// status code where there is none.
@@ -83,6 +110,9 @@
     void live_one_job(std::mt19937_64& random, std::mt19937_64& crashes, std::mt19937_64& lengths);
     void make_long(std::mt19937_64& random, job_note& job) const;
     void make_deadly(std::mt19937_64& random, job_note& job);
+    /// True where it was cancelled.
+    bool cancel_in_time(std::mt19937_64& random, const std::string& job);
+    void pause_between_jobs(std::mt19937_64& random) const;
     void ask_for_earlier_job(std::mt19937_64& random);
     [[nodiscard]] job_note make_job(std::mt19937_64& random);
     [[nodiscard]] attempt_outcome hand_in(std::mt19937_64& random, const job_note& job);
@@ -93,9 +123,11 @@
 
     soak_site& site_;
     std::atomic<bool> stopping_ = false;
+    std::atomic<bool> calm_ = false;
     std::atomic<std::uint64_t> next_job_ = 1;
     std::uint64_t seed_;
     bool long_runs_;
+    job_mix mix_;
     std::atomic<std::size_t> deadly_jobs_left_;
     std::mutex mutex_;
     std::map<std::string, job_note> notes_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -175,6 +175,8 @@
         return "worker_cut_off";
     case fault_kind::worker_serving_out:
         return "worker_serving_out";
+    case fault_kind::worker_reborn_apart:
+        return "worker_reborn_apart";
     default:
         return "unknown";
     }
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -38,6 +38,8 @@
     worker_cut_off,
     /// It drains and serves on before it leaves.
     worker_serving_out,
+    /// It is cut off, crashes behind the cut and comes back as another incarnation.
+    worker_reborn_apart,
 };
 
 [[nodiscard]] std::string_view name_of(fault_kind kind);
@@ -56,6 +58,7 @@
     std::string worker{};
     /// What a link, the store or a worker does meanwhile, by its name on the control ports.
     std::string variant{};
+    /// Of a link; or until a worker that is cut off comes back behind its cut.
     base::milliseconds delay{0};
     /// What is left of a worker's capacity.
     int percent = 100;
@@ -80,6 +83,15 @@
 plan_lapsing_registrations(std::uint64_t seed, std::span<const std::string> workers,
                            base::milliseconds span);
 
+/// The leading VM is terminated, killed or paused every few seconds, while workers carry out orders
+/// late and lose answers; drawn apart too.
+[[nodiscard]] std::vector<planned_fault>
+plan_handovers(std::uint64_t seed, std::span<const std::string> workers, base::milliseconds span);
+
+/// Several workers at once are cut off and reborn, again and again; drawn apart too.
+[[nodiscard]] std::vector<planned_fault>
+plan_rebirths(std::uint64_t seed, std::span<const std::string> workers, base::milliseconds span);
+
 /// Both plans as one, in order of time.
 [[nodiscard]] std::vector<planned_fault> merge_plans(std::vector<planned_fault> faults,
                                                      const std::vector<planned_fault>& more);
--- a/tests/soak/soak_faults_test.cpp
+++ b/tests/soak/soak_faults_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace
@@ -146,4 +147,79 @@
     EXPECT_TRUE(refused);
 }
 
+TEST(plan_handovers, same_seed_gives_the_same_plan_within_the_span)
+{
+    const auto first = soak::plan_handovers(7, workers, span);
+    const auto second = soak::plan_handovers(7, workers, span);
+
+    ASSERT_EQ(first.size(), second.size());
+    EXPECT_TRUE(std::ranges::is_sorted(first, {}, &soak::planned_fault::at));
+    EXPECT_LT(first.back().at, span);
+    for (std::size_t index = 0; index < first.size(); ++index) {
+        EXPECT_EQ(describe(first.at(index)), describe(second.at(index)));
+    }
+}
+
+TEST(plan_handovers, leaders_end_in_series_in_every_way_beside_late_orders)
+{
+    std::set<fault_kind> seen;
+    std::set<std::string> variants;
+
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        std::size_t of_leaders = 0;
+        for (const auto& fault : soak::plan_handovers(seed, workers, span)) {
+            seen.insert(fault.kind);
+            if (fault.kind == fault_kind::worker_calls) {
+                EXPECT_THAT(workers, testing::Contains(fault.worker));
+                variants.insert(fault.variant);
+            } else {
+                EXPECT_EQ(fault.vm, soak::leading_vm);
+                of_leaders += fault.kind == fault_kind::store_calls ? 0 : 1;
+            }
+        }
+        EXPECT_GE(of_leaders, 5U);
+    }
+
+    EXPECT_THAT(seen, testing::UnorderedElementsAre(
+                          fault_kind::vm_terminated, fault_kind::vm_killed, fault_kind::vm_paused,
+                          fault_kind::store_calls, fault_kind::worker_calls));
+    EXPECT_THAT(variants, testing::UnorderedElementsAre("some_late", "some_lost", "swallow"));
+}
+
+TEST(plan_rebirths, same_seed_gives_the_same_plan_within_the_span)
+{
+    const auto first = soak::plan_rebirths(7, workers, span);
+    const auto second = soak::plan_rebirths(7, workers, span);
+
+    ASSERT_EQ(first.size(), second.size());
+    EXPECT_TRUE(std::ranges::is_sorted(first, {}, &soak::planned_fault::at));
+    for (std::size_t index = 0; index < first.size(); ++index) {
+        EXPECT_EQ(describe(first.at(index)), describe(second.at(index)));
+    }
+}
+
+TEST(plan_rebirths, several_workers_at_once_come_back_behind_cuts_of_one_to_two_seconds)
+{
+    const std::vector<std::string> many{"w1", "w2", "w3", "w4",  "w5",  "w6",
+                                        "w7", "w8", "w9", "w10", "w11", "w12"};
+    std::map<base::milliseconds, std::set<std::string>> struck;
+    std::set<std::string> variants;
+
+    for (const auto& fault : soak::plan_rebirths(3, many, span)) {
+        if (fault.kind == fault_kind::worker_reborn_apart) {
+            EXPECT_TRUE(struck[fault.at].insert(fault.worker).second);
+            EXPECT_GE(fault.lasts, base::milliseconds{1'000});
+            EXPECT_LE(fault.lasts, base::milliseconds{2'000});
+            EXPECT_LE(fault.delay, fault.lasts);
+            variants.insert(fault.variant);
+        }
+    }
+
+    EXPECT_GE(struck.size(), 4U);
+    for (const auto& [at, together] : struck) {
+        EXPECT_GE(together.size(), 2U);
+    }
+    EXPECT_GT(variants.size(), 1U);
+}
+
 } // namespace
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -136,7 +136,26 @@
     all.insert(all.end(), more.begin(), more.end());
 }
 
-void await_ends(soak_site& site, caller_crowd& callers, run_result& result)
+base::milliseconds time_for_open_work(const soak_site& site, const caller_crowd& callers)
+{
+    constexpr double used_share = 0.5;
+    double work_ms = 0;
+    for (const auto& job : owed_jobs(callers)) {
+        const auto& note = callers.notes().at(job);
+        for (const auto& step : note.script.steps) {
+            const auto share = std::max(static_cast<double>(step.need.cpu_milli) / worker_cpu_milli,
+                                        static_cast<double>(step.need.accelerators) /
+                                            static_cast<double>(worker_accelerators));
+            work_ms += note.final_state.empty()
+                           ? share * step.tasks * static_cast<double>(step.work.count())
+                           : 0;
+        }
+    }
+    return base::milliseconds{static_cast<std::int64_t>(
+        work_ms / (used_share * static_cast<double>(site.workers().size())))};
+}
+
+void await_ends(soak_site& site, caller_crowd& callers, run_result& result, base::milliseconds more)
 {
     const auto started = clock::now();
     const auto open = ask_until(
@@ -151,7 +170,7 @@
                    (state == unknown_job && ended && note.may_be_removed(site.status_retention()));
         },
         has_deadly_jobs(callers) ? finish_bound_with_crashes
-                                 : finish_bound + 2 * (longest_run(callers) - usual_run));
+                                 : finish_bound + 2 * (longest_run(callers) - usual_run) + more);
     result.settled_after = since(started);
     for (const auto& [job, state] : open) {
         result.violations.push_back(
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -15,7 +15,14 @@
 void append(std::vector<std::string>& all, const std::vector<std::string>& more);
 
 /// Asks for the owed jobs, at each VM in turn, until all have ended or the bound is over.
-void await_ends(soak_site& site, caller_crowd& callers, run_result& result);
+/// `more` is added to the bound.
+void await_ends(soak_site& site, caller_crowd& callers, run_result& result,
+                base::milliseconds more = base::milliseconds{0});
+
+/// How long the workers take for the work of all owed jobs whose end nobody has seen, if half of
+/// their capacity is used: callers that overload a site have to be given it.
+[[nodiscard]] base::milliseconds time_for_open_work(const soak_site& site,
+                                                    const caller_crowd& callers);
 
 /// Every accepted job is known at a VM that answers from the store, until its time may be over.
 void judge_known(soak_site& site, caller_crowd& callers, run_result& result);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -3,6 +3,7 @@
 #include "soak/soak_callers.hpp"
 #include "soak/soak_faults.hpp"
 #include "soak/soak_judge.hpp"
+#include "soak/soak_waiting.hpp"
 
 #include <fmt/format.h>
 
@@ -30,6 +31,8 @@
 constexpr int whole_percent = 100;
 /// After a worker has drained, until another life of it serves.
 constexpr base::milliseconds time_until_back{2'000};
+/// For which callers go on after the faults, so that waiting work is seen beside new work.
+constexpr base::milliseconds calm_span{9'000};
 
 /// Begins and ends faults on time. Those that take a while have threads of their own.
 class fault_player
@@ -211,6 +214,9 @@
         case fault_kind::worker_serving_out:
             serve_out(fault);
             return;
+        case fault_kind::worker_reborn_apart:
+            bear_again_apart(fault);
+            return;
         case fault_kind::store_part:
             site_.control_site("/control/parts", {{"away", {fault.variant}}});
             end_later(fault.lasts, [this] {
@@ -277,6 +283,13 @@
         });
     }
 
+    void bear_again_apart(const planned_fault& fault)
+    {
+        break_link(std::string{every_vm}, fault.worker, fault);
+        cut_off({fault.worker}, fault.lasts);
+        end_later(fault.delay, [this, worker = fault.worker] { act(worker, "come_back"); });
+    }
+
     void cut_off(const std::vector<std::string>& workers, base::milliseconds lasts)
     {
         for (const auto& worker : workers) {
@@ -344,7 +357,10 @@
 
 std::vector<planned_fault> plan(const run_options& options, const soak_site& site)
 {
-    auto faults = plan_faults(options.seed, site.vms(), site.workers(), options.span);
+    // Hand-overs and rebirths come beside all other faults for even seeds, and alone for odd ones.
+    const bool alone = (options.handovers || options.reborn_workers) && options.seed % 2 == 1;
+    auto faults = alone ? std::vector<planned_fault>{}
+                        : plan_faults(options.seed, site.vms(), site.workers(), options.span);
     if (options.capacity_changes) {
         faults = merge_plans(std::move(faults),
                              plan_capacity_changes(options.seed, site.workers(), options.span));
@@ -354,9 +370,39 @@
             merge_plans(std::move(faults),
                         plan_lapsing_registrations(options.seed, site.workers(), options.span));
     }
+    if (options.handovers) {
+        faults = merge_plans(std::move(faults),
+                             plan_handovers(options.seed, site.workers(), options.span));
+    }
+    if (options.reborn_workers) {
+        faults = merge_plans(std::move(faults),
+                             plan_rebirths(options.seed, site.workers(), options.span));
+    }
     return faults;
 }
 
+crowd_options crowd_of(const run_options& options)
+{
+    crowd_options crowd;
+    crowd.callers = options.callers;
+    crowd.most_deadly_jobs = options.deadly_jobs ? most_deadly_jobs : 0;
+    crowd.long_runs = options.lapsing_registrations;
+    if (options.handovers) {
+        crowd.mix = job_mix::crowded;
+    } else if (options.reborn_workers) {
+        crowd.mix = job_mix::sparse;
+    }
+    return crowd;
+}
+
+void go_on_calmly(base::milliseconds span)
+{
+    const auto until = clock::now() + span;
+    while (!stopping && clock::now() < until) {
+        std::this_thread::sleep_for(base::milliseconds{100});
+    }
+}
+
 void count_jobs(const caller_crowd& callers, run_result& result)
 {
     result.jobs = callers.notes().size();
@@ -387,11 +433,15 @@
     run_result result;
     const auto faults = plan(options, *site);
     result.faults = faults.size();
-    caller_crowd callers{*site, options.seed, options.callers,
-                         options.deadly_jobs ? most_deadly_jobs : 0, options.lapsing_registrations};
+    caller_crowd callers{*site, options.seed, crowd_of(options)};
     fault_player player{*site, journal};
     player.play(faults, options.span);
     player.heal();
+    waiting_watch waiting{*site, callers};
+    callers.calm_down();
+    if (options.reborn_workers) {
+        go_on_calmly(calm_span);
+    }
     callers.stop();
     site->leave_open_connections();
     append(result.violations, player.violations());
@@ -402,7 +452,10 @@
     if (!site->await_ready(ready_bound)) {
         result.violations.emplace_back("not every VM takes calls after the faults");
     }
-    await_ends(*site, callers, result);
+    const auto open_work =
+        options.handovers ? time_for_open_work(*site, callers) : base::milliseconds{0};
+    await_ends(*site, callers, result, open_work);
+    append(result.violations, waiting.stop());
     judge_known(*site, callers, result);
     if (options.await_removal) {
         judge_removal(*site, callers, result);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -23,6 +23,10 @@
     bool capacity_changes = false;
     /// Registrations expire while their workers drain and run on; some runs take long.
     bool lapsing_registrations = false;
+    /// Leaders change again and again, while workers carry out orders late and are nearly full.
+    bool handovers = false;
+    /// Workers are cut off and reborn again and again; callers go on for a while after the faults.
+    bool reborn_workers = false;
     /// Logs and settings of the run go here.
     std::string folder{};
 };
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -32,7 +32,6 @@
 constexpr base::milliseconds control_timeout{10'000};
 constexpr base::milliseconds grace{6'000};
 constexpr std::size_t ports_of_vm = 8;
-constexpr std::size_t workers_of_rack = 4;
 /// Below the range from which the system takes ports for outgoing connections, which would
 /// otherwise take the port of a VM that is down.
 constexpr std::uint16_t first_port = 10'000;
@@ -85,7 +84,8 @@
 } // namespace
 
 soak_site::soak_site(const site_shape& shape, std::string folder)
-    : folder_{std::move(folder)}, status_retention_{shape.status_retention}
+    : folder_{std::move(folder)}, status_retention_{shape.status_retention},
+      longest_lease_{shape.longest_lease}, stop_time_{shape.stop_time}
 {
     for (std::size_t index = 1; index <= shape.vms; ++index) {
         vm_names_.push_back(fmt::format("vm{}", index));
@@ -201,6 +201,8 @@
     write_file(folder_ + "/site.json", {{"control_port", site_control_},
                                         {"vms", vms},
                                         {"workers", workers},
+                                        {"longest_lease_ms", longest_lease_.count()},
+                                        {"stop_time_ms", stop_time_.count()},
                                         {"configuration", make_configuration()}});
 }
 
@@ -249,7 +251,7 @@
             {"seeds", seeds},
             {"store", {{"address", endpoint(place.store_proxy)}}},
             {"bounds",
-             {{"longest_lease_ms", 6'000},
+             {{"longest_lease_ms", longest_lease_.count()},
               {"stop_ms", 200},
               {"worker_heartbeat_ms", 1'500},
               {"gang_wait_ms", 3'000},
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -25,11 +25,16 @@
     std::size_t workers = 8;
     /// How long the state of an ended job is promised.
     std::chrono::seconds status_retention{10};
+    /// The most that workers keep a lease for.
+    base::milliseconds longest_lease{6'000};
+    /// How long a task takes to end once it is told to stop; 200 ms are allowed.
+    base::milliseconds stop_time{100};
 };
 
 /// Accelerators and cores of each worker.
 constexpr std::int64_t worker_accelerators = 8;
 constexpr std::int64_t worker_cpu_milli = 16'000;
+constexpr std::uint32_t workers_of_rack = 4;
 
 /// Runs of a task that fail before its job fails.
 constexpr std::uint64_t max_runs_that_fail = 3;
@@ -129,6 +134,8 @@
 
     std::string folder_;
     std::chrono::seconds status_retention_;
+    base::milliseconds longest_lease_;
+    base::milliseconds stop_time_;
     /// Open socket that keeps a block of ports for this site.
     int block_holder_ = -1;
     std::vector<std::string> vm_names_;
--- a/tests/support/fake_workers.hpp
+++ b/tests/support/fake_workers.hpp
@@ -24,6 +24,26 @@
     base::time_point at{};
 };
 
+/// A run on a worker that was given too much.
+struct held_run {
+    std::string task{};
+    std::uint32_t run = 0;
+    /// Of the leader that sent its start.
+    std::uint64_t token = 0;
+    bool being_stopped = false;
+};
+
+/// A start that brought a worker over what it has.
+struct overfull_start {
+    std::string worker{};
+    held_run started{};
+    batch::resources capacity{};
+    /// With the start itself.
+    batch::resources used{};
+    std::vector<held_run> beside{};
+    base::time_point at{};
+};
+
 /// A capacity that a worker had until some time.
 struct earlier_capacity {
     batch::resources capacity{};
@@ -57,6 +77,8 @@
         std::string checkpoint{};
         /// False for a gang's member that waits for the others.
         bool working = true;
+        std::uint64_t token = 0;
+        bool being_stopped = false;
     };
 
     struct machine {
@@ -295,6 +317,14 @@
     {
         return overfull_;
     }
+    [[nodiscard]] const std::vector<overfull_start>& overfull_starts() const
+    {
+        return overfull_starts_;
+    }
+    [[nodiscard]] const std::map<std::string, machine>& machines() const
+    {
+        return machines_;
+    }
     [[nodiscard]] std::size_t looks() const
     {
         return looks_;
@@ -390,7 +420,8 @@
             return;
         case fate::late:
             // What a life was told is forgotten with it.
-            time_.after(late_by, [this, id, born = worker.facts.life.started_at, carry_out] {
+            time_.after(late_by, [this, id, born = worker.facts.life.started_at, carry_out,
+                                  late_by = late_by] {
                 const auto& later = machines_.at(id);
                 if (later.up && later.facts.life.started_at == born) {
                     judged_grace_ = capacity_grace + late_by;
@@ -457,16 +488,18 @@
             return reply;
         }
         on_start(order);
-        judge_start(order.to.life.worker, task);
+        judge_start(order.to.life.worker, {task, order.run, order.token});
         const bool alone = gang_size(task) == 0;
-        worker.tasks[task] = {order.run, time_.now(), time_.now() + duration(task), {}, alone};
+        worker.tasks[task] = {order.run, time_.now(), time_.now() + duration(task),
+                              {},        alone,       order.token};
         starts_.push_back({order.to.life.worker, task, order.run, order.checkpoint, time_.now()});
         reply.outcome = fleet::order_outcome::accepted;
         return reply;
     }
 
-    void judge_start(const std::string& id, const std::string& task)
+    void judge_start(const std::string& id, const held_run& started)
     {
+        const auto& task = started.task;
         for (const auto& [other, worker] : machines_) {
             if (worker.up && worker.tasks.contains(task)) {
                 doubled_.push_back(task);
@@ -479,6 +512,11 @@
         }
         if (!may_hold(worker, used)) {
             overfull_.push_back(id);
+            overfull_start note{id, started, worker.capacity, used, {}, time_.now()};
+            for (const auto& [held, run] : worker.tasks) {
+                note.beside.push_back({held, run.run, run.token, run.being_stopped});
+            }
+            overfull_starts_.push_back(std::move(note));
         }
     }
 
@@ -505,6 +543,10 @@
         auto& least = worker.forbidden[task];
         least = std::max(least, order.run);
         reply.outcome = fleet::order_outcome::accepted;
+        const auto stopping = worker.tasks.find(task);
+        if (stopping != worker.tasks.end() && stopping->second.run <= order.run) {
+            stopping->second.being_stopped = true;
+        }
         time_.after(stop_time, [this, id = order.to.life.worker, task, run = order.run] {
             auto& stopped = machines_.at(id);
             const auto found = stopped.tasks.find(task);
@@ -683,6 +725,7 @@
     std::map<std::string, int> done_{};
     std::vector<std::string> doubled_{};
     std::vector<std::string> overfull_{};
+    std::vector<overfull_start> overfull_starts_{};
     /// `capacity_grace`, and more while a start is carried out late.
     base::milliseconds judged_grace_ = capacity_grace;
     std::size_t looks_ = 0;
