Move the placing of isolated units beyond the limit to its own file

The functions go unchanged from planning/isolation.* to planning/isolation_beyond_limit.*. Both files need is_remote, so that it moves to planning::internal in placement.hpp; placement.cpp, which spelled out the same condition twice, calls it too. No behaviour changes.

--- a/src/planning/placement.cpp
+++ b/src/planning/placement.cpp
@@ -52,7 +52,7 @@
         if (slots < static_cast<std::int64_t>(unit.tasks.size())) {
             continue;
         }
-        const bool remote = !unit.spec->data_rack.empty() && unit.spec->data_rack != rack.rack;
+        const bool remote = internal::is_remote(unit, rack.rack);
         const std::tuple score{remote, slots};
         if (best == nullptr || score < best_score) {
             best = &rack;
@@ -99,6 +99,11 @@
     return placed;
 }
 
+bool is_remote(const work_unit& unit, std::string_view rack)
+{
+    return !unit.spec->data_rack.empty() && unit.spec->data_rack != rack;
+}
+
 bool some_rack_can_hold(const work_unit& unit, capacity_view& view)
 {
     const auto tasks = static_cast<std::int64_t>(unit.tasks.size());
@@ -150,7 +155,7 @@
 {
     std::vector<std::size_t> members;
     for (const auto& rack : view.racks_for(unit)) {
-        const bool local = unit.spec->data_rack.empty() || unit.spec->data_rack == rack.rack;
+        const bool local = !internal::is_remote(unit, rack.rack);
         if (local == (side == data_locality::local)) {
             members.insert(members.end(), rack.workers.begin(), rack.workers.end());
         }
--- a/src/planning/placement.hpp
+++ b/src/planning/placement.hpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace poplarstile::planning
 {
@@ -43,6 +44,9 @@
                                                       const capacity_view& view,
                                                       capacity_kind kind);
 
+/// True when the data of the unit's tasks is in another rack.
+[[nodiscard]] bool is_remote(const work_unit& unit, std::string_view rack);
+
 /// True when some rack could hold the whole unit if nothing else ran there.
 [[nodiscard]] bool some_rack_can_hold(const work_unit& unit, capacity_view& view);
 
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -1,6 +1,7 @@
 #include "planning/planner.hpp"
 
 #include "planning/isolation.hpp"
+#include "planning/isolation_beyond_limit.hpp"
 #include "planning/placement.hpp"
 #include "planning/preemption.hpp"
 #include "planning/progress.hpp"
