Split report_waiting_work into short functions

No behaviour changes: noting, choosing, sorting and the reason become functions of their own in leader_waiting.cpp. waiting_units keeps its time: it is not the same as work_unit::waited, which starts anew when a part of a unit is placed.

--- a/src/control/leader_waiting.cpp
+++ b/src/control/leader_waiting.cpp
@@ -73,6 +73,49 @@
                             {"unusable", text_of(unusable)}});
 }
 
+/// The units of the input that have waited for long, of which those from `placeable` on are in a
+/// part that is not read.
+std::vector<long_waiting> note_waiting(waiting_units& noted_units, const plan_input& input,
+                                       std::size_t placeable, base::time_point now)
+{
+    std::vector<long_waiting> waiting;
+    noted_units.begin_look();
+    for (std::size_t unit = 0; unit < input.units.size(); ++unit) {
+        const auto& [job, occurrence, step] = input.origins.at(unit);
+        auto& noted = noted_units.note({job, occurrence, step, input.units.at(unit).isolated}, now);
+        if (now - noted.since >= long_wait) {
+            waiting.push_back({unit, &noted, unit >= placeable});
+        }
+    }
+    noted_units.end_look();
+    return waiting;
+}
+
+void keep_longest(std::vector<long_waiting>& waiting, std::size_t most)
+{
+    std::ranges::sort(waiting, {}, [](const long_waiting& one) {
+        return std::tuple{one.noted->since, one.noted->told_at, one.unit};
+    });
+    waiting.resize(std::min(waiting.size(), most));
+}
+
+void sort_by_last_line(std::vector<long_waiting>& waiting)
+{
+    std::ranges::sort(waiting, {}, [](const long_waiting& one) {
+        return std::tuple{one.noted->told_at, one.noted->since, one.unit};
+    });
+}
+
+planning::waiting_reason reason_of(const planning::waiting_view& view, const long_waiting& one)
+{
+    if (!one.part_unread) {
+        return planning::why_waiting(view, one.unit);
+    }
+    planning::waiting_reason reason;
+    reason.cause = planning::waiting_cause::part_not_read;
+    return reason;
+}
+
 } // namespace
 
 void leader::report_waiting_work()
@@ -92,39 +135,21 @@
             collect_units_of(input, entry);
         }
     }
-    std::vector<long_waiting> waiting;
-    waiting_.begin_look();
-    for (std::size_t unit = 0; unit < input.units.size(); ++unit) {
-        const auto& [job, occurrence, step] = input.origins.at(unit);
-        auto& noted = waiting_.note({job, occurrence, step, input.units.at(unit).isolated}, now);
-        if (now - noted.since >= long_wait) {
-            waiting.push_back({unit, &noted, unit >= placeable});
-        }
-    }
-    waiting_.end_look();
+    auto waiting = note_waiting(waiting_, input, placeable, now);
     waiting_by_cause_ = {};
     waiting_unexamined_ = waiting.size() - std::min(waiting.size(), max_examined);
     if (waiting.empty()) {
         return;
     }
-    std::ranges::sort(waiting, {}, [](const long_waiting& one) {
-        return std::tuple{one.noted->since, one.noted->told_at, one.unit};
-    });
-    waiting.resize(waiting.size() - waiting_unexamined_);
+    keep_longest(waiting, max_examined);
     mark_isolated_workers(input);
     const std::span<const planning::work_unit> units{input.units};
     const auto view =
         planning::view_waiting(units.first(placeable), input.workers, starts_held_back_);
-    std::ranges::sort(waiting, {}, [](const long_waiting& one) {
-        return std::tuple{one.noted->told_at, one.noted->since, one.unit};
-    });
+    sort_by_last_line(waiting);
     std::size_t lines = 0;
     for (const auto& one : waiting) {
-        planning::waiting_reason reason;
-        reason.cause = planning::waiting_cause::part_not_read;
-        if (!one.part_unread) {
-            reason = planning::why_waiting(view, one.unit);
-        }
+        const auto reason = reason_of(view, one);
         ++waiting_by_cause_.at(static_cast<std::size_t>(reason.cause));
         if (lines < max_lines && now - one.noted->told_at >= long_wait) {
             ++lines;
