--- a/tests/control/unknown_run_capacity_test.cpp
+++ b/tests/control/unknown_run_capacity_test.cpp
@@ -279,5 +279,62 @@
     expect_done_within_capacity(second_job);
 }
 
+// Runs that only the worker tells of are runs of their step.
+TEST_F(unknown_run_capacity, CountsForTheMostOfItsStepOnOneWorker)
+{
+    site.workers.stop_time = slow_stop;
+    durations["0000000000000002.0.0.0"] = seconds{30};
+    submit(second_job, 1, without_accelerators);
+    ASSERT_TRUE(await_starts(1));
+    needs[first_job] = without_accelerators;
+    place_run("0000000000000001.0.0.1", 5, seconds{30});
+    site.time.run_for(next_poll);
+
+    auto job = make_job(first_job, 2, without_accelerators);
+    job.spec.steps.front().max_per_worker = 1;
+    site.submit(job);
+    ASSERT_TRUE(await_starts(2, seconds{12}));
+
+    EXPECT_EQ(site.workers.starts().back().task, first_task);
+    EXPECT_EQ(site.workers.at("w1").tasks.count("0000000000000001.0.0.1"), 0U);
+}
+
+// The answer of a poll comes after that of a later poll, which listed the run's end.
+TEST_F(unknown_run_capacity, IsNotBroughtBackByAnAnswerThatWasOvertaken)
+{
+    auto& orders = site.at("vm1").orders;
+    bool delay_next = false;
+    orders.look = [this, &delay_next, direct = orders.look](const fleet::look_order& order,
+                                                            auto reply) {
+        direct(order, [this, &delay_next, reply](fleet::look_reply answer) {
+            const bool delayed = delay_next && !answer.running.empty();
+            delay_next = delay_next && !delayed;
+            site.time.after(delayed ? milliseconds{5'000} : milliseconds{0},
+                            [reply, answer] { reply(answer); });
+        });
+    };
+    std::size_t stops = 0;
+    orders.stop = [&stops, direct = orders.stop](const fleet::stop_order& order, auto reply) {
+        stops += batch::to_text(order.task) == first_task ? 1U : 0U;
+        direct(order, reply);
+    };
+    durations[first_task] = seconds{4};
+    submit(first_job, 1, without_accelerators);
+    ASSERT_TRUE(await_starts(1));
+    delay_next = true;
+    ASSERT_TRUE(site.time.run_until([&] { return !delay_next; }, seconds{4}));
+    ASSERT_EQ(site.workers.done().count(first_task), 0U);
+    ASSERT_TRUE(site.time.run_until([&] { return site.workers.done().count(first_task) == 1U; },
+                                    seconds{4}));
+
+    deny_starts = true;
+    submit(second_job, 1, without_accelerators);
+    site.time.run_for(milliseconds{100});
+    deny_starts = false;
+    site.time.run_for(seconds{6});
+
+    EXPECT_EQ(stops, 0U);
+}
+
 } // namespace
 } // namespace poplarstile::tests
