Crashes: a start that a later incarnation took is no crash under it

Cause: a start reaches a worker that came back under its id before the leader knew. When the leader learned of the new incarnation it counted a crash of the earlier one under that run, at its start and alone; four such counts, or three with two of that kind, fail the job.

Fix: the clock in the answer to a start tells which incarnation took it; a run that a later one took is not counted. A start that nobody answered counts as a crash still, but no longer as one that hardly anything else can have caused.

Test: worker_rebirth.AStartThatTheLaterIncarnationTookIsNotCountedAsACrashUnderIt fails with the first half taken out (crashed_runs 1, 2, 3). control_test 245 passed.

--- a/src/control/leader_starts.cpp
+++ b/src/control/leader_starts.cpp
@@ -201,6 +201,8 @@
         if (run->order == order_state::sent && same_incarnation) {
             run->order = order_state::accepted;
             run->accepted_at = now;
+            run->taken_by_later_incarnation =
+                reply.worker_ms && is_of_later_incarnation(worker, sent, *reply.worker_ms);
             plan_held_back_work();
         }
         if (run->stopping != stop_reason::none && !run->stop_under_way) {
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -25,7 +25,8 @@
 {
     batch::crash_evidence evidence;
     // The start of an adopted run was sent by an earlier leader at an unknown time.
-    const bool start_known = run.sends > 0;
+    // A start without an answer may never have reached the worker.
+    const bool start_known = run.sends > 0 && run.order == order_state::accepted;
     evidence.at_start = start_known && silent_since - run.first_sent_at <= start_window;
     evidence.after_long_work =
         run.order == order_state::accepted && silent_since - run.accepted_at >= long_work;
@@ -64,7 +65,10 @@
     const auto silent_since = worker.unanswered_polls > 0 ? worker.silent_since : now;
     std::vector<crashed_run> crashed;
     for (const auto& [task, run] : worker.runs) {
-        if (run.order != order_state::unsent && !sent_in_silence(run, worker, silent_since)) {
+        const bool may_have_begun = run.order != order_state::unsent &&
+                                    !run.taken_by_later_incarnation &&
+                                    !sent_in_silence(run, worker, silent_since);
+        if (may_have_begun) {
             crashed.push_back({run.job, run.ref, run.run, evidence_of(run, silent_since)});
         }
     }
@@ -76,6 +80,12 @@
     return crashed;
 }
 
+bool is_of_later_incarnation(const worker_state& worker, const order_sending& sent,
+                             std::int64_t worker_ms)
+{
+    return worker.clock.known() && worker_ms < worker.clock.earliest_reading(sent.at);
+}
+
 void record_clock(worker_state& worker, const order_sending& sent, std::int64_t worker_ms,
                   base::time_point received)
 {
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -68,6 +68,8 @@
     std::uint32_t sends = 0;
     /// The worker's current incarnation has listed it as running.
     bool listed = false;
+    /// The clock in the answer to its start was that of a later incarnation than the known one.
+    bool taken_by_later_incarnation = false;
     /// Starts that were sent and are not answered.
     std::uint32_t starts_under_way = 0;
     stop_reason stopping = stop_reason::none;
@@ -123,6 +125,10 @@
 void record_clock(worker_state& worker, const order_sending& sent, std::int64_t worker_ms,
                   base::time_point received);
 
+/// True when the clock in a reply is too early for the known incarnation: a later one has answered.
+[[nodiscard]] bool is_of_later_incarnation(const worker_state& worker, const order_sending& sent,
+                                           std::int64_t worker_ms);
+
 /// What has been seen of a worker since its registration went.
 struct departure_evidence {
     /// The registration was removed sooner after it was written than it can expire, so that only
--- a/tests/control/worker_rebirth_test.cpp
+++ b/tests/control/worker_rebirth_test.cpp
@@ -137,6 +137,27 @@
     EXPECT_LE(longest, site.leading.longest_lease + site.leading.poll_wait);
 }
 
+// The clock in the reply to the start shows that the worker had restarted before it: the run works
+// on in the later incarnation, and the crash before it speaks against no task.
+TEST_F(worker_rebirth, AStartThatTheLaterIncarnationTookIsNotCountedAsACrashUnderIt)
+{
+    site.time.run_for(seconds{5});
+    for (int crash = 0; crash < 4; ++crash) {
+        for (const auto* const id : {"w1", "w2"}) {
+            site.workers.restart_untold(id);
+        }
+        const auto id = fmt::format("{:016}", crash + 1);
+        site.submit(make_job(id, 1, small_task));
+        site.time.run_for(milliseconds{300});
+        for (const auto* const worker : {"w1", "w2"}) {
+            site.workers.renew(worker);
+        }
+        ASSERT_EQ(site.await_end(id), batch::job_status::completed);
+        const auto* const leader = site.leading_vm()->node->local_leader();
+        EXPECT_EQ(leader->counters().crashed_runs, 0U) << crash;
+    }
+}
+
 // All sendings of a start are unanswered, so the run is stopped; the worker restarts, and what the
 // earlier incarnation said to the stop arrives afterwards. The first sending reaches the new one.
 TEST_F(worker_rebirth, AStopThatTheOldIncarnationAcknowledgedForbidsNothingInTheNewOne)
