Plans: starts to silent workers no longer keep work from others

Cause: the bound on starts under way counted those to silent workers, and runs that are being stopped, until the worker's lease was over. The bound is there so that many starts don't fill the link; these are unanswered for another reason.

--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -327,8 +327,13 @@
 {
     std::size_t count = 0;
     for (const auto& [id, worker] : workers_) {
+        if (worker->unanswered_polls > 0) {
+            // Its starts are not answered for another reason than many of them being under way.
+            continue;
+        }
         count += static_cast<std::size_t>(std::ranges::count_if(worker->runs, [](const auto& run) {
-            return run.second.order != order_state::accepted && !run.second.adopted;
+            return run.second.order != order_state::accepted && !run.second.adopted &&
+                   run.second.stopping == stop_reason::none;
         }));
     }
     return count;
