Polls: an overtaken answer brings back no run that is over

Cause: the worker's list was taken whatever its age. Fix: the worker's own clock in the answers orders the lists; a list that is older than a complete one shows no unknown runs.

--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -233,6 +233,7 @@
     worker.clock = {};
     worker.acknowledged = 0;
     worker.newest_clock = 0;
+    worker.newest_list_ms = 0;
     worker.incarnation_uncertain = false;
     worker.last_received_end = 0;
     worker.unstored_ends.clear();
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -199,11 +199,21 @@
 void leader::process_running(worker_state& worker, const fleet::look_reply& reply)
 {
     const auto now = ports_.time->now();
-    worker.unknown_jobs.clear();
+    const bool overtaken = reply.worker_ms && *reply.worker_ms < worker.newest_list_ms;
+    if (!overtaken) {
+        worker.unknown_jobs.clear();
+    }
+    if (reply.worker_ms && reply.complete()) {
+        worker.newest_list_ms = std::max(worker.newest_list_ms, *reply.worker_ms);
+    }
     for (const auto& running : reply.running) {
         const auto task = batch::to_text(running.task);
         const auto found = worker.runs.find(task);
         if (found == worker.runs.end() || found->second.run != running.run) {
+            if (overtaken) {
+                // A newer list lacks it, or has shown it already.
+                continue;
+            }
             const listed_run listed{running.task, running.run};
             auto& shown = worker.unknown.show(listed, need_of(running.task), now);
             if (all_parts_active()) {
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -157,6 +157,8 @@
     std::map<std::string, live_run> runs{};
     /// What the worker lists beyond that.
     unknown_runs unknown{};
+    /// The worker's clock in the newest complete list that was taken.
+    std::int64_t newest_list_ms = 0;
     /// When the newest of the polls was sent whose answers were taken.
     base::time_point newest_list_sent{};
     /// Ends up to this number are durable.
