Plans: the limit of a step's tasks on one worker counts what may be there

Cause: max_per_worker was reckoned from the tasks placed in the record alone, as room was before. Fix: by the reckoning of the room. unknown_run_capacity.CountsForTheMostOfItsStepOnOneWorker failed before and passes; control_test 245 passed.

--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -51,10 +51,12 @@
             const bool isolated =
                 job.any_crash() && job.needs_isolation({origin.occurrence, origin.step, index});
             (isolated ? result.isolated : result.waiting).push_back(index);
-        } else if (task.phase == batch::task_phase::placed) {
-            const auto found = workers_.find(task.worker.worker);
-            if (found != workers_.end()) {
-                ++result.present[found->second->plan_index];
+        }
+    }
+    if (job.spec_of(origin.step).max_per_worker > 0) {
+        for (const auto& [id, worker] : workers_) {
+            if (const auto present = tasks_on(*worker, origin); present > 0) {
+                result.present[worker->plan_index] = present;
             }
         }
     }
--- a/src/control/plan_input.hpp
+++ b/src/control/plan_input.hpp
@@ -23,7 +23,7 @@
     std::vector<std::uint32_t> waiting{};
     /// Waiting tasks that are placed where nothing else runs.
     std::vector<std::uint32_t> isolated{};
-    /// Number of placed tasks by position of their worker.
+    /// Number of tasks that may be on a worker, by its position; only of a step with a limit.
     std::map<std::size_t, std::uint32_t> present{};
 };
 
--- a/src/control/worker_room.cpp
+++ b/src/control/worker_room.cpp
@@ -1,5 +1,7 @@
 #include "control/worker_room.hpp"
 
+#include <algorithm>
+
 namespace poplarstile::control
 {
 namespace
@@ -39,4 +41,19 @@
     return room;
 }
 
+std::uint32_t tasks_on(const worker_state& worker, const unit_origin& step)
+{
+    const auto recorded = std::ranges::count_if(worker.runs, [&step](const auto& entry) {
+        const auto& run = entry.second;
+        return run.job == step.job && run.ref.occurrence == step.occurrence &&
+               run.ref.step == step.step;
+    });
+    const auto unrecorded = std::ranges::count_if(worker.unknown.runs(), [&](const auto& entry) {
+        const auto& task = entry.first.task;
+        return task.job == step.job && task.occurrence == step.occurrence &&
+               task.step == step.step && !has_record(worker, entry.first);
+    });
+    return static_cast<std::uint32_t>(recorded + unrecorded);
+}
+
 } // namespace poplarstile::control
--- a/src/control/worker_room.hpp
+++ b/src/control/worker_room.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "control/plan_input.hpp"
 #include "control/worker_state.hpp"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace poplarstile::control
 {
@@ -27,4 +29,7 @@
 
 [[nodiscard]] worker_room room_of(const worker_state& worker);
 
+/// Number of tasks of a step that may be on the worker, by the same reckoning.
+[[nodiscard]] std::uint32_t tasks_on(const worker_state& worker, const unit_origin& step);
+
 } // namespace poplarstile::control
