--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -14,6 +14,7 @@
 #include "control/run_evidence.hpp"
 #include "control/run_knowledge.hpp"
 #include "control/waiting_units.hpp"
+#include "control/worker_room.hpp"
 #include "control/worker_state.hpp"
 #include "fleet/worker_directory.hpp"
 #include "fleet/worker_orders.hpp"
@@ -514,7 +515,8 @@
     void collect_workers(plan_input& input);
     /// Why no new work may be placed on the worker. `may_grant` is set while this leader may extend
     /// leases.
-    [[nodiscard]] planning::unusable_reason why_unusable(const worker_state& worker, bool may_grant,
+    [[nodiscard]] planning::unusable_reason why_unusable(const worker_state& worker,
+                                                         const worker_room& room, bool may_grant,
                                                          std::ptrdiff_t recent_failures) const;
     /// True when the part that holds the job answers, and no other part may have a row of it.
     [[nodiscard]] bool is_placeable(const job_entry& entry,
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -122,7 +122,7 @@
                 return now - failed.second < recent_failure_window;
             });
         candidate.suspicion = suspicion_of(recent_failures, crashed_recently(*worker));
-        candidate.unusable = why_unusable(*worker, may_grant, recent_failures);
+        candidate.unusable = why_unusable(*worker, room, may_grant, recent_failures);
         candidate.schedulable = candidate.unusable == planning::unusable_reason::none;
         worker->plan_index = input.workers.size();
         input.workers.push_back(candidate);
@@ -130,8 +130,8 @@
     }
 }
 
-planning::unusable_reason leader::why_unusable(const worker_state& worker, bool may_grant,
-                                               std::ptrdiff_t recent_failures) const
+planning::unusable_reason leader::why_unusable(const worker_state& worker, const worker_room& room,
+                                               bool may_grant, std::ptrdiff_t recent_failures) const
 {
     using planning::unusable_reason;
     if (!may_grant) {
@@ -155,7 +155,7 @@
     if (!worker.unknown_jobs.empty()) {
         return unusable_reason::unknown_jobs;
     }
-    if (!room_of(worker).known) {
+    if (!room.known) {
         return unusable_reason::unknown_need;
     }
     if (!is_capacity_known(worker)) {
--- a/src/control/leader_waiting.cpp
+++ b/src/control/leader_waiting.cpp
@@ -20,7 +20,7 @@
 {
 
 constexpr base::event_logger log{"waiting"};
-constexpr base::milliseconds look_interval{1'000};
+constexpr base::milliseconds look_interval{2'000};
 /// Work is told of once it has waited for this long, and again after it.
 constexpr base::milliseconds long_wait{3'000};
 /// Units whose causes are computed in one look, those that wait for longest first.
