--- a/review/rig-2/http.cpp
+++ b/review/rig-2/http.cpp
@@ -132,6 +132,9 @@
     for (;;) {
         if (auto taken = take_message(buffer)) {
             const auto made = answer(to_request(std::move(*taken)));
+            if (made.status == 0) {
+                continue;
+            }
             std::ostringstream text;
             text << "HTTP/1.1 " << made.status << " X\r\nContent-Type: application/json\r\n"
                  << "Content-Length: " << made.body.size() << "\r\n\r\n"
--- a/review/rig-2/http.hpp
+++ b/review/rig-2/http.hpp
@@ -18,6 +18,7 @@
     std::string body{};
 };
 
+/// Status 0 stands for no answer: the connection stays open and silent.
 struct response {
     int status = 0;
     std::string body{};
--- a/review/rig-2/site.cpp
+++ b/review/rig-2/site.cpp
@@ -220,7 +220,7 @@
 {
     const auto index = static_cast<std::size_t>(worker);
     workers_.at(index) =
-        start_process({"review/bin/cases-2", "worker", worker_name(worker),
+        start_process({"/proc/self/exe", "worker", worker_name(worker),
                        std::to_string(worker_ports_.at(index)), std::to_string(store_port_),
                        "sheets", "r1-" + std::to_string(worker / 8), std::to_string(options_.cpu),
                        std::to_string(options_.memory), std::to_string(options_.gpu), record_},
@@ -234,9 +234,31 @@
     note("worker " + worker_name(worker) + " is killed");
 }
 
-bool site::worker_is_up(int worker) const
+void site::make_orders_late(std::int64_t for_ms) const
 {
-    return workers_.at(static_cast<std::size_t>(worker)) > 0;
+    for (const auto port : worker_ports_) {
+        (void)call(port, "POST", "/rig/late", {}, json{{"for_ms", for_ms}}.dump(), 1'000);
+    }
+    note("workers leave every second order unanswered for " + std::to_string(for_ms) + " ms");
+}
+
+void site::hang_worker(int worker, std::int64_t for_ms) const
+{
+    (void)call(worker_ports_.at(static_cast<std::size_t>(worker)), "POST", "/rig/hang", {},
+               json{{"for_ms", for_ms}}.dump(), 1'000);
+    note("worker " + worker_name(worker) + " answers nothing for " + std::to_string(for_ms) +
+         " ms");
+}
+
+bool site::cancel(int vm, const std::string& job) const
+{
+    const auto answer =
+        call(vm_ports_.at(static_cast<std::size_t>(vm)).front, "DELETE", prefix + job,
+             {{"Host", host}, {"Key", key}, {"Deadline-Ms", "3000"}}, "", 3'000);
+    const auto status = answer ? answer->status : 0;
+    note("client DELETE " + job + " at vm-" + std::to_string(vm + 1) + " -> " +
+         std::to_string(status));
+    return (status >= 200 && status < 300) || status == 410;
 }
 
 bool site::start()
@@ -264,18 +286,20 @@
     return true;
 }
 
-bool site::submit(int vm, const std::string& job, std::int64_t work_ms, const std::string& more)
+bool site::submit(int vm, const std::string& job, std::int64_t work_ms)
 {
-    json step{
+    const json step{
         {"count", 1}, {"cpu", 2'000}, {"mem_mb", 4'000}, {"gpu", 1}, {"estimate_ms", work_ms}};
-    if (!more.empty()) {
-        step.update(json::parse(more));
-    }
     const json body{{"spec", json{{"work_ms", work_ms}}.dump()}, {"steps", {step}}};
+    return submit_body(vm, job, body.dump());
+}
+
+bool site::submit_body(int vm, const std::string& job, const std::string& body)
+{
     for (int attempt = 0; attempt < 5; ++attempt) {
         const auto answer =
             call(vm_ports_.at(static_cast<std::size_t>(vm)).front, "POST", prefix + job,
-                 {{"Host", host}, {"Key", key}, {"Deadline-Ms", "3000"}}, body.dump(), 3'000);
+                 {{"Host", host}, {"Key", key}, {"Deadline-Ms", "3000"}}, body, 3'000);
         const auto status = answer ? answer->status : 0;
         note("client POST " + job + " at vm-" + std::to_string(vm + 1) + " -> " +
              std::to_string(status));
--- a/review/rig-2/site.hpp
+++ b/review/rig-2/site.hpp
@@ -36,7 +36,7 @@
 struct run_event {
     std::int64_t at_ms = 0;
     std::string worker{};
-    /// `start`, or how the run ended.
+    /// `start`, `late-start` for an order that the worker carried out late, or how the run ended.
     std::string what{};
     std::string task{};
     std::uint64_t run = 0;
@@ -58,8 +58,9 @@
 
     /// Hands a job of one task in, as a client would: sent again after no answer. True when it was
     /// accepted.
-    [[nodiscard]] bool submit(int vm, const std::string& job, std::int64_t work_ms,
-                              const std::string& more = {});
+    [[nodiscard]] bool submit(int vm, const std::string& job, std::int64_t work_ms);
+    /// The same for any job; `body` is what the client sends.
+    [[nodiscard]] bool submit_body(int vm, const std::string& job, const std::string& body);
     [[nodiscard]] std::optional<response> get(int vm, const std::string& job, int timeout_ms) const;
     /// The state of a job that a VM shows; empty without a whole answer.
     [[nodiscard]] std::string state_of(int vm, const std::string& job) const;
@@ -69,7 +70,12 @@
     void start_worker(int worker);
     /// SIGKILL.
     void crash_worker(int worker);
-    [[nodiscard]] bool worker_is_up(int worker) const;
+    /// For so long every second order to any worker is not answered and carried out late.
+    void make_orders_late(std::int64_t for_ms) const;
+    /// For so long the worker answers nothing and does nothing that it is told.
+    void hang_worker(int worker, std::int64_t for_ms) const;
+    /// A client's DELETE; true for 2xx or 410.
+    [[nodiscard]] bool cancel(int vm, const std::string& job) const;
 
     /// All that the workers have written so far.
     [[nodiscard]] std::vector<run_event> events() const;
@@ -91,7 +97,8 @@
     site_options options_;
     std::string folder_;
     std::string record_;
-    store store_;
+    /// Lives as long as the process, like the threads that serve it.
+    store& store_ = *new store;
     int store_port_ = 0;
     std::vector<vm_ports> vm_ports_;
     std::vector<int> worker_ports_;
--- a/review/rig-2/worker.cpp
+++ b/review/rig-2/worker.cpp
@@ -25,6 +25,8 @@
     std::uint64_t run = 0;
     std::int64_t began_ms = 0;
     std::int64_t work_ms = 0;
+    /// Fails after `work_ms` in place of being done.
+    bool fails = false;
     /// When a stop that was asked for is done.
     std::optional<std::int64_t> stops_ms{};
 };
@@ -120,7 +122,7 @@
             } else if (state.stops_ms && now_ms() >= *state.stops_ms) {
                 over[task] = "stopped";
             } else if (now_ms() >= state.began_ms + state.work_ms) {
-                over[task] = "done";
+                over[task] = state.fails ? "failed" : "done";
             }
         }
         for (const auto& [task, how] : over) {
@@ -153,6 +155,51 @@
         if (!body.is_object()) {
             return reply(400, {});
         }
+        if (asked.path == "/rig/late") {
+            const std::lock_guard lock{mutex_};
+            late_until_ = now_ms() + body.value("for_ms", std::int64_t{0});
+            return reply(200, {});
+        }
+        if (asked.path == "/rig/hang") {
+            const std::lock_guard lock{mutex_};
+            hang_until_ = now_ms() + body.value("for_ms", std::int64_t{0});
+            return reply(200, {});
+        }
+        if (hangs()) {
+            return {};
+        }
+        if (const auto delay = delay_of_order()) {
+            std::thread{[this, path = asked.path, body, late_by = *delay] {
+                std::this_thread::sleep_for(std::chrono::milliseconds{late_by});
+                (void)carry_out(path, body, true);
+            }}.detach();
+            return {};
+        }
+        return carry_out(asked.path, body, false);
+    }
+
+    /// While it hangs, orders get no answer and nothing is done for them; tasks go on.
+    bool hangs()
+    {
+        const std::lock_guard lock{mutex_};
+        return now_ms() < hang_until_;
+    }
+
+    /// While orders are left unanswered, every second one is, and is carried out this much later.
+    std::optional<std::int64_t> delay_of_order()
+    {
+        const std::lock_guard lock{mutex_};
+        if (now_ms() >= late_until_ || ++orders_ % 2 == 0) {
+            return std::nullopt;
+        }
+        constexpr std::int64_t shortest = 2'500;
+        constexpr std::int64_t step = 1'300;
+        constexpr std::int64_t delays = 8;
+        return shortest + step * (orders_ / 2 % delays);
+    }
+
+    response carry_out(const std::string& path, const json& body, bool late)
+    {
         std::unique_lock lock{mutex_};
         advance();
         const auto token = body.value("fencing_token", std::uint64_t{0});
@@ -160,16 +207,16 @@
             return reply(409, {{"reason", "fence"}});
         }
         token_ = token;
-        if (asked.path == "/-/run-start") {
-            return start(body);
+        if (path == "/-/run-start") {
+            return start(body, late);
         }
-        if (asked.path == "/-/run-stop") {
+        if (path == "/-/run-stop") {
             return stop(body);
         }
-        return asked.path == "/-/hold" ? hold(body, lock) : reply(400, {});
+        return path == "/-/hold" ? hold(body, lock) : reply(400, {});
     }
 
-    response start(const json& body)
+    response start(const json& body, bool late)
     {
         const auto task = body.value("task", "");
         const auto run = body.value("run", std::uint64_t{0});
@@ -188,8 +235,9 @@
         }
         const auto spec = json::parse(body.value("spec", ""), nullptr, false);
         const auto work = spec.is_object() ? spec.value("work_ms", std::int64_t{1'000}) : 1'000;
-        tasks_[task] = {run, now_ms(), work, {}};
-        note("start", task, run);
+        const bool fails = spec.is_object() && spec.value("fails", false);
+        tasks_[task] = {run, now_ms(), work, fails, {}};
+        note(late ? "late-start" : "start", task, run);
         return reply(200, {});
     }
 
@@ -216,6 +264,9 @@
         }
         const auto wait = std::min(body.value("wait_ms", std::int64_t{0}), std::int64_t{2'000});
         changed_.wait_for(lock, std::chrono::milliseconds{wait}, [this] { return !ends_.empty(); });
+        if (now_ms() < hang_until_) {
+            return {};
+        }
         json running = json::array();
         for (const auto& [task, state] : tasks_) {
             const auto share =
@@ -243,6 +294,9 @@
     std::uint64_t last_end_ = 0;
     std::uint64_t token_ = 0;
     std::int64_t lease_ = 0;
+    std::int64_t late_until_ = 0;
+    std::int64_t hang_until_ = 0;
+    std::int64_t orders_ = 0;
 };
 
 } // namespace
