--- a/review/rig-2/cases.cpp
+++ b/review/rig-2/cases.cpp
@@ -108,45 +108,37 @@
                        " answers were wrong" + (first.empty() ? "" : "; the first: " + first));
 }
 
-/// The worker that runs a task dies four times; no run has failed.
-int crashed_workers(rig::site& site)
+/// One worker after another dies while it is idle and comes back under its id. A job's starts are
+/// sent to workers that are down; no run of it begins, and the crashes are counted under them.
+int crashed_before_start(rig::site& site)
 {
-    constexpr std::int64_t work_ms = 12'000;
-    constexpr int crashes = 4;
-    constexpr std::int64_t ran_ms = 4'000;
+    constexpr std::int64_t work_ms = 3'000;
     constexpr std::int64_t down_ms = 4'500;
+    constexpr std::int64_t apart_ms = 4'000;
+    constexpr int crashes = 8;
     if (!site.start()) {
         return not_run;
     }
-    pause_ms(2'000);
+    pause_ms(rig::contact_ms + 2'000);
     const auto job = job_id(1);
-    if (!site.submit(0, job, work_ms)) {
-        return not_run;
-    }
-    std::uint64_t newest = 0;
-    std::map<int, std::int64_t> comes_back;
+    const auto began = rig::now_ms();
     int killed = 0;
+    int back = 0;
+    bool submitted = false;
     std::string state;
-    const auto until = rig::now_ms() + 95'000;
-    while (rig::now_ms() < until && state != "completed" && state != "failed") {
-        for (const auto& event : site.events()) {
-            const bool due = event.what == "start" && event.run > newest &&
-                             rig::now_ms() - event.at_ms >= ran_ms;
-            if (!due || killed == crashes || !with_trouble()) {
-                continue;
-            }
-            newest = event.run;
-            ++killed;
-            const int worker = std::stoi(event.worker.substr(2)) - 100;
-            site.crash_worker(worker);
-            comes_back[worker] = rig::now_ms() + down_ms;
+    while (rig::now_ms() < began + crashes * apart_ms + 30'000 && state != "completed" &&
+           state != "failed") {
+        const auto at = rig::now_ms() - began;
+        if (with_trouble() && killed < crashes && at >= killed * apart_ms) {
+            site.crash_worker(killed++);
+        }
+        if (back < killed && at >= back * apart_ms + down_ms) {
+            site.start_worker(back++);
         }
-        for (auto next = comes_back.begin(); next != comes_back.end();) {
-            if (rig::now_ms() >= next->second) {
-                site.start_worker(next->first);
-                next = comes_back.erase(next);
-            } else {
-                ++next;
+        if (!submitted) {
+            submitted = true;
+            if (!site.submit(0, job, work_ms)) {
+                return not_run;
             }
         }
         const auto shown = site.state_of(1, job);
@@ -154,106 +146,24 @@
             site.note("client GET " + job + " -> " + shown);
             state = shown;
         }
-        pause_ms(100);
+        pause_ms(50);
     }
     const auto events = site.events();
-    const auto failed = std::ranges::count(events, std::string{"failed"}, &rig::run_event::what);
-    return verdict(site, state == "failed" && failed == 0,
+    return verdict(site, state == "failed" && events.empty(),
                    "the job is shown as " + state + " after " + std::to_string(killed) +
-                       " crashes of workers and " + std::to_string(failed) + " failed runs");
-}
-
-std::string step_of(int gpu, std::int64_t estimate_ms, const std::string& more)
-{
-    return R"({"count":1,"mem_mb":4000,"cpu":)" + std::to_string(2'000 * gpu) + R"(,"gpu":)" +
-           std::to_string(gpu) + R"(,"estimate_ms":)" + std::to_string(estimate_ms) + more + "}";
-}
-
-std::string body_of(const std::string& spec, const std::string& steps)
-{
-    return R"({"spec":")" + spec + R"(","steps":[)" + steps + "]}";
-}
-
-/// Two lasting jobs fail soon after each start. A sound job whose tasks need a whole worker is left
-/// waiting beside idle workers.
-int failing_jobs(rig::site& site)
-{
-    constexpr int jobs = 60;
-    constexpr int hopeless_jobs = 2;
-    constexpr int steps = 6;
-    constexpr std::int64_t step_ms = 2'000;
-    constexpr std::int64_t finish_ms = 14'000;
-    constexpr std::int64_t watched_ms = 40'000;
-    constexpr std::int64_t longest_wait_ms = 3'000;
-    if (!site.start()) {
-        return not_run;
-    }
-    pause_ms(2'000);
-    const auto lasting =
-        body_of(R"({\"work_ms\":300,\"fails\":true})", step_of(1, 300, R"(,"long_running":true)"));
-    std::string chain;
-    for (int step = 0; step < steps; ++step) {
-        const auto after = step == 0 ? "" : R"(,"after":[)" + std::to_string(step - 1) + "]";
-        chain += (step == 0 ? "" : ",") + step_of(8, step_ms, after);
-    }
-    const auto sound = job_id(999);
-    for (int number = 1; number <= jobs; ++number) {
-        const bool hopeless = number % (jobs / hopeless_jobs) == 0;
-        const bool accepted =
-            hopeless && with_trouble() ? site.submit_body(number % 3, job_id(number), lasting)
-            : number == jobs - 1
-                ? site.submit_body(0, sound, body_of(R"({\"work_ms\":2000})", chain))
-                : site.submit(number % 3, job_id(number), 300);
-        if (!accepted) {
-            return not_run;
-        }
-        pause_ms(150);
-    }
-    const auto traffic_ended = rig::now_ms();
-    std::string state;
-    while (rig::now_ms() < traffic_ended + finish_ms + watched_ms && state != "completed") {
-        pause_ms(500);
-        const auto shown = site.state_of(1, sound);
-        if (shown != state) {
-            site.note("client GET " + sound + " -> " + shown);
-            state = shown;
-        }
-    }
-    // From the end of a step until the next one starts, a task's turn has come and nothing of the
-    // job runs.
-    std::int64_t longest = 0;
-    std::int64_t since = traffic_ended + finish_ms;
-    int done = 0;
-    bool runs = false;
-    for (const auto& event : site.events()) {
-        if (job_of(event.task) != sound) {
-            continue;
-        }
-        if (event.what == "start") {
-            longest = std::max(longest, event.at_ms - since);
-            runs = true;
-        } else {
-            since = std::max(since, event.at_ms);
-            done += event.what == "done" ? 1 : 0;
-            runs = false;
-        }
-    }
-    if (!runs && state != "completed") {
-        longest = std::max(longest, rig::now_ms() - since);
-    }
-    return verdict(site, longest >= longest_wait_ms,
-                   "the sound job is " + state + ", " + std::to_string(done) + " of " +
-                       std::to_string(steps) + " steps are done; later than finish_s after the " +
-                       "traffic nothing of it ran for " + std::to_string(longest) + " ms");
+                       " crashes of workers; its runs have begun or ended " +
+                       std::to_string(events.size()) + " times");
 }
 
-/// A job is cancelled while orders to its worker wait for those that the worker leaves unanswered.
-/// Starts of it are sent seconds after the cancel was acknowledged.
-int cancelled_starts(rig::site& site)
+/// Workers leave every second order unanswered. One of them is emptied after starts were sent to
+/// it; those that it did not take are sent again, seconds after the entry VMs read that it drains.
+int draining_worker(rig::site& site)
 {
     constexpr int tasks = 20;
     constexpr std::int64_t late_ms = 5'500;
-    constexpr std::int64_t cancel_ms = 3'000;
+    constexpr std::int64_t allowed_ms = 2'000;
+    constexpr std::int64_t watched_ms = 10'000;
+    constexpr int worker = 0;
     if (!site.start()) {
         return not_run;
     }
@@ -262,34 +172,42 @@
         site.make_orders_late(late_ms);
     }
     const auto job = job_id(1);
-    const auto body = R"({"spec":"{\"work_ms\":20000}","steps":[{"count":)" +
-                      std::to_string(tasks) + R"(,"cpu":1500,"mem_mb":2000,"estimate_ms":20000}]})";
+    const auto body = R"({"spec":"{\"work_ms\":8000}","steps":[{"count":)" + std::to_string(tasks) +
+                      R"(,"cpu":1500,"mem_mb":2000,"estimate_ms":8000}]})";
     if (!site.submit_body(0, job, body)) {
         return not_run;
     }
-    pause_ms(200);
-    if (!site.cancel(1, job)) {
+    pause_ms(100);
+    site.drain_worker(worker);
+    pause_ms(1'000);
+    const auto told = site.last_told(worker);
+    if (told == 0) {
+        site.note("nobody has read that the worker drains");
         return not_run;
     }
-    const auto acknowledged = rig::now_ms();
-    pause_ms(15'000);
+    site.note("the last reader was told at " + std::to_string(told));
+    pause_ms(watched_ms);
     int begun = 0;
     int later = 0;
     std::int64_t latest = 0;
     for (const auto& event : site.events()) {
-        if (job_of(event.task) != job || event.what != "start") {
+        if (event.worker != rig::site::worker_name(worker) || event.what != "start") {
             continue;
         }
         ++begun;
-        const auto after = event.at_ms - acknowledged;
-        later += after > cancel_ms ? 1 : 0;
+        const auto after = event.at_ms - told;
+        later += after > allowed_ms ? 1 : 0;
         latest = std::max(latest, after);
     }
+    if (begun == 0) {
+        site.note("the worker was given nothing");
+        return not_run;
+    }
     return verdict(site, later > 0,
                    std::to_string(later) + " of " + std::to_string(begun) +
-                       " starts came later than cancel_ms after the acknowledgement of the " +
-                       "cancel, not counting orders that were carried out late; the last one " +
-                       std::to_string(latest) + " ms after it");
+                       " starts on the worker, not counting orders that it carried out late, " +
+                       "came later than drain_ms after the last reader was told that it drains; " +
+                       "the last one " + std::to_string(latest) + " ms after it");
 }
 
 /// A worker hangs until its lease is over, and its task, which is done there, is placed on another
@@ -386,20 +304,21 @@
     if (name == "waiting_count") {
         rig::site site{{}, folder, record};
         result = waiting_count(site);
-    } else if (name == "crashed_workers") {
-        rig::site site{{}, folder, record};
-        result = crashed_workers(site);
-    } else if (name == "cancelled_starts") {
-        rig::site site{{}, folder, record};
-        result = cancelled_starts(site);
+    } else if (name == "crashed_before_start") {
+        rig::site_options options;
+        options.workers = 16;
+        rig::site site{options, folder, record};
+        result = crashed_before_start(site);
+    } else if (name == "draining_worker") {
+        rig::site_options options;
+        options.workers = 16;
+        rig::site site{options, folder, record};
+        result = draining_worker(site);
     } else if (name == "start_after_completion") {
         rig::site_options options;
         options.workers = 16;
         rig::site site{options, folder, record};
         result = start_after_completion(site);
-    } else if (name == "failing_jobs") {
-        rig::site site{{}, folder, record};
-        result = failing_jobs(site);
     }
     if (std::getenv("KEEP") == nullptr) {
         std::filesystem::remove_all(folder);
--- a/review/rig-2/site.cpp
+++ b/review/rig-2/site.cpp
@@ -250,15 +250,16 @@
          " ms");
 }
 
-bool site::cancel(int vm, const std::string& job) const
+void site::drain_worker(int worker) const
 {
-    const auto answer =
-        call(vm_ports_.at(static_cast<std::size_t>(vm)).front, "DELETE", prefix + job,
-             {{"Host", host}, {"Key", key}, {"Deadline-Ms", "3000"}}, "", 3'000);
-    const auto status = answer ? answer->status : 0;
-    note("client DELETE " + job + " at vm-" + std::to_string(vm + 1) + " -> " +
-         std::to_string(status));
-    return (status >= 200 && status < 300) || status == 410;
+    (void)call(worker_ports_.at(static_cast<std::size_t>(worker)), "POST", "/rig/drain", {}, "{}",
+               1'000);
+    note("worker " + worker_name(worker) + " reports that it drains");
+}
+
+std::int64_t site::last_told(int worker) const
+{
+    return store_.last_told(worker_name(worker));
 }
 
 bool site::start()
--- a/review/rig-2/site.hpp
+++ b/review/rig-2/site.hpp
@@ -74,8 +74,10 @@
     void make_orders_late(std::int64_t for_ms) const;
     /// For so long the worker answers nothing and does nothing that it is told.
     void hang_worker(int worker, std::int64_t for_ms) const;
-    /// A client's DELETE; true for 2xx or 410.
-    [[nodiscard]] bool cancel(int vm, const std::string& job) const;
+    /// The worker reports that it drains. It serves on until it is killed.
+    void drain_worker(int worker) const;
+    /// When the last of the readers of its registration was told of the newest one; 0 if none was.
+    [[nodiscard]] std::int64_t last_told(int worker) const;
 
     /// All that the workers have written so far.
     [[nodiscard]] std::vector<run_event> events() const;
--- a/review/rig-2/store.cpp
+++ b/review/rig-2/store.cpp
@@ -98,6 +98,16 @@
     }
 }
 
+std::int64_t store::last_told(const std::string& worker)
+{
+    const std::lock_guard lock{mutex_};
+    const auto told = told_.find(worker);
+    const auto row = rows_.find({"servers", "", worker});
+    const bool newest =
+        told != told_.end() && row != rows_.end() && row->second.version == told->second.first;
+    return newest ? told->second.second : 0;
+}
+
 void store::expire_registrations()
 {
     const std::lock_guard lock{mutex_};
@@ -238,6 +248,9 @@
     json rows = json::array();
     for (auto& [version, changed] : news) {
         for (auto& row : changed) {
+            if (table == "servers") {
+                told_[row.value("key", "")] = {version, now_ms()};
+            }
             rows.push_back(std::move(row));
         }
     }
--- a/review/rig-2/store.hpp
+++ b/review/rig-2/store.hpp
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <string>
 #include <tuple>
+#include <utility>
 
 /// The platform's row store: transactions, ranges and feeds over rows in memory. It serves every
 /// call; a transaction takes a few milliseconds.
@@ -28,6 +29,10 @@
     /// A worker's registration. It goes after three intervals without another one.
     void beat(const std::string& worker, const std::string& entry, int interval_ms);
 
+    /// When the newest registration of this worker was last handed out for the first time to a
+    /// reader that follows the changes; 0 if it was to none.
+    std::int64_t last_told(const std::string& worker);
+
 private:
     struct stored {
         std::string value{};
@@ -52,6 +57,8 @@
     std::condition_variable changed_;
     std::map<row_key, stored> rows_;
     std::map<std::string, registration> registrations_;
+    /// By worker: the version of its registration, and when a reader got it last.
+    std::map<std::string, std::pair<std::uint64_t, std::int64_t>> told_;
     std::uint64_t version_ = 1;
 };
 
--- a/review/rig-2/worker.cpp
+++ b/review/rig-2/worker.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <cstdio>
 #include <deque>
@@ -21,6 +22,9 @@
 
 using json = nlohmann::json;
 
+/// How long a worker serves at least after it has reported that it drains.
+constexpr std::int64_t drain_ms = 2'000;
+
 struct running_task {
     std::uint64_t run = 0;
     std::int64_t began_ms = 0;
@@ -69,23 +73,26 @@
         return now_ms() - started_;
     }
 
-    void beat() const
+    void beat()
     {
+        const bool drains = drains_;
         // Fields that change with each heartbeat are left out: the entry changes when others do.
-        const json entry{
-            {"service", options_.service},
-            {"address", "127.0.0.1:" + std::to_string(options_.port)},
-            {"zone", "zone-a"},
-            {"version", "v1"},
-            {"slots", 8},
-            {"state", "ready"},
-            {"cold_left_ms", 0},
-            {"capacity",
-             {{"cpu", options_.cpu}, {"mem_mb", options_.memory}, {"gpu", options_.gpu}}},
-            {"labels", {"a", options_.rack}},
-            {"born", born_},
-            {"clock_ms", 0},
-            {"sequence", 1}};
+        json entry{{"service", options_.service},
+                   {"address", "127.0.0.1:" + std::to_string(options_.port)},
+                   {"zone", "zone-a"},
+                   {"version", "v1"},
+                   {"slots", 8},
+                   {"state", drains ? "draining" : "ready"},
+                   {"cold_left_ms", 0},
+                   {"capacity",
+                    {{"cpu", options_.cpu}, {"mem_mb", options_.memory}, {"gpu", options_.gpu}}},
+                   {"labels", {"a", options_.rack}},
+                   {"born", born_},
+                   {"clock_ms", 0},
+                   {"sequence", 1}};
+        if (drains) {
+            entry["remaining_ms"] = drain_ms;
+        }
         (void)call(options_.store_port, "POST",
                    "/rig/beat?worker=" + options_.id +
                        "&interval_ms=" + std::to_string(options_.beat_ms),
@@ -165,10 +172,15 @@
             hang_until_ = now_ms() + body.value("for_ms", std::int64_t{0});
             return reply(200, {});
         }
+        if (asked.path == "/rig/drain") {
+            drains_ = true;
+            beat();
+            return reply(200, {});
+        }
         if (hangs()) {
             return {};
         }
-        if (const auto delay = delay_of_order()) {
+        if (const auto delay = delay_of_order(asked.path)) {
             std::thread{[this, path = asked.path, body, late_by = *delay] {
                 std::this_thread::sleep_for(std::chrono::milliseconds{late_by});
                 (void)carry_out(path, body, true);
@@ -185,17 +197,18 @@
         return now_ms() < hang_until_;
     }
 
-    /// While orders are left unanswered, every second one is, and is carried out this much later.
-    std::optional<std::int64_t> delay_of_order()
+    /// While orders are left unanswered, every second one of each kind is, and is carried out this
+    /// much later.
+    std::optional<std::int64_t> delay_of_order(const std::string& path)
     {
         const std::lock_guard lock{mutex_};
-        if (now_ms() >= late_until_ || ++orders_ % 2 == 0) {
+        if (now_ms() >= late_until_ || ++orders_[path] % 2 == 0) {
             return std::nullopt;
         }
         constexpr std::int64_t shortest = 2'500;
         constexpr std::int64_t step = 1'300;
         constexpr std::int64_t delays = 8;
-        return shortest + step * (orders_ / 2 % delays);
+        return shortest + step * (orders_[path] / 2 % delays);
     }
 
     response carry_out(const std::string& path, const json& body, bool late)
@@ -296,7 +309,8 @@
     std::int64_t lease_ = 0;
     std::int64_t late_until_ = 0;
     std::int64_t hang_until_ = 0;
-    std::int64_t orders_ = 0;
+    std::atomic<bool> drains_{false};
+    std::map<std::string, std::int64_t> orders_;
 };
 
 } // namespace
--- a/review/rig-2/worker.hpp
+++ b/review/rig-2/worker.hpp
@@ -6,8 +6,9 @@
 /// One worker in a process of its own, as the users' pages describe it: runs under a lease, fencing
 /// tokens, numbered ends. A task works for as long as its spec says: {"work_ms":N}; with
 /// "fails":true it then fails. Its capacity isn't guarded. Disruptions, each {"for_ms":N}:
-/// - POST /rig/late: every second order gets no answer and is carried out 2.5 to 11.6 s after it
-/// came;
+/// - POST /rig/late: every second order of a kind gets no answer and is carried out 2.5 to 11.6 s
+/// after it came;
+/// - POST /rig/drain, {}: it reports that it drains, and serves on;
 /// - POST /rig/hang: no order gets an answer, and nothing is done for it; tasks go on.
 namespace rig
 {
