--- a/review/rig-2/cases.cpp
+++ b/review/rig-2/cases.cpp
@@ -336,7 +336,7 @@
         result = draining_worker(site);
     } else if (name == "start_after_completion") {
         rig::site_options options;
-        options.workers = 16;
+        options.workers = 20;
         rig::site site{options, folder, record};
         result = start_after_completion(site);
     }
