Logs: when a start leaves the VM, and whether one that was not taken ever did

Cause: start_sent is written when a start is handed to the HTTP client, where it may wait for a connection for up to 2.5 s; start_not_taken said `unanswered` of a refused connection and of a lost answer alike. So the logs could not tell a start that waits here from one that is delayed on the way or at the worker.

Change: http_call::may_leave is asked right before the first byte leaves (the library's pre-request hook) and can withdraw the call; the leader only notes the time so far. order_outcome::not_sent is told apart from unanswered. start_left_late has waited_ms; start_not_taken has refused and left_after_ms. The leader decides as before: a start that was not sent is sent again like one without an answer.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -459,7 +459,9 @@
     [[nodiscard]] std::size_t adopt_placed(job_entry& entry);
     void adopt(job_entry& entry, const batch::task_ref& ref);
     void send_start(const run_key& key);
-    void receive_start(const run_key& key, std::uint32_t number, const order_sending& sent,
+    /// A start leaves: it has a connection to the worker.
+    void note_start_leaves(const run_key& key, std::uint32_t number, start_sending& sent) const;
+    void receive_start(const run_key& key, std::uint32_t number, const start_sending& sent,
                        const fleet::order_reply& reply);
     void retry_orders(worker_state& worker);
     [[nodiscard]] live_run* find_run(const run_key& key);
--- a/src/control/leader_starts.cpp
+++ b/src/control/leader_starts.cpp
@@ -17,6 +17,8 @@
 /// max_start_sends sends in total.
 constexpr base::milliseconds start_retry{50};
 constexpr std::uint32_t max_start_sends = 4;
+/// A start that waits for a connection for longer than this is logged when it leaves.
+constexpr base::milliseconds notable_wait{100};
 
 } // namespace
 
@@ -154,22 +156,43 @@
                             {"resumes", !order.checkpoint.empty()},
                             {"planned_ms_ago", base::milliseconds_between(run->planned_at, now)},
                             {"try", run->sends}});
-    ports_.orders->start(
-        std::move(order),
-        [this, alive = alive_, key, number = run->run,
-         sent = order_sending{now, worker.facts.life.started_at}](const fleet::order_reply& reply) {
-            if (*alive) {
-                receive_start(key, number, sent, reply);
-            }
-        });
+    const auto sent =
+        std::make_shared<start_sending>(start_sending{{now, worker.facts.life.started_at}, {}});
+    order.may_leave = [this, alive = alive_, key, number = run->run, sent] {
+        if (*alive) {
+            note_start_leaves(key, number, *sent);
+        }
+        return true;
+    };
+    ports_.orders->start(std::move(order), [this, alive = alive_, key, number = run->run,
+                                            sent](const fleet::order_reply& reply) {
+        if (*alive) {
+            receive_start(key, number, *sent, reply);
+        }
+    });
+}
+
+void leader::note_start_leaves(const run_key& key, std::uint32_t number, start_sending& sent) const
+{
+    const auto now = ports_.time->now();
+    sent.left_at = sent.left_at.value_or(now);
+    if (now - sent.at > notable_wait) {
+        log.info("start_left_late", {{"task", key.task},
+                                     {"run", number},
+                                     {"worker", key.worker},
+                                     {"epoch", epoch_},
+                                     {"waited_ms", base::milliseconds_between(sent.at, now)}});
+    }
 }
 
-void leader::receive_start(const run_key& key, std::uint32_t number, const order_sending& sent,
+void leader::receive_start(const run_key& key, std::uint32_t number, const start_sending& sent,
                            const fleet::order_reply& reply)
 {
+    constexpr std::int64_t never = -1;
     const auto now = ports_.time->now();
     const auto found = workers_.find(key.worker);
-    if (reply.outcome != fleet::order_outcome::unanswered) {
+    if (reply.outcome != fleet::order_outcome::unanswered &&
+        reply.outcome != fleet::order_outcome::not_sent) {
         pacing_.record(now, base::milliseconds{base::milliseconds_between(sent.at, now)});
     }
     if (found != workers_.end() && reply.worker_ms &&
@@ -185,16 +208,20 @@
     // Of an earlier one, the reply says nothing of what another sending begins in the current one.
     const bool same_incarnation = worker.facts.life.started_at == sent.incarnation;
     if (reply.outcome != fleet::order_outcome::accepted) {
-        log.warning("start_not_taken", {{"job", run->job},
-                                        {"task", key.task},
-                                        {"run", number},
-                                        {"worker", key.worker},
-                                        {"outcome", fleet::name_of(reply.outcome)},
-                                        {"status", reply.status},
-                                        {"has_clock", reply.worker_ms.has_value()},
-                                        {"same_incarnation", same_incarnation},
-                                        {"sent_ms_ago", base::milliseconds_between(sent.at, now)},
-                                        {"try", run->sends}});
+        log.warning("start_not_taken",
+                    {{"job", run->job},
+                     {"task", key.task},
+                     {"run", number},
+                     {"worker", key.worker},
+                     {"outcome", fleet::name_of(reply.outcome)},
+                     {"status", reply.status},
+                     {"has_clock", reply.worker_ms.has_value()},
+                     {"same_incarnation", same_incarnation},
+                     {"refused", reply.connection_refused},
+                     {"left_after_ms",
+                      sent.left_at ? base::milliseconds_between(sent.at, *sent.left_at) : never},
+                     {"sent_ms_ago", base::milliseconds_between(sent.at, now)},
+                     {"try", run->sends}});
     }
     switch (reply.outcome) {
     case fleet::order_outcome::accepted:
@@ -210,6 +237,7 @@
         }
         return;
     case fleet::order_outcome::unanswered:
+    case fleet::order_outcome::not_sent:
         // retry_orders sends it again.
         return;
     case fleet::order_outcome::fenced:
--- a/src/control/leader_workers.cpp
+++ b/src/control/leader_workers.cpp
@@ -101,7 +101,9 @@
     const base::milliseconds took{base::milliseconds_between(sent, now)};
     // A poll that was answered before its wait was over shows no time: when the run ended is not
     // known.
-    if (reply.outcome != fleet::order_outcome::unanswered && took >= wait) {
+    const bool answered = reply.outcome != fleet::order_outcome::unanswered &&
+                          reply.outcome != fleet::order_outcome::not_sent;
+    if (answered && took >= wait) {
         pacing_.record(now, took - wait);
     }
 }
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -119,6 +119,12 @@
     std::uint64_t incarnation = 0;
 };
 
+/// One sending of the start of a run.
+struct start_sending : order_sending {
+    /// When it left this VM for the first time; empty while it waits for a connection.
+    std::optional<base::time_point> left_at{};
+};
+
 /// Records the clock in a worker's reply to an order, unless another incarnation is known by now:
 /// the clock may be that of the earlier one. A clock that is earlier than a recorded one makes the
 /// incarnation uncertain.
--- a/src/fleet/worker_orders.hpp
+++ b/src/fleet/worker_orders.hpp
@@ -23,6 +23,11 @@
     std::string address{};
 };
 
+/// Asked right before an order leaves this VM, which may be seconds after it was handed over: it
+/// waits for a connection until then. False withdraws the order. It gives no orders itself, and may
+/// be asked again when a connection breaks. An empty one withdraws nothing.
+using order_check = std::function<bool()>;
+
 /// How a worker took an order.
 enum class order_outcome : std::uint8_t {
     accepted,
@@ -41,6 +46,9 @@
     malformed,
     /// No answer: it may have been carried out, or may be carried out seconds later.
     unanswered,
+    /// It has not left: it was withdrawn, or there was no connection in time. It is not carried
+    /// out.
+    not_sent,
 };
 
 [[nodiscard]] std::string_view name_of(order_outcome outcome);
@@ -54,6 +62,7 @@
     std::int64_t lease_until = 0;
     std::uint64_t token = 0;
     std::string checkpoint{};
+    order_check may_leave{};
 };
 
 struct stop_order {
@@ -69,6 +78,10 @@
     std::optional<std::int64_t> worker_ms{};
     /// HTTP status of the answer; 0 without one.
     std::uint16_t status = 0;
+    /// The connection was refused, by the host or by anything on the way to it.
+    bool connection_refused = false;
+    /// Its `may_leave` has withdrawn it.
+    bool withdrawn = false;
 };
 
 /// Asks what a worker runs and what has ended there, and may extend its lease.
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -29,6 +29,10 @@
     /// the call is lost. Another process may serve the address by then, and the answer to the
     /// second sending says nothing about the first. For calls with a body.
     bool once = false;
+    /// Asked on the client's thread right before the first byte leaves, each time that the library
+    /// sends the request: until then the call has waited for a connection, perhaps for long. False
+    /// withdraws the call. Sends no calls itself; may be empty.
+    std::function<bool()> may_leave{};
     /// What the bytes are for, in the client's account; a string literal.
     std::string_view purpose = "work";
     std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
@@ -53,6 +57,8 @@
     std::string failure{};
     /// The host refused the connection: no process listens at the address.
     bool connection_refused = false;
+    /// `may_leave` has withdrawn the call.
+    bool withdrawn = false;
     /// The library sent the body a second time, on a new connection.
     bool resent = false;
     base::microseconds elapsed{0};
--- a/src/net/internal/exchange.cpp
+++ b/src/net/internal/exchange.cpp
@@ -32,6 +32,14 @@
     return CURL_SEEKFUNC_OK;
 }
 
+int ask_before_sending(void* context, char* /*remote_address*/, char* /*local_address*/,
+                       int /*remote_port*/, int /*local_port*/)
+{
+    auto& current = *static_cast<exchange*>(context);
+    current.reply.withdrawn = current.call.may_leave && !current.call.may_leave();
+    return current.reply.withdrawn ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t write_body(char* data, std::size_t size, std::size_t count, void* context)
 {
     auto& current = *static_cast<exchange*>(context);
@@ -98,7 +106,8 @@
         return delivery::answered;
     }
     const bool sends_body = current.call.method != "GET" && current.call.method != "DELETE";
-    const bool never_sent = sends_body ? !current.body_asked : code == CURLE_COULDNT_CONNECT;
+    const bool never_sent =
+        sends_body ? !current.body_asked : code == CURLE_COULDNT_CONNECT || current.reply.withdrawn;
     return never_sent ? delivery::not_sent : delivery::lost;
 }
 
@@ -134,6 +143,8 @@
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &current);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &current);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, ask_before_sending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &current);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &current);
     set_body_options(current);
 }
--- a/standins/site_standin/worker_wire.cpp
+++ b/standins/site_standin/worker_wire.cpp
@@ -87,6 +87,7 @@
     case order_outcome::accepted:
         return json_response(200, body);
     case order_outcome::unanswered:
+    case order_outcome::not_sent:
         return std::nullopt;
     case order_outcome::unavailable:
         return json_response(503, body);
--- a/tests/platform/worker_wire_test.cpp
+++ b/tests/platform/worker_wire_test.cpp
@@ -106,6 +106,20 @@
     EXPECT_EQ(internal::decode_look(lost).outcome, fleet::order_outcome::unanswered);
 }
 
+// A start whose connection was refused passed for one that might run.
+TEST(worker_client, AnOrderThatDidNotLeaveIsNoLostAnswer)
+{
+    net::http_reply unsent;
+    unsent.outcome = net::delivery::not_sent;
+    unsent.connection_refused = true;
+
+    const auto reply = internal::decode_order(unsent);
+
+    EXPECT_EQ(reply.outcome, fleet::order_outcome::not_sent);
+    EXPECT_TRUE(reply.connection_refused);
+    EXPECT_FALSE(reply.withdrawn);
+}
+
 TEST(worker_client, ALookBringsBothLists)
 {
     const auto reply = internal::decode_look(answered(200, R"({"clock_ms":482113,"born":9,
--- a/tests/support/fake_workers.hpp
+++ b/tests/support/fake_workers.hpp
@@ -134,6 +134,12 @@
     std::function<void(const std::string& worker)> on_no_lease = [](const std::string& /*worker*/) {
     };
 
+    /// How long an order waits for a connection before it leaves the VM.
+    std::function<base::milliseconds(const std::string& worker, const std::string& order)>
+        connection_wait = [](const std::string& /*worker*/, const std::string& /*order*/) {
+            return base::milliseconds{0};
+        };
+
     base::milliseconds latency{1};
     base::milliseconds gang_wait{3'000};
     base::milliseconds late_by{4'000};
@@ -262,12 +268,19 @@
         made.start = [this](const fleet::start_order& order,
                             const std::function<void(fleet::order_reply)>& reply) {
             const auto id = order.to.life.worker;
-            handle<fleet::order_reply>(id, "start", reply, [this, order] { return start(order); });
+            leave(id, order.may_leave, reply, connection_wait(id, "start"),
+                  [this, id, order, reply] {
+                      handle<fleet::order_reply>(id, "start", reply,
+                                                 [this, order] { return start(order); });
+                  });
         };
         made.stop = [this](const fleet::stop_order& order,
                            const std::function<void(fleet::order_reply)>& reply) {
             const auto id = order.to.life.worker;
-            handle<fleet::order_reply>(id, "stop", reply, [this, order] { return stop(order); });
+            leave(id, {}, reply, connection_wait(id, "stop"), [this, id, order, reply] {
+                handle<fleet::order_reply>(id, "stop", reply,
+                                           [this, order] { return stop(order); });
+            });
         };
         made.look = [this](fleet::look_order order, std::function<void(fleet::look_reply)> reply) {
             look(std::move(order), std::move(reply));
@@ -372,6 +385,31 @@
         });
     }
 
+    /// Lets an order leave once it has a connection, unless it is withdrawn by then or the host
+    /// refuses the connection.
+    void leave(const std::string& id, const fleet::order_check& may_leave,
+               const std::function<void(fleet::order_reply)>& reply, base::milliseconds wait,
+               const std::function<void()>& hand_over)
+    {
+        if (wait > base::milliseconds{0}) {
+            time_.after(wait, [this, id, may_leave, reply, hand_over] {
+                leave(id, may_leave, reply, base::milliseconds{0}, hand_over);
+            });
+            return;
+        }
+        const bool refused = machines_.at(id).refuses;
+        const bool withdrawn = !refused && may_leave && !may_leave();
+        if (!refused && !withdrawn) {
+            hand_over();
+            return;
+        }
+        fleet::order_reply unsent;
+        unsent.outcome = fleet::order_outcome::not_sent;
+        unsent.connection_refused = refused;
+        unsent.withdrawn = withdrawn;
+        time_.after(latency, [reply, unsent] { reply(unsent); });
+    }
+
     template <class Reply>
     void handle(const std::string& id, const std::string& order, std::function<void(Reply)> reply,
                 std::function<Reply()> carry_out)
