--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -453,19 +453,30 @@
     void stop_failed_job(job_entry& entry, const std::string& task, failure_cause cause);
 
     // Starts of runs (leader_starts.cpp).
-    /// True when a start that is planned or under way may still be sent; logs why not.
-    [[nodiscard]] bool may_send_start(const worker_state& worker, const std::string& task,
-                                      const live_run& run) const;
     [[nodiscard]] std::size_t adopt_placed(job_entry& entry);
     void adopt(job_entry& entry, const batch::task_ref& ref);
     void send_start(const run_key& key);
-    /// A start leaves: it has a connection to the worker.
-    void note_start_leaves(const run_key& key, std::uint32_t number, start_sending& sent) const;
-    void receive_start(const run_key& key, std::uint32_t number, const start_sending& sent,
+    void receive_start(const run_key& key, std::uint32_t number, start_sending& sent,
                        const fleet::order_reply& reply);
     void retry_orders(worker_state& worker);
     [[nodiscard]] live_run* find_run(const run_key& key);
 
+    // Whether starts may be sent (leader_start_checks.cpp).
+    /// True when the worker has room for a start that is planned or under way; logs why not.
+    [[nodiscard]] bool may_send_start(const worker_state& worker, const std::string& task,
+                                      const live_run& run) const;
+    /// Why a start that waits for a connection is not wanted any more; empty while it is.
+    [[nodiscard]] std::string_view why_obsolete(const run_key& key, std::uint32_t number,
+                                                const start_sending& sent);
+    /// Notes that a sending of a start leaves, or has left; once for each sending.
+    static void note_departure(live_run& run, start_sending& sent, base::time_point at);
+    /// Asked when a start has a connection to its worker. Notes that it leaves, or withdraws it.
+    [[nodiscard]] bool may_start_leave(const run_key& key, std::uint32_t number,
+                                       start_sending& sent);
+    /// Ends a run whose start has not left, unless another sending may have.
+    void receive_unsent_start(worker_state& worker, const run_key& key, live_run& run,
+                              const start_sending& sent, const fleet::order_reply& reply);
+
     // Stops of runs (leader_stops.cpp).
     /// Time without an acknowledgement after which a stop is sent again.
     [[nodiscard]] base::milliseconds stop_retry_after(const live_run& run) const;
--- a/src/control/leader_starts.cpp
+++ b/src/control/leader_starts.cpp
@@ -1,7 +1,6 @@
 #include "control/leader.hpp"
 
 #include "base/event_line.hpp"
-#include "control/worker_room.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -17,8 +16,6 @@
 /// max_start_sends sends in total.
 constexpr base::milliseconds start_retry{50};
 constexpr std::uint32_t max_start_sends = 4;
-/// A start that waits for a connection for longer than this is logged when it leaves.
-constexpr base::milliseconds notable_wait{100};
 
 } // namespace
 
@@ -82,39 +79,6 @@
     return run == worker->second->runs.end() ? nullptr : &run->second;
 }
 
-bool leader::may_send_start(const worker_state& worker, const std::string& task,
-                            const live_run& run) const
-{
-    const auto room = room_of(worker);
-    const bool fits = room.fits(worker.facts.capacity);
-    if (fits && is_capacity_known(worker)) {
-        return true;
-    }
-    const auto now = ports_.time->now();
-    const auto& capacity = worker.facts.capacity;
-    const auto* const cause = !room.known ? "unknown_runs"
-                              : fits      ? "registrations_too_old"
-                                          : "over_capacity";
-    log.warning("start_held_back",
-                {{"job", run.job},
-                 {"task", task},
-                 {"run", run.run},
-                 {"worker", worker.facts.life.worker},
-                 {"cause", cause},
-                 {"cpu_milli", capacity.cpu_milli},
-                 {"memory_mb", capacity.memory_mb},
-                 {"accelerators", capacity.accelerators},
-                 {"used_cpu_milli", room.in_use.cpu_milli},
-                 {"used_memory_mb", room.in_use.memory_mb},
-                 {"used_accelerators", room.in_use.accelerators},
-                 {"capacity_read_ms_ago", base::milliseconds_between(worker.registered_at, now)},
-                 {"confirmed_ms_ago", base::milliseconds_between(registrations_seen_at_, now)},
-                 {"unknown_runs", room.unknown_runs},
-                 {"planned_ms_ago", base::milliseconds_between(run.planned_at, now)},
-                 {"sends", run.sends}});
-    return false;
-}
-
 void leader::send_start(const run_key& key)
 {
     auto* const run = find_run(key);
@@ -159,10 +123,7 @@
     const auto sent =
         std::make_shared<start_sending>(start_sending{{now, worker.facts.life.started_at}, {}});
     order.may_leave = [this, alive = alive_, key, number = run->run, sent] {
-        if (*alive) {
-            note_start_leaves(key, number, *sent);
-        }
-        return true;
+        return *alive && may_start_leave(key, number, *sent);
     };
     ports_.orders->start(std::move(order), [this, alive = alive_, key, number = run->run,
                                             sent](const fleet::order_reply& reply) {
@@ -172,20 +133,7 @@
     });
 }
 
-void leader::note_start_leaves(const run_key& key, std::uint32_t number, start_sending& sent) const
-{
-    const auto now = ports_.time->now();
-    sent.left_at = sent.left_at.value_or(now);
-    if (now - sent.at > notable_wait) {
-        log.info("start_left_late", {{"task", key.task},
-                                     {"run", number},
-                                     {"worker", key.worker},
-                                     {"epoch", epoch_},
-                                     {"waited_ms", base::milliseconds_between(sent.at, now)}});
-    }
-}
-
-void leader::receive_start(const run_key& key, std::uint32_t number, const start_sending& sent,
+void leader::receive_start(const run_key& key, std::uint32_t number, start_sending& sent,
                            const fleet::order_reply& reply)
 {
     constexpr std::int64_t never = -1;
@@ -205,23 +153,27 @@
     }
     auto& worker = *found->second;
     run->starts_under_way -= run->starts_under_way > 0 ? 1 : 0;
+    if (reply.outcome != fleet::order_outcome::not_sent) {
+        note_departure(*run, sent, sent.at);
+    }
     // Of an earlier one, the reply says nothing of what another sending begins in the current one.
     const bool same_incarnation = worker.facts.life.started_at == sent.incarnation;
     if (reply.outcome != fleet::order_outcome::accepted) {
-        log.warning("start_not_taken",
-                    {{"job", run->job},
-                     {"task", key.task},
-                     {"run", number},
-                     {"worker", key.worker},
-                     {"outcome", fleet::name_of(reply.outcome)},
-                     {"status", reply.status},
-                     {"has_clock", reply.worker_ms.has_value()},
-                     {"same_incarnation", same_incarnation},
-                     {"refused", reply.connection_refused},
-                     {"left_after_ms",
-                      sent.left_at ? base::milliseconds_between(sent.at, *sent.left_at) : never},
-                     {"sent_ms_ago", base::milliseconds_between(sent.at, now)},
-                     {"try", run->sends}});
+        log.warning(
+            "start_not_taken",
+            {{"job", run->job},
+             {"task", key.task},
+             {"run", number},
+             {"worker", key.worker},
+             {"outcome", fleet::name_of(reply.outcome)},
+             {"status", reply.status},
+             {"has_clock", reply.worker_ms.has_value()},
+             {"same_incarnation", same_incarnation},
+             {"refused", reply.connection_refused},
+             {"left_after_ms",
+              sent.departed_at ? base::milliseconds_between(sent.at, *sent.departed_at) : never},
+             {"sent_ms_ago", base::milliseconds_between(sent.at, now)},
+             {"try", run->sends}});
     }
     switch (reply.outcome) {
     case fleet::order_outcome::accepted:
@@ -237,9 +189,11 @@
         }
         return;
     case fleet::order_outcome::unanswered:
-    case fleet::order_outcome::not_sent:
         // retry_orders sends it again.
         return;
+    case fleet::order_outcome::not_sent:
+        receive_unsent_start(worker, key, *run, sent, reply);
+        return;
     case fleet::order_outcome::fenced:
         confirm_leases();
         return;
--- a/src/control/run_evidence.hpp
+++ b/src/control/run_evidence.hpp
@@ -28,9 +28,11 @@
     stopped_before_sent,
     /// The worker's capacity shrank, or was no longer known, before the start was sent.
     capacity_gone_before_sent,
+    /// No start of it has left this VM, and none will.
+    start_never_left,
 };
 
-inline constexpr std::size_t run_evidence_count = 9;
+inline constexpr std::size_t run_evidence_count = 10;
 
 /// Name in logs and metrics.
 [[nodiscard]] std::string_view name_of(run_evidence evidence);
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -42,6 +42,12 @@
     return names.at(static_cast<std::size_t>(why));
 }
 
+bool has_departed(const live_run& run)
+{
+    const bool sent_by_earlier_leader = run.sends == 0 && run.order != order_state::unsent;
+    return sent_by_earlier_leader || run.departed_starts > 0 || run.order == order_state::accepted;
+}
+
 bool belongs_to_current_incarnation(const live_run& run)
 {
     return run.listed && run.sends <= 1;
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -72,6 +72,10 @@
     bool taken_by_later_incarnation = false;
     /// Starts that were sent and are not answered.
     std::uint32_t starts_under_way = 0;
+    /// Starts that have left this VM; the others waited for a connection in vain, or still do.
+    std::uint32_t departed_starts = 0;
+    /// When the first of them left; valid while there is one.
+    base::time_point first_departed_at{};
     stop_reason stopping = stop_reason::none;
     base::time_point stop_sent_at{};
     bool stop_under_way = false;
@@ -91,6 +95,10 @@
     batch::crash_evidence evidence{};
 };
 
+/// True when a start of the run may have reached its worker: one has left this VM, or an earlier
+/// leader sent it.
+[[nodiscard]] bool has_departed(const live_run& run);
+
 /// True when the run began in the worker's current incarnation and no order to start it can reach a
 /// later one, so that the run ends with that incarnation.
 [[nodiscard]] bool belongs_to_current_incarnation(const live_run& run);
@@ -121,8 +129,8 @@
 
 /// One sending of the start of a run.
 struct start_sending : order_sending {
-    /// When it left this VM for the first time; empty while it waits for a connection.
-    std::optional<base::time_point> left_at{};
+    /// When it left this VM; empty while it waits for a connection.
+    std::optional<base::time_point> departed_at{};
 };
 
 /// Records the clock in a worker's reply to an order, unless another incarnation is known by now:
