A start that never left is no run under which its worker crashed (LOST)

Cause: the client knows that a connection was refused and nothing left; the leader took it for a start without an answer. runs_under_crash then counted each start that had been handed over before the first poll was given up as one that may have begun, and the fourth such crash gives a job up.

Change: two questions, two answers. Whether a run may be there rests on whether a start of it has left this VM (has_departed); only then does a crash count under it, dated by when it left. A start that found no connection shows that nobody listens there now: the worker counts as silent at once, a poll asks it, and a run of which nothing has left ends and is planned elsewhere without a wait. If the worker has answered since the start was handed over, it may refuse some connections only, and the start is sent again as before. A task that crashes its worker before the start is answered is still given up in time: its start has left.

--- a/src/control/leader.hpp
+++ b/src/control/leader.hpp
@@ -473,6 +473,8 @@
     /// Asked when a start has a connection to its worker. Notes that it leaves, or withdraws it.
     [[nodiscard]] bool may_start_leave(const run_key& key, std::uint32_t number,
                                        start_sending& sent);
+    /// Logs that a worker falls silent because an order found no connection to it.
+    static void log_unreached(const worker_state& worker, const fleet::order_reply& reply);
     /// Ends a run whose start has not left, unless another sending may have.
     void receive_unsent_start(worker_state& worker, const run_key& key, live_run& run,
                               const start_sending& sent, const fleet::order_reply& reply);
--- a/src/control/leader_registrations.cpp
+++ b/src/control/leader_registrations.cpp
@@ -215,8 +215,7 @@
     const auto crashed = take_crashed_runs(worker);
     std::vector<std::string> ended_tasks;
     for (auto& [task, run] : worker.runs) {
-        const bool may_begin_later =
-            run.order != order_state::unsent && !belongs_to_current_incarnation(run);
+        const bool may_begin_later = has_departed(run) && !belongs_to_current_incarnation(run);
         if (may_begin_later) {
             // The order to start may have reached the new incarnation or may still reach it; the
             // resources stay reserved until the run is forbidden there.
--- a/src/control/leader_start_checks.cpp
+++ b/src/control/leader_start_checks.cpp
@@ -111,6 +111,15 @@
     return true;
 }
 
+void leader::log_unreached(const worker_state& worker, const fleet::order_reply& reply)
+{
+    if (worker.unanswered_polls == 0) {
+        log.warning("worker_unreached", {{"worker", worker.facts.life.worker},
+                                         {"refused", reply.connection_refused},
+                                         {"runs", worker.runs.size()}});
+    }
+}
+
 void leader::receive_unsent_start(worker_state& worker, const run_key& key, live_run& run,
                                   const start_sending& sent, const fleet::order_reply& reply)
 {
@@ -118,8 +127,17 @@
         // It began to leave on a connection that broke before the whole of it was sent.
         --run.departed_starts;
     }
+    const auto now = ports_.time->now();
+    // A worker that has answered since may refuse some connections only.
+    const bool unreached = !reply.withdrawn && sent.at >= worker.answered_at &&
+                           sent.incarnation == worker.facts.life.started_at;
+    if (unreached) {
+        log_unreached(worker, reply);
+        // Nobody listens there now; before that a start of another run may have begun.
+        note_unreached(worker, now, now);
+    }
     const bool never_begins = !has_departed(run) && run.starts_under_way == 0;
-    const bool given_up = reply.withdrawn || run.stopping != stop_reason::none;
+    const bool given_up = unreached || reply.withdrawn || run.stopping != stop_reason::none;
     if (never_begins && given_up && !lost_ && !handing_back_) {
         end_run(worker, key.task, batch::run_end::lost, {}, run_evidence::start_never_left);
     }
--- a/src/control/leader_starts.cpp
+++ b/src/control/leader_starts.cpp
@@ -99,7 +99,6 @@
     }
     const auto now = ports_.time->now();
     run->order = order_state::sent;
-    run->first_sent_at = run->sends == 0 ? now : run->first_sent_at;
     run->sent_at = now;
     ++run->starts_under_way;
     ++run->sends;
@@ -209,10 +208,7 @@
         // Whoever answered, it was not the worker, which gets nothing else until it answers a poll.
         if (same_incarnation && sent.at >= worker.answered_at) {
             note_address_taken(worker);
-            worker.silent_since = worker.unanswered_polls > 0 ? worker.silent_since : sent.at;
-            worker.unanswered_polls = std::max(worker.unanswered_polls, 1U);
-            worker.urgent_poll = true;
-            worker.next_poll_at = now;
+            note_unreached(worker, sent.at, now);
         }
         break;
     default:
--- a/src/control/worker_state.cpp
+++ b/src/control/worker_state.cpp
@@ -18,7 +18,8 @@
 /// in a later incarnation.
 bool sent_in_silence(const live_run& run, const worker_state& worker, base::time_point silent_since)
 {
-    return worker.unanswered_polls > 0 && run.sends > 0 && run.first_sent_at >= silent_since;
+    return worker.unanswered_polls > 0 && run.departed_starts > 0 &&
+           run.first_departed_at >= silent_since;
 }
 
 batch::crash_evidence evidence_of(const live_run& run, base::time_point silent_since)
@@ -27,7 +28,7 @@
     // The start of an adopted run was sent by an earlier leader at an unknown time.
     // A start without an answer may never have reached the worker.
     const bool start_known = run.sends > 0 && run.order == order_state::accepted;
-    evidence.at_start = start_known && silent_since - run.first_sent_at <= start_window;
+    evidence.at_start = start_known && silent_since - run.first_departed_at <= start_window;
     evidence.after_long_work =
         run.order == order_state::accepted && silent_since - run.accepted_at >= long_work;
     return evidence;
@@ -53,6 +54,14 @@
     return run.listed && run.sends <= 1;
 }
 
+void note_unreached(worker_state& worker, base::time_point since, base::time_point now)
+{
+    worker.silent_since = worker.unanswered_polls > 0 ? worker.silent_since : since;
+    worker.unanswered_polls = std::max(worker.unanswered_polls, 1U);
+    worker.urgent_poll = true;
+    worker.next_poll_at = now;
+}
+
 void count_unanswered_poll(worker_state& worker, const unanswered_poll& poll)
 {
     if (worker.unanswered_polls == 0) {
@@ -71,8 +80,7 @@
     const auto silent_since = worker.unanswered_polls > 0 ? worker.silent_since : now;
     std::vector<crashed_run> crashed;
     for (const auto& [task, run] : worker.runs) {
-        const bool may_have_begun = run.order != order_state::unsent &&
-                                    !run.taken_by_later_incarnation &&
+        const bool may_have_begun = has_departed(run) && !run.taken_by_later_incarnation &&
                                     !sent_in_silence(run, worker, silent_since);
         if (may_have_begun) {
             crashed.push_back({run.job, run.ref, run.run, evidence_of(run, silent_since)});
--- a/src/control/worker_state.hpp
+++ b/src/control/worker_state.hpp
@@ -61,7 +61,6 @@
     /// Adopted from an earlier leader and not listed by its worker yet.
     bool adopted = false;
     base::time_point planned_at{};
-    base::time_point first_sent_at{};
     base::time_point sent_at{};
     /// When the worker was first known to have accepted the run.
     base::time_point accepted_at{};
@@ -116,8 +115,12 @@
 /// Counts a poll without a reply.
 void count_unanswered_poll(worker_state& worker, const unanswered_poll& poll);
 
+/// Notes that an order did not reach the worker, which counts as silent since that time until a
+/// poll, sent at once, is answered.
+void note_unreached(worker_state& worker, base::time_point since, base::time_point now);
+
 /// The runs that a crash of the worker takes with it, and what speaks for each as the cause. Runs
-/// that were never sent are not among them.
+/// whose starts have not left this VM are not among them: nothing of them can have begun.
 [[nodiscard]] std::vector<crashed_run> runs_under_crash(const worker_state& worker,
                                                         base::time_point now);
 
