No start leaves for a worker that is known to drain (DRAIN)

Change: a worker that drains is a reason to withdraw a start, and its unanswered starts are not sent again; their runs are stopped there and planned elsewhere.

Result: obsolete_start.IsNotSentToAWorkerThatDrains and ...IsNotSentAgainToAWorkerThatDrains failed before and pass.

--- a/src/control/leader_start_checks.cpp
+++ b/src/control/leader_start_checks.cpp
@@ -68,6 +68,9 @@
     if (worker.facts.life.started_at != sent.incarnation) {
         return "other_incarnation";
     }
+    if (worker.facts.draining) {
+        return "draining";
+    }
     if (worker.clock.known() && now >= worker.clock.surely_passed(run->lease_until)) {
         return "lease_expired";
     }
--- a/src/control/leader_starts.cpp
+++ b/src/control/leader_starts.cpp
@@ -242,7 +242,8 @@
         const bool unanswered =
             run.order == order_state::sent && !run.adopted && now - run.sent_at >= retry_after;
         if (unanswered && run.stopping == stop_reason::none) {
-            if (run.sends < max_start_sends && may_send_start(worker, task, run)) {
+            const bool may_retry = run.sends < max_start_sends && !worker.facts.draining;
+            if (may_retry && may_send_start(worker, task, run)) {
                 unanswered_starts.push_back({worker.facts.life.worker, task});
             } else {
                 stop_run(worker, run, stop_reason::moved);
--- a/tests/control/obsolete_start_test.cpp
+++ b/tests/control/obsolete_start_test.cpp
@@ -118,6 +118,40 @@
     EXPECT_GT(site.workers.starts().front().run, 1U);
 }
 
+TEST_F(obsolete_start, IsNotSentToAWorkerThatDrains)
+{
+    keep_orders_waiting("w1", milliseconds{800});
+    site.submit(make_job(id, 1, small_task));
+    ASSERT_TRUE(handed_over_within(1, seconds{3}));
+
+    site.workers.drain("w1");
+    site.time.run_for(seconds{3});
+
+    EXPECT_TRUE(site.workers.starts().empty());
+    site.workers.add("w2", "r1-2", worker_capacity);
+    EXPECT_EQ(site.await_end(id, seconds{10}), batch::job_status::completed);
+}
+
+// Starts without an answer were sent again to a worker that had said seconds before that it drains.
+TEST_F(obsolete_start, IsNotSentAgainToAWorkerThatDrains)
+{
+    bool lost = true;
+    site.workers.decide = [&lost](const std::string& /*worker*/, const std::string& order) {
+        return order == "start" && lost ? fake_workers::fate::swallow : fake_workers::fate::serve;
+    };
+    site.submit(make_job(id, 1, small_task));
+    ASSERT_TRUE(handed_over_within(1, seconds{3}));
+
+    site.workers.drain("w1");
+    site.time.run_for(milliseconds{100});
+    lost = false;
+    site.time.run_for(seconds{3});
+
+    EXPECT_TRUE(site.workers.starts().empty());
+    site.workers.add("w2", "r1-2", worker_capacity);
+    EXPECT_EQ(site.await_end(id, seconds{10}), batch::job_status::completed);
+}
+
 // What waited is sent all the same when nothing has changed, and once.
 TEST_F(obsolete_start, IsNoneWhileItsTaskIsWanted)
 {
