Calls wait in the client's own queue, not in the library; stops and polls go first

Cause: calls over the limit of connections to a target waited inside the library. There a stop or a poll waits behind starts to the same worker, an obsolete start takes a connection before it can be withdrawn (which closes that connection), and a call that waits is not given up when its time is over, but only once another one ends.

Change: internal::waiting_calls lets as many calls to a target be under way as it may have connections. When one ends, the next is asked whether it is still wanted; urgent ones (stops, polls) go before starts; each is given up at its own deadline, as not sent. The check right before the first byte stays, for the time that connecting takes.

Result: withdrawn_call.LetsUrgentCallsGoFirst is new with the queue; ThatNeverHadAConnectionWasNotSent failed without it (the call that waited was answered after the one before it, not at its deadline); both pass.

--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -29,9 +29,12 @@
     /// the call is lost. Another process may serve the address by then, and the answer to the
     /// second sending says nothing about the first. For calls with a body.
     bool once = false;
-    /// Asked on the client's thread right before the first byte leaves, each time that the library
-    /// sends the request: until then the call has waited for a connection, perhaps for long. False
-    /// withdraws the call. Sends no calls itself; may be empty.
+    /// Goes before the calls that are not urgent when calls wait for a connection to the target
+    /// (`reactor_client` alone).
+    bool urgent = false;
+    /// Asked on the client's thread when a call that had to wait has its turn, and right before the
+    /// first byte leaves, each time that the library sends the request. False withdraws the call.
+    /// Sends no calls itself; may be empty.
     std::function<bool()> may_leave{};
     /// What the bytes are for, in the client's account; a string literal.
     std::string_view purpose = "work";
--- a/src/net/internal/exchange.hpp
+++ b/src/net/internal/exchange.hpp
@@ -37,6 +37,8 @@
 /// One exchange under way: what the library's callbacks read and write.
 struct exchange {
     http_call call;
+    /// What the URL names before its path, if the client keeps calls waiting by it.
+    std::string target{};
     http_client::reply_handler on_reply;
     http_reply reply;
     easy_handle easy;
--- a/src/net/reactor_client.cpp
+++ b/src/net/reactor_client.cpp
@@ -1,6 +1,7 @@
 #include "net/reactor_client.hpp"
 
 #include "net/internal/exchange.hpp"
+#include "net/internal/waiting_calls.hpp"
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
@@ -9,6 +10,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -70,7 +75,9 @@
 
 struct reactor_client::implementation {
     implementation(asio::io_context& io_context, const reactor_client_options& client_options)
-        : context{io_context}, options{client_options}, timer{io_context}, multi{curl_multi_init()}
+        : context{io_context}, options{client_options},
+          queued{static_cast<std::size_t>(client_options.max_connections_per_target)},
+          expiry{io_context}, timer{io_context}, multi{curl_multi_init()}
     {
         curl_multi_setopt(multi.get(), CURLMOPT_MAXCONNECTS, options.max_idle_connections);
         curl_multi_setopt(multi.get(), CURLMOPT_MAX_HOST_CONNECTIONS,
@@ -99,6 +106,79 @@
         curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
     }
 
+    /// Begins a call, or keeps it until one to its target has ended.
+    void add(std::unique_ptr<exchange> added)
+    {
+        const auto now = base::now();
+        const auto deadline = now + added->call.timeout;
+        const auto target = added->target;
+        queued.add({std::move(added), deadline});
+        if (auto next = queued.take(target)) {
+            begin(std::move(next->call));
+            return;
+        }
+        if (!expiry_at || deadline < *expiry_at) {
+            await_expiry(deadline);
+        }
+    }
+
+    /// Begins calls that have waited, those that are still wanted.
+    void begin_waiting(const std::string& target)
+    {
+        while (auto next = queued.take(target)) {
+            auto& call = next->call->call;
+            const auto left = std::chrono::ceil<base::milliseconds>(next->deadline - base::now());
+            const bool withdrawn = call.may_leave && !call.may_leave();
+            if (withdrawn || left <= base::milliseconds{0}) {
+                queued.end(target);
+                end_unsent(std::move(next->call), withdrawn);
+                continue;
+            }
+            call.timeout = left;
+            call.connect_timeout = std::min(call.connect_timeout, left);
+            begin(std::move(next->call));
+        }
+    }
+
+    void await_expiry(base::time_point at)
+    {
+        expiry_at = at;
+        expiry.expires_at(at);
+        expiry.async_wait([this, running = alive](const std::error_code& failure) {
+            if (failure || !*running) {
+                return;
+            }
+            expiry_at.reset();
+            for (auto& expired : queued.take_expired(base::now())) {
+                end_unsent(std::move(expired.call), false);
+            }
+            if (const auto next = queued.next_deadline()) {
+                await_expiry(*next);
+            }
+        });
+    }
+
+    /// Ends a call that was not handed to the library.
+    void end_unsent(std::unique_ptr<exchange> ended, bool withdrawn)
+    {
+        http_reply reply;
+        reply.withdrawn = withdrawn;
+        reply.failure = withdrawn ? "withdrawn" : "no connection to the target was free in time";
+        answer(std::move(ended->on_reply), std::move(reply));
+    }
+
+    /// Handlers may send again, and neither the library nor the list of waiting calls may be
+    /// entered from inside itself.
+    void answer(reply_handler on_reply, http_reply reply)
+    {
+        asio::post(context, [handler = std::move(on_reply), reply = std::move(reply),
+                             running = alive]() mutable {
+            if (*running) {
+                handler(std::move(reply));
+            }
+        });
+    }
+
     void begin(std::unique_ptr<exchange> current)
     {
         if (idle_handles.empty()) {
@@ -137,13 +217,9 @@
                        reply.resent);
         curl_multi_remove_handle(multi.get(), easy);
         idle_handles.push_back(std::move(current->easy));
-        // Handlers may send again; the library must not be entered from inside itself.
-        asio::post(context, [handler = std::move(current->on_reply),
-                             reply = std::move(current->reply), running = alive]() mutable {
-            if (*running) {
-                handler(std::move(reply));
-            }
-        });
+        answer(std::move(current->on_reply), std::move(current->reply));
+        queued.end(current->target);
+        begin_waiting(current->target);
     }
 
     void act(curl_socket_t descriptor, int events)
@@ -254,6 +330,10 @@
 
     asio::io_context& context;
     reactor_client_options options;
+    internal::waiting_calls queued;
+    /// Goes off when the first of the calls that wait is given up.
+    asio::steady_timer expiry;
+    std::optional<base::time_point> expiry_at{};
     asio::steady_timer timer;
     std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> sockets;
     multi_handle multi;
@@ -281,7 +361,8 @@
     auto next = std::make_unique<exchange>();
     next->call = std::move(call);
     next->on_reply = std::move(on_reply);
-    impl_->begin(std::move(next));
+    next->target = internal::target_of(next->call.url);
+    impl_->add(std::move(next));
 }
 
 std::size_t reactor_client::connections_opened() const
--- a/src/net/reactor_client.hpp
+++ b/src/net/reactor_client.hpp
@@ -26,7 +26,8 @@
 
 /// An HTTP/1.1 client (libcurl multi) whose sockets and timers run on the caller's Asio context.
 /// Everything happens on the thread that runs the context: `send` is called there, handlers are
-/// called there, after `send` has returned.
+/// called there, after `send` has returned. Calls to a target that has as many as it may have
+/// connections wait here and not in the library, the urgent ones at the front.
 class reactor_client
 {
 public:
--- a/tests/net/withdrawn_call_test.cpp
+++ b/tests/net/withdrawn_call_test.cpp
@@ -161,5 +161,37 @@
     EXPECT_FALSE(replies.back().withdrawn);
 }
 
+// Stops and polls waited behind starts to the same worker.
+TEST_F(withdrawn_call, LetsUrgentCallsGoFirst)
+{
+    const auto ignore = [](const http_reply& /*reply*/) {};
+    client->send(call_of("first", milliseconds{100}), ignore);
+    client->send(call_of("second", milliseconds{1'000}), ignore);
+    auto urgent = call_of("urgent", milliseconds{1'000});
+    urgent.urgent = true;
+    client->send(std::move(urgent), ignore);
+    run_for(milliseconds{50});
+    server.answers = true;
+    run_for(milliseconds{300});
+
+    EXPECT_EQ(server.calls, (std::vector<std::string>{"first;", "urgent;", "second;"}));
+}
+
+// What was known was thrown away: a call that never had a connection passed for one whose answer
+// was lost.
+TEST_F(withdrawn_call, ThatNeverHadAConnectionWasNotSent)
+{
+    std::vector<http_reply> replies;
+    const auto note = [&replies](http_reply reply) { replies.push_back(std::move(reply)); };
+    client->send(call_of("first", milliseconds{200}), note);
+    client->send(call_of("second", milliseconds{100}), note);
+    run_for(milliseconds{300});
+
+    ASSERT_EQ(replies.size(), 2U);
+    EXPECT_EQ(replies.front().outcome, delivery::not_sent);
+    EXPECT_FALSE(replies.front().withdrawn);
+    EXPECT_EQ(replies.back().outcome, delivery::lost);
+}
+
 } // namespace
 } // namespace poplarstile::net
