--- a/tests/integration/harness/cluster.hpp
+++ b/tests/integration/harness/cluster.hpp
@@ -123,6 +123,7 @@
     /// Addresses, for tests that open connections themselves.
     [[nodiscard]] std::uint16_t caller_port(const std::string& vm) const;
     [[nodiscard]] std::uint16_t operator_port(const std::string& vm) const;
+    [[nodiscard]] std::uint16_t peer_port(const std::string& vm) const;
     [[nodiscard]] const std::string& log_folder() const
     {
         return folder_;
--- a/tests/integration/harness/cluster_calls.cpp
+++ b/tests/integration/harness/cluster_calls.cpp
@@ -144,6 +144,11 @@
     return vm_places_.at(vm).operators;
 }
 
+std::uint16_t cluster::peer_port(const std::string& vm) const
+{
+    return vm_places_.at(vm).peer;
+}
+
 void cluster::note_fault(checker::fault_kind kind, const std::string& subject)
 {
     const std::lock_guard lock{notes_mutex_};
--- a/tests/soak/request_memory_test.cpp
+++ b/tests/soak/request_memory_test.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_site.hpp"
 #include "standins/site_standin/job_script.hpp"
 #include "support/client_crowd.hpp"
+#include "support/process_usage.hpp"
 
 #include <asio/connect.hpp>
 #include <asio/read_until.hpp>
@@ -10,7 +11,6 @@
 
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
 #include <iterator>
 #include <sstream>
 #include <string>
@@ -25,6 +25,8 @@
 {
 
 using nlohmann::json;
+using tests::open_descriptors;
+using tests::status_kib;
 
 /// The least that a VM has.
 constexpr std::uint64_t memory_mb = 120;
@@ -86,25 +88,6 @@
     return json{{"spec", to_payload(script)}, {"steps", {step}}}.dump();
 }
 
-/// A member of the process's status in KiB, such as `VmRSS`, or `VmHWM` for the peak of it.
-std::uint64_t status_kib(pid_t process, std::string_view member)
-{
-    std::ifstream status{fmt::format("/proc/{}/status", process)};
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.starts_with(member)) {
-            return std::stoull(line.substr(line.find(':') + 1));
-        }
-    }
-    return 0;
-}
-
-std::size_t open_descriptors(pid_t process)
-{
-    const std::filesystem::directory_iterator open{fmt::format("/proc/{}/fd", process)};
-    return static_cast<std::size_t>(std::distance(begin(open), end(open)));
-}
-
 class request_memory : public testing::Test
 {
 protected:
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -111,6 +111,19 @@
     {
         return places_.at(vm).callers;
     }
+    /// The other ports of a VM, past the proxy.
+    [[nodiscard]] std::uint16_t readiness_port(const std::string& vm) const
+    {
+        return places_.at(vm).readiness;
+    }
+    [[nodiscard]] std::uint16_t peer_port(const std::string& vm) const
+    {
+        return places_.at(vm).peers;
+    }
+    [[nodiscard]] std::uint16_t metrics_port(const std::string& vm) const
+    {
+        return places_.at(vm).metrics;
+    }
     [[nodiscard]] net::http_reply call(const std::string& vm, const std::string& method,
                                        const std::string& path, std::string body = {});
     /// From now on each call opens a connection of its own: those kept open may have gone silent
