Callers: a submission is read in time that grows with its length only

What callers saw: while 64 clients sent bodies of 256 KiB made of empty objects, no job and no question of the balancer was answered in eight tries; one such body took 2.3 s of a whole core until its 400.

Cause: decode_submission gave the JSON library a callback to refuse deep nesting. With one, the library looks through all earlier elements of the parent at each object that ends (json_sax_dom_callback_parser::end_object, nlohmann-json 3.11.2), so that time grows with the square of the elements. The steps were also read into 87,000 records of some 250 bytes before they were refused as too many.

Why it works: nesting is counted on the text, in one pass without memory, before a parser without callback builds it. The check that the first backend had for itself is now base::is_nested_deeper_than, used by both. The number of steps is checked before they are read. Nothing is refused that was not refused before, but for an empty array or object at level 33.

--- a/src/batch/job_validation.cpp
+++ b/src/batch/job_validation.cpp
@@ -8,13 +8,21 @@
 namespace poplarstile::batch
 {
 
-std::optional<std::string> validation_error(const job_spec& spec)
+std::optional<std::string> step_count_error(std::size_t steps)
 {
-    if (spec.steps.empty()) {
+    if (steps == 0) {
         return "the job has no steps";
     }
-    if (spec.steps.size() > max_steps) {
-        return fmt::format("{} steps, at most {}", spec.steps.size(), max_steps);
+    if (steps > max_steps) {
+        return fmt::format("{} steps, at most {}", steps, max_steps);
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> validation_error(const job_spec& spec)
+{
+    if (auto fault = step_count_error(spec.steps.size())) {
+        return fault;
     }
     std::uint64_t tasks = 0;
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
--- a/src/gateway/caller_request.cpp
+++ b/src/gateway/caller_request.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_request.hpp"
 
+#include "base/json_nesting.hpp"
 #include "ledger/ledger_entry.hpp"
 
 #include <fmt/format.h>
@@ -109,25 +110,9 @@
 
 base::result<void> check_json(std::string_view text, std::size_t max_depth, std::string_view place)
 {
-    std::size_t depth = 0;
-    bool in_string = false;
-    bool escaped = false;
-    for (const char character : text) {
-        if (in_string) {
-            in_string = escaped || character != '"';
-            escaped = !escaped && character == '\\';
-            continue;
-        }
-        if (character == '"') {
-            in_string = true;
-        } else if (character == '{' || character == '[') {
-            if (++depth > max_depth) {
-                return error{error_code::request_too_deep, std::string{place},
-                             fmt::format("nested deeper than {}", max_depth), ""};
-            }
-        } else if ((character == '}' || character == ']') && depth > 0) {
-            --depth;
-        }
+    if (base::is_nested_deeper_than(text, max_depth)) {
+        return error{error_code::request_too_deep, std::string{place},
+                     fmt::format("nested deeper than {}", max_depth), ""};
     }
     if (!json::accept(text)) {
         return malformed(place, "not JSON");
--- a/tests/platform/caller_port_test.cpp
+++ b/tests/platform/caller_port_test.cpp
@@ -1,3 +1,4 @@
+#include "batch/job_validation.hpp"
 #include "platform/caller_port.hpp"
 
 #include <gtest/gtest.h>
@@ -98,6 +99,20 @@
     EXPECT_NE(read.error().detail.find("nested"), std::string::npos) << read.error().detail;
 }
 
+// Guards against a body within the limit whose steps take a hundred times its length when read.
+TEST(caller_port, MoreStepsThanAJobMayHaveAreRefusedUnread)
+{
+    std::string body = R"({"spec":"x","steps":[{"count":"unread"})";
+    for (std::size_t step = 0; step < batch::max_steps; ++step) {
+        body += ",{}";
+    }
+
+    const auto read = decode_submission(body + "]}");
+
+    ASSERT_FALSE(read.has_value());
+    EXPECT_EQ(read.error().detail, "201 steps, at most 200");
+}
+
 TEST(caller_port, AnswersHaveTheirStatus)
 {
     const auto status = [](const frontend::caller_answer& answer) {
