HTTP server: connections whose answers nobody reads are closed first

What callers saw: beside 64 clients that pipeline cheap calls on 32 connections and read nothing, no job was answered in eight tries; each new connection was closed at once.

Cause: a connection counted as handled from its request until the next read, also while an answer waited to be read, or while further calls that had come ahead were behind it. Connections that are handled are never closed for a new one, so the new one was.

Change: the ledger knows connections whose answer is being sent (the socket tells it at each write). When there are too many connections, the one whose answer has not been read for longest, 1 s or more, goes first; then as before; then the one whose answer is being sent for longest; only then the new one. A write that ends on a closed connection is reported to RESTinio as a reset, as reads are, so that it lets go of the connection at once.

--- a/src/net/internal/connection_meter.cpp
+++ b/src/net/internal/connection_meter.cpp
@@ -51,6 +51,12 @@
     ledger_.complete(completed, base::now());
 }
 
+void connection_meter::answer(request_ledger::connection answering)
+{
+    const std::lock_guard lock{mutex_};
+    ledger_.answer(answering, base::now());
+}
+
 void connection_meter::wait(request_ledger::connection waiting)
 {
     const std::lock_guard lock{mutex_};
--- a/src/net/internal/connection_meter.hpp
+++ b/src/net/internal/connection_meter.hpp
@@ -47,6 +47,7 @@
     void receive(request_ledger::connection receiver, const request_size& size);
     /// The request is whole, unless it is the one that is closed for memory.
     void complete(request_ledger::connection completed, const request_size& size);
+    void answer(request_ledger::connection answering);
     void wait(request_ledger::connection waiting);
     void close(request_ledger::connection closed);
     /// Counts a connection that answers 413 and then closes.
--- a/src/net/internal/metered_socket.cpp
+++ b/src/net/internal/metered_socket.cpp
@@ -57,6 +57,16 @@
         }));
 }
 
+void metered_connection::begin_write()
+{
+    meter_->answer(number_);
+}
+
+std::error_code metered_connection::write_result(const std::error_code& failure) const
+{
+    return doomed_ ? closing_error() : failure;
+}
+
 void metered_connection::close(std::error_code& failure)
 {
     closed_ = true;
@@ -147,7 +157,12 @@
 void metered_connection::end_read(const read_handler& handler)
 {
     linger_.cancel();
-    handler(closed_ ? asio::error::operation_aborted : asio::error::connection_reset, 0);
+    handler(closing_error(), 0);
+}
+
+std::error_code metered_connection::closing_error() const
+{
+    return closed_ ? asio::error::operation_aborted : asio::error::connection_reset;
 }
 
 void metered_connection::leave_meter()
--- a/src/net/internal/metered_socket.hpp
+++ b/src/net/internal/metered_socket.hpp
@@ -5,6 +5,7 @@
 
 #include <asio/any_io_executor.hpp>
 #include <asio/associated_executor.hpp>
+#include <asio/bind_executor.hpp>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -43,6 +44,11 @@
     /// Reads into `into`; `handler` is called on `strand`, which is the same each time, with an
     /// error once the connection is to be closed.
     void read(asio::mutable_buffer into, const asio::any_io_executor& strand, read_handler handler);
+    /// A part of an answer is about to be written.
+    void begin_write();
+    /// What RESTinio is told of the end of a write: an error once the connection is to be closed,
+    /// so that nothing more of what it has received is handled.
+    [[nodiscard]] std::error_code write_result(const std::error_code& failure) const;
     void close(std::error_code& failure);
     void close_soon() override;
 
@@ -54,9 +60,10 @@
     void refuse_body(read_handler handler);
     void linger(read_handler handler);
     void drain(read_handler handler, std::size_t discarded);
-    /// Ends the pending read. RESTinio closes on every error but `operation_aborted`, which tells
-    /// it that it has closed already.
     void end_read(const read_handler& handler);
+    /// RESTinio closes on every error but `operation_aborted`, which tells it that it has closed
+    /// already.
+    [[nodiscard]] std::error_code closing_error() const;
     void leave_meter();
 
     asio::ip::tcp::socket socket_;
@@ -127,10 +134,20 @@
         connection_->read(into, strand, std::move(handler));
     }
 
+    // The handler is moved only here: a composed operation passes itself, whose buffers are an
+    // argument of the same call.
     template <class Buffers, class Handler>
-    auto async_write_some(const Buffers& buffers, Handler&& handler)
-    {
-        return connection_->socket().async_write_some(buffers, std::forward<Handler>(handler));
+    void async_write_some(const Buffers& buffers, Handler&& handler)
+    {
+        connection_->begin_write();
+        const auto executor = asio::get_associated_executor(handler, get_executor());
+        connection_->socket().async_write_some(
+            buffers,
+            asio::bind_executor(
+                executor, [connection = connection_, handler = std::forward<Handler>(handler)](
+                              const std::error_code& failure, std::size_t sent) mutable {
+                    handler(connection->write_result(failure), sent);
+                }));
     }
 
 private:
--- a/src/net/request_ledger.cpp
+++ b/src/net/request_ledger.cpp
@@ -50,7 +50,7 @@
     if (entries_.size() <= options_.max_connections) {
         return std::nullopt;
     }
-    return longest_quiet(opened).value_or(opened);
+    return first_to_close(opened, now).value_or(opened);
 }
 
 std::vector<request_ledger::connection>
@@ -87,10 +87,20 @@
     }
 }
 
+void request_ledger::answer(connection answering, base::time_point now)
+{
+    const auto at = entries_.find(answering);
+    // A refusal before the body's end belongs to a request that is still received.
+    if (at != entries_.end() && at->second.state != phase::receiving) {
+        move_to(at, phase::answering, 0, now);
+    }
+}
+
 void request_ledger::wait(connection waiting, base::time_point now)
 {
     const auto at = entries_.find(waiting);
-    if (at != entries_.end() && at->second.state == phase::handling) {
+    if (at != entries_.end() &&
+        (at->second.state == phase::handling || at->second.state == phase::answering)) {
         move_to(at, phase::waiting, 0, now);
     }
 }
@@ -129,11 +139,17 @@
 
 void request_ledger::enqueue(connection queued, const entry& described)
 {
-    if (described.state == phase::handling) {
+    switch (described.state) {
+    case phase::handling:
         return;
-    }
-    if (described.state == phase::receiving) {
+    case phase::answering:
+        answering_.emplace(described.last_progress, queued);
+        return;
+    case phase::receiving:
         receiving_.emplace(described.last_progress, queued);
+        break;
+    case phase::waiting:
+        break;
     }
     (described.has_completed ? proven_ : unproven_).emplace(described.last_progress, queued);
 }
@@ -142,6 +158,7 @@
 {
     const std::pair key{described.last_progress, queued};
     receiving_.erase(key);
+    answering_.erase(key);
     unproven_.erase(key);
     proven_.erase(key);
 }
@@ -158,9 +175,15 @@
     enqueue(number, changed);
 }
 
-std::optional<request_ledger::connection> request_ledger::longest_quiet(connection except) const
+std::optional<request_ledger::connection> request_ledger::first_to_close(connection except,
+                                                                         base::time_point now) const
 {
-    for (const auto* const candidates : {&unproven_, &proven_}) {
+    const bool unread =
+        !answering_.empty() && now - answering_.begin()->first >= options_.unread_time;
+    if (unread) {
+        return answering_.begin()->second;
+    }
+    for (const auto* const candidates : {&unproven_, &proven_, &answering_}) {
         for (const auto& [last_progress, each] : *candidates) {
             if (each != except) {
                 return each;
--- a/src/net/request_ledger.hpp
+++ b/src/net/request_ledger.hpp
@@ -59,12 +59,16 @@
     std::size_t max_connections = 0;
     /// How long a request may be incomplete without anything more of it arriving.
     base::milliseconds stall_timeout{0};
+    /// An answer of which nothing has been taken for this long makes its connection the first to be
+    /// closed when there are too many.
+    base::milliseconds unread_time{1'000};
 };
 
 /// Decides which connections of a port are closed so that it stays within its memory and
-/// connections. Load pattern: many clients that send most of a request each, or nothing, and stay
-/// connected. An ordinary request arrives at once, so it is rarely the one that has waited longest.
-/// Not thread-safe; times must not decrease.
+/// connections. Load pattern: many clients that send most of a request each, or nothing, or read no
+/// answers, and stay connected. An ordinary request arrives at once and its caller takes the
+/// answer, so it is rarely the one that has waited longest. Not thread-safe; times must not
+/// decrease.
 class request_ledger
 {
 public:
@@ -73,9 +77,10 @@
     explicit request_ledger(const request_ledger_options& options) : options_{options} {}
 
     /// A new connection. Returns the one to close when there are too many, which may be the new
-    /// one: the one that has been quiet for longest and has never completed a request, otherwise
-    /// the one that has been quiet for longest. Connections whose request is handled are not
-    /// closed.
+    /// one. In this order, and of several the one that has been quiet for longest: one whose answer
+    /// has not been read for `unread_time`, one that has never completed a request, one that waits
+    /// for its next request, one whose answer is being sent. Connections whose request is handled
+    /// are not closed.
     [[nodiscard]] std::optional<connection> open(connection opened, base::time_point now);
 
     /// More of a request came; `held` is its memory so far. Returns the connections to close, those
@@ -87,6 +92,9 @@
     /// The request is whole. From now on its memory is that of `handle`.
     void complete(connection completed, base::time_point now);
 
+    /// A part of the answer is handed to the system, which takes it as the client reads.
+    void answer(connection answering, base::time_point now);
+
     /// The connection waits for its next request.
     void wait(connection waiting, base::time_point now);
 
@@ -109,7 +117,7 @@
     }
 
 private:
-    enum class phase : std::uint8_t { waiting, receiving, handling };
+    enum class phase : std::uint8_t { waiting, receiving, handling, answering };
     struct entry {
         base::time_point last_progress{};
         std::size_t held = 0;
@@ -124,12 +132,14 @@
     void dequeue(connection queued, const entry& described);
     /// Changes an entry, so that it stays in the queues in which it belongs.
     void move_to(entry_map::iterator at, phase state, std::size_t held, base::time_point now);
-    [[nodiscard]] std::optional<connection> longest_quiet(connection except) const;
+    [[nodiscard]] std::optional<connection> first_to_close(connection except,
+                                                           base::time_point now) const;
 
     request_ledger_options options_;
     entry_map entries_;
     queue receiving_;
-    /// Not handling, and without a completed request; with one.
+    queue answering_;
+    /// Neither handling nor answering, and without a completed request; with one.
     queue unproven_;
     queue proven_;
     std::size_t received_bytes_ = 0;
--- a/tests/net/request_ledger_test.cpp
+++ b/tests/net/request_ledger_test.cpp
@@ -113,6 +113,62 @@
     EXPECT_EQ(ledger.open(3, at_ms(4)), 1U);
 }
 
+// Guards against callers who keep all connections because they read none of their answers.
+TEST(request_ledger, TheAnswerThatIsUnreadForLongestGoesFirst)
+{
+    auto ledger = make_ledger(10 * kib, 3);
+    for (request_ledger::connection each = 1; each <= 3; ++each) {
+        EXPECT_FALSE(ledger.open(each, start));
+    }
+    ledger.complete(2, at_ms(1));
+    ledger.answer(2, at_ms(2));
+    ledger.complete(3, at_ms(1));
+    ledger.answer(3, at_ms(1));
+
+    EXPECT_EQ(ledger.open(4, at_ms(1'002)), 3U) << "connection 1 has not even sent a request";
+    ledger.close(3);
+    EXPECT_EQ(ledger.open(5, at_ms(1'002)), 2U);
+}
+
+// Guards against answers that are cut off while their callers read them.
+TEST(request_ledger, AnAnswerThatIsBeingReadGoesAfterQuietConnections)
+{
+    auto ledger = make_ledger(10 * kib, 2);
+    EXPECT_FALSE(ledger.open(1, start));
+    EXPECT_FALSE(ledger.open(2, start));
+    ledger.complete(1, at_ms(1));
+    ledger.answer(1, at_ms(2));
+    ledger.answer(1, at_ms(1'500));
+
+    EXPECT_EQ(ledger.open(3, at_ms(2'000)), 2U);
+}
+
+// Guards against new callers who find no connection beside some that send call after call.
+TEST(request_ledger, AnAnswerThatIsBeingSentGoesBeforeANewConnection)
+{
+    auto ledger = make_ledger(10 * kib, 2);
+    EXPECT_FALSE(ledger.open(1, start));
+    EXPECT_FALSE(ledger.open(2, start));
+    ledger.complete(1, at_ms(1));
+    ledger.complete(2, at_ms(1));
+    ledger.answer(2, at_ms(2));
+
+    EXPECT_EQ(ledger.open(3, at_ms(3)), 2U);
+}
+
+// Guards against a caller whose answer was taken and who is treated as if it were not.
+TEST(request_ledger, AConnectionThatWaitsAgainIsNotUnread)
+{
+    auto ledger = make_ledger(10 * kib, 2);
+    EXPECT_FALSE(ledger.open(1, start));
+    ledger.complete(1, at_ms(1));
+    ledger.answer(1, at_ms(2));
+    ledger.wait(1, at_ms(3));
+    EXPECT_FALSE(ledger.open(2, at_ms(4)));
+
+    EXPECT_EQ(ledger.open(3, at_ms(5'000)), 2U);
+}
+
 // Guards against bodies that stop short of their end and keep their memory for good.
 TEST(request_ledger, OnlyIncompleteRequestsWithoutProgressAreStalled)
 {
