Ports: unknown memory is that of the smallest VM

What was wrong: with limits.memory_mb at 0, its default, requests of callers and of other VMs had 64 MiB each. By the bound's own estimate that is more than the smallest VM that is served (120 MB) has.

Change: the bounds are then those of a VM of 120 MB: 15 MiB for each of the two ports, receive buffers of 16 KiB, at most 768 connections of callers.

--- a/src/net/port_bounds.cpp
+++ b/src/net/port_bounds.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kib = 1'024;
 constexpr std::size_t mib = kib * kib;
 
+/// Of the smallest VM that is served; assumed where the memory is not known.
+constexpr std::size_t least_memory_mb = 120;
 /// Of the memory: 15 MiB of the least VM with 120 MB, enough for a body of 256 KiB in chunks of one
 /// byte, which takes 9 MiB.
 constexpr std::size_t request_memory_divisor = 8;
@@ -50,7 +52,7 @@
 
 void set_port_bounds(http_server_options& options, port_use use, const process_limits& limits)
 {
-    const auto memory = limits.memory_mb * mib;
+    const auto memory = (limits.memory_mb > 0 ? limits.memory_mb : least_memory_mb) * mib;
     options.max_connections =
         std::max(least_connections, share_of_descriptors(use, limits.descriptors));
     if (use == port_use::monitoring) {
@@ -58,9 +60,6 @@
         options.max_body_bytes = monitoring_body;
         return;
     }
-    if (memory == 0) {
-        return;
-    }
     options.max_request_memory = memory / request_memory_divisor;
     if (use == port_use::callers) {
         options.receive_buffer_bytes = receive_buffer_bytes;
--- a/src/net/port_bounds.hpp
+++ b/src/net/port_bounds.hpp
@@ -12,7 +12,7 @@
 /// What the whole process may use.
 struct process_limits {
     std::size_t descriptors = 0;
-    /// 0 when it is not known.
+    /// 0 when it is not known: then that of the smallest VM that is served is assumed.
     std::size_t memory_mb = 0;
 };
 
--- a/src/settings/site_settings.cpp
+++ b/src/settings/site_settings.cpp
@@ -76,8 +76,8 @@
     {"processors", &site_limit_settings::processors, optional, 1, most_processors, "cores", name, "cores whose speed the share is counted in"},
     {"descriptors", &site_limit_settings::descriptors, optional, least_descriptors, most_descriptors, "descriptors", name, "file descriptors that the process may have open"},
     {"link_mbit", &site_limit_settings::link_mbit, optional, 0, most_link_mbit, "Mbit/s", name, "bandwidth of the VM's link; 0 when it is not known"},
-    {"memory_mb", &site_limit_settings::memory_mb, optional, 0, most_memory_mb, "MB", name, "memory that the process may use; 0 when it is not known"},
-    {"request_memory_mb", &site_limit_settings::request_memory_mb, optional, 0, most_memory_mb, "MB", name, "memory for requests of callers that are not answered yet; 0: an eighth of `limits.memory_mb`, or 64 where that is not known"},
+    {"memory_mb", &site_limit_settings::memory_mb, optional, 0, most_memory_mb, "MB", name, "memory that the process may use; 0 when it is not known, which bounds what clients hold as on a VM of 120 MB"},
+    {"request_memory_mb", &site_limit_settings::request_memory_mb, optional, 0, most_memory_mb, "MB", name, "memory for requests of callers that are not answered yet; 0: an eighth of `limits.memory_mb`, or 15 where that is not known"},
     {"caller_connections", &site_limit_settings::caller_connections, optional, 0, most_descriptors, "connections", name, "connections of callers; 0: 3/16 of `limits.descriptors`, but no more than a quarter of `limits.memory_mb` has room for at 40 KiB each"},
     {"request_stall_ms", &site_limit_settings::request_stall_time, optional, 100, one_minute_ms, "ms", name, "how long a request may be incomplete without anything more of it arriving"},
 });
