Peer messages: the elements of all lists of a message are bounded together

What was seen: messages of 3 MiB to the port for the other VMs raised the peak of a VM with 120 MB to 209 MiB.

Cause: each list of a message was bounded alone (50,000 elements, or 16,384 on the first backend). A message of 60 lists of 50,000 empty texts has one byte for each text, and 32 in memory, twice while it is translated.

Change: the codec counts the elements of all lists as Thrift reads their lengths, before it makes room for them, and refuses a message with more than 100,000 (32,768), twice the longest list. Both backends' codecs use it.

--- a/src/cluster/cluster_codec.cpp
+++ b/src/cluster/cluster_codec.cpp
@@ -16,12 +16,15 @@
 /// The largest message is a page of store rows relayed for another VM.
 constexpr std::size_t max_message_bytes = std::size_t{3} * 1024 * 1024;
 constexpr std::size_t max_list_entries = 50'000;
+/// An empty text takes one byte of a message and 32 of memory.
+constexpr std::size_t max_elements = 2 * max_list_entries;
 
 peer::codec_limits limits()
 {
     peer::codec_limits limits;
     limits.max_bytes = max_message_bytes;
     limits.max_list = max_list_entries;
+    limits.max_elements = max_elements;
     return limits;
 }
 
--- a/src/peer/peer_codec.hpp
+++ b/src/peer/peer_codec.hpp
@@ -21,6 +21,8 @@
     std::size_t max_bytes = std::size_t{4} * 1024 * 1024;
     /// Of each list, in elements.
     std::size_t max_list = 16384;
+    /// Of all lists of a message together, those within other lists included.
+    std::size_t max_elements = 2 * max_list;
 };
 
 /// The bytes of `value`; `peer_message_invalid` when it is past the limits itself.
--- a/src/peer/thrift_frame.hpp
+++ b/src/peer/thrift_frame.hpp
@@ -8,6 +8,7 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <memory>
@@ -18,6 +19,38 @@
 namespace poplarstile::peer
 {
 
+/// Thrift's compact encoding from a buffer, with a bound on the elements of all lists together.
+/// Thrift itself bounds each list alone, so that lists of lists take many times their length.
+class bounded_protocol
+    : public apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer>
+{
+public:
+    using buffer_ptr = std::shared_ptr<apache::thrift::transport::TMemoryBuffer>;
+
+    bounded_protocol(const buffer_ptr& buffer, const codec_limits& limits, std::size_t bytes)
+        : TCompactProtocolT{buffer, static_cast<std::int32_t>(bytes),
+                            // Every element takes at least one byte.
+                            static_cast<std::int32_t>(std::min(limits.max_list, bytes))},
+          elements_left_{limits.max_elements}
+    {
+    }
+
+    std::uint32_t readListBegin_virt(apache::thrift::protocol::TType& type,
+                                     std::uint32_t& size) override
+    {
+        const auto read = readListBegin(type, size);
+        if (size > elements_left_) {
+            throw apache::thrift::protocol::TProtocolException{
+                apache::thrift::protocol::TProtocolException::SIZE_LIMIT};
+        }
+        elements_left_ -= size;
+        return read;
+    }
+
+private:
+    std::size_t elements_left_;
+};
+
 /// Error: `peer_message_invalid`.
 template <class Wire>
 [[nodiscard]] base::result<std::string> write_frame(const Wire& wire, const codec_limits& limits)
@@ -61,11 +94,7 @@
         auto* data = const_cast<std::uint8_t*>(reinterpret_cast<const std::uint8_t*>(bytes.data()));
         const auto buffer = std::make_shared<TMemoryBuffer>(
             data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-        // Every element takes at least one byte, so that no list is longer than the message.
-        const auto longest_list = std::min(limits.max_list, bytes.size());
-        apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol{
-            buffer, static_cast<std::int32_t>(bytes.size()),
-            static_cast<std::int32_t>(longest_list)};
+        bounded_protocol protocol{buffer, limits, bytes.size()};
         Wire wire;
         wire.read(&protocol);
         if (buffer->available_read() != 0) {
--- a/tests/cluster/cluster_codec_test.cpp
+++ b/tests/cluster/cluster_codec_test.cpp
@@ -112,6 +112,19 @@
     EXPECT_LE(encode(heartbeat).value().size() - before, 24U);
 }
 
+// Guards against a message that takes thirty times its length, because each list is short enough.
+TEST(cluster_codec, ManyListsOfManyTextsAreRefused)
+{
+    auto heartbeat = heartbeat_without_shortage();
+    queue_load load;
+    load.shortage.emplace().at_fair_share.resize(40'000);
+    heartbeat.loads = {load, load};
+    EXPECT_TRUE(decode(encode(heartbeat).value()).has_value());
+    heartbeat.loads.push_back(load);
+
+    EXPECT_FALSE(decode(encode(heartbeat).value()).has_value());
+}
+
 TEST(cluster_codec, ATruncatedMessageIsAnError)
 {
     for (const auto& original : all_messages()) {
