Soak: clients outside the limits beside all other faults

At the end no process may have ended by itself or needed more than its memory and descriptors; all promises are judged as before.

What crowds send is in one file for the tests and the soak; request_memory_test takes its ordinary job from there, its crowd, bounds and checks are unchanged.

--- a/tests/integration/client_crowds_test.cpp
+++ b/tests/integration/client_crowds_test.cpp
@@ -1,4 +1,5 @@
 #include "integration/observations.hpp"
+#include "support/attempts.hpp"
 #include "support/client_crowd.hpp"
 #include "support/insistent_crowd.hpp"
 #include "support/process_usage.hpp"
@@ -117,12 +118,13 @@
     /// The crowds are still there.
     void expect_bounds_and_service()
     {
-        EXPECT_TRUE(is_done_in_time([&] {
+        EXPECT_TRUE(tests::succeeds_within(attempts, [&] {
             return system->request(vm(), {.marker = "ordinary"}).told ==
                    bench::checker::answer::completed;
         }));
-        EXPECT_TRUE(is_done_in_time(
-            [&] { return system->operator_call(vm(), {.url = "/v1/status"}).status == 200; }));
+        EXPECT_TRUE(tests::succeeds_within(attempts, [&] {
+            return system->operator_call(vm(), {.url = "/v1/status"}).status == 200;
+        }));
         ASSERT_TRUE(system->vm(vm()).running());
         const auto process = system->vm(vm()).id();
         EXPECT_LE(tests::open_descriptors(process), descriptors);
@@ -130,17 +132,6 @@
         RecordProperty("peak_kib", fmt::format("{}", tests::status_kib(process, "VmHWM:")));
     }
 
-    template <class Attempt>
-    static bool is_done_in_time(Attempt attempt)
-    {
-        for (int count = 0; count < attempts; ++count) {
-            if (attempt()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     std::unique_ptr<cluster> system;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,3 +1,4 @@
+#include "soak/soak_crowds.hpp"
 #include "soak/soak_run.hpp"
 
 #include <absl/flags/flag.h>
@@ -35,6 +36,8 @@
 ABSL_FLAG(bool, reborn_workers, false, "workers of --seeds are cut off and reborn again and again");
 ABSL_FLAG(bool, domain_drains, false,
           "failure domains of --seeds are drained beside hand-overs and outages; 40 s and more");
+ABSL_FLAG(bool, client_crowds, false,
+          "clients outside the limits send to the VMs of --seeds beside all other faults");
 ABSL_FLAG(std::string, folder, "", "where logs go; a folder of the build by default");
 ABSL_FLAG(bool, keep_logs, false, "logs stay though every promise was kept");
 ABSL_FLAG(std::string, regressions, "", "file with the seeds that ever failed; played first");
@@ -54,6 +57,7 @@
     bool handovers = false;
     bool reborn_workers = false;
     bool domain_drains = false;
+    bool client_crowds = false;
     /// Texts of violations that KNOWN-RED.txt lists for this case: printed, and passed over.
     std::vector<std::string> known_red{};
 };
@@ -94,7 +98,8 @@
                 {seed, seconds, absl::GetFlag(FLAGS_await_removal),
                  absl::GetFlag(FLAGS_deadly_jobs), absl::GetFlag(FLAGS_capacity_changes),
                  absl::GetFlag(FLAGS_lapsing_registrations), absl::GetFlag(FLAGS_handovers),
-                 absl::GetFlag(FLAGS_reborn_workers), absl::GetFlag(FLAGS_domain_drains)});
+                 absl::GetFlag(FLAGS_reborn_workers), absl::GetFlag(FLAGS_domain_drains),
+                 absl::GetFlag(FLAGS_client_crowds)});
         }
     }
     return cases;
@@ -105,12 +110,13 @@
     std::vector<seed_case> cases;
     const auto document = nlohmann::json::parse(std::ifstream{path}, nullptr, false);
     for (const auto& entry : document) {
-        cases.push_back(
-            {entry.at("seed").get<std::uint64_t>(), entry.at("seconds").get<std::int64_t>(), false,
-             entry.value("deadly_jobs", false), entry.value("capacity_changes", false),
-             entry.value("lapsing_registrations", false), entry.value("handovers", false),
-             entry.value("reborn_workers", false), entry.value("domain_drains", false),
-             entry.value("known_red", std::vector<std::string>{})});
+        cases.push_back({entry.at("seed").get<std::uint64_t>(),
+                         entry.at("seconds").get<std::int64_t>(), false,
+                         entry.value("deadly_jobs", false), entry.value("capacity_changes", false),
+                         entry.value("lapsing_registrations", false),
+                         entry.value("handovers", false), entry.value("reborn_workers", false),
+                         entry.value("domain_drains", false), entry.value("client_crowds", false),
+                         entry.value("known_red", std::vector<std::string>{})});
     }
     return cases;
 }
@@ -135,6 +141,10 @@
     options.reborn_workers = played.reborn_workers;
     options.domain_drains = played.domain_drains;
     options.shape.domain_drains = played.domain_drains;
+    options.client_crowds = played.client_crowds;
+    if (played.client_crowds) {
+        options.shape.vm_settings = soak::limits_beside_crowds();
+    }
     options.callers = absl::GetFlag(FLAGS_callers);
     const auto base_folder = absl::GetFlag(FLAGS_folder);
     options.folder = fmt::format("{}/seed-{}-{}s",
--- a/tests/soak/request_memory_test.cpp
+++ b/tests/soak/request_memory_test.cpp
@@ -1,5 +1,5 @@
+#include "soak/crowd_requests.hpp"
 #include "soak/soak_site.hpp"
-#include "standins/site_standin/job_script.hpp"
 #include "support/client_crowd.hpp"
 #include "support/process_usage.hpp"
 
@@ -24,7 +24,6 @@
 namespace
 {
 
-using nlohmann::json;
 using tests::open_descriptors;
 using tests::status_kib;
 
@@ -77,17 +76,6 @@
     return head_of(job, fmt::format("Content-Length: {}", announced)) + std::string(sent - 1, 'b');
 }
 
-/// A job of one short task.
-std::string job_body(std::string_view job)
-{
-    constexpr std::int64_t work_ms = 50;
-    standins::site_standin::job_script script;
-    script.job = job;
-    script.steps.push_back({.work = base::milliseconds{work_ms}, .need = {500, 256, 0}});
-    const json step{{"count", 1}, {"cpu", 500}, {"mem_mb", 256}, {"estimate_ms", work_ms}};
-    return json{{"spec", to_payload(script)}, {"steps", {step}}}.dump();
-}
-
 class request_memory : public testing::Test
 {
 protected:
@@ -141,7 +129,7 @@
         for (int attempt = 0; attempt < submissions; ++attempt) {
             const auto reply =
                 site->call(vm, "POST", fmt::format("{}{}", batch_prefix, ordinary_job),
-                           job_body(ordinary_job));
+                           short_job(ordinary_job));
             if (reply.status == 200 || reply.status == 201 || reply.status == 202) {
                 return true;
             }
@@ -226,7 +214,7 @@
 // Guards against bounds that refuse a caller within the limits.
 TEST_F(request_memory, ServesARequestOfTheLargestBodyInChunksOfOneByte)
 {
-    auto body = job_body(whole_job);
+    auto body = short_job(whole_job);
     body.append(body_limit - body.size(), ' ');
 
     const auto answer = answer_to(unended_chunks(whole_job, body, 1) + "0\r\n\r\n");
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -179,6 +179,8 @@
         return "worker_reborn_apart";
     case fault_kind::domain_drained:
         return "domain_drained";
+    case fault_kind::client_crowd:
+        return "client_crowd";
     default:
         return "unknown";
     }
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -3,6 +3,7 @@
 #include "base/time.hpp"
 #include "soak/soak_site.hpp"
 
+#include <array>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -42,8 +43,15 @@
     worker_reborn_apart,
     /// The operator drains a failure domain, which is the `variant`.
     domain_drained,
+    /// Clients outside the limits send to a VM; the `variant` is one of `crowd_variants`.
+    client_crowd,
 };
 
+/// Ports and shapes of `client_crowd`.
+constexpr std::array<std::string_view, 8> crowd_variants{
+    "unread_answers", "empty_steps",  "many_members", "unended_texts",
+    "tiny_chunks",    "unended_body", "peer_texts",   "metrics"};
+
 [[nodiscard]] std::string_view name_of(fault_kind kind);
 
 /// Stands for the VM that leads when the fault begins.
@@ -106,4 +114,8 @@
 /// One line for the journal of a run.
 [[nodiscard]] std::string describe(const planned_fault& fault);
 
+/// Clients outside the limits on some VMs, in order of time; drawn apart.
+[[nodiscard]] std::vector<planned_fault>
+plan_client_crowds(std::uint64_t seed, std::span<const std::string> vms, base::milliseconds span);
+
 } // namespace poplarstile::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_run.hpp"
 
 #include "soak/soak_callers.hpp"
+#include "soak/soak_crowds.hpp"
 #include "soak/soak_faults.hpp"
 #include "soak/soak_judge.hpp"
 #include "soak/soak_waiting.hpp"
@@ -12,6 +13,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <memory>
 #include <queue>
 #include <set>
 #include <thread>
@@ -247,6 +249,13 @@
                                                   {"bound_ms", disturbed_drain_bound.count()}});
             end_later(fault.lasts, [this, domain = fault.variant] { restore(domain); });
             return;
+        case fault_kind::client_crowd:
+            // Ends with the last copy of the function that owns it.
+            end_later(fault.lasts,
+                      [crowd = std::shared_ptr{start_client_crowd(site_, vm, fault.variant)}] {
+                          (void)crowd;
+                      });
+            return;
         case fault_kind::worker_shrunk:
             set_capacity(fault.worker, fault.percent);
             end_later(fault.lasts,
@@ -397,6 +406,10 @@
         faults = merge_plans(std::move(faults),
                              plan_rebirths(options.seed, site.workers(), options.span));
     }
+    if (options.client_crowds) {
+        faults = merge_plans(std::move(faults),
+                             plan_client_crowds(options.seed, site.vms(), options.span));
+    }
     if (options.domain_drains) {
         faults = merge_plans(std::move(faults),
                              plan_domain_drains(options.seed, site.domains(), options.span));
@@ -475,6 +488,9 @@
     if (!site->await_ready(ready_bound)) {
         result.violations.emplace_back("not every VM takes calls after the faults");
     }
+    if (options.client_crowds) {
+        append(result.violations, judge_usage(*site));
+    }
     const auto open_work =
         options.handovers ? time_for_open_work(*site, callers) : base::milliseconds{0};
     await_ends(*site, callers, result, open_work);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -29,6 +29,8 @@
     bool reborn_workers = false;
     /// Failure domains are drained again and again.
     bool domain_drains = false;
+    /// Clients outside the limits send to the VMs, whose settings have the limits of small VMs.
+    bool client_crowds = false;
     /// Logs and settings of the run go here.
     std::string folder{};
 };
