HTTP server: the system keeps little of answers that callers do not read

What was seen: the system takes megabytes of answers for each caller that reads nothing, from the memory of the VM though not of the process, so that the peak of the process does not show it. With hundreds of connections that is more than a small VM has.

Cause: send buffers had the system's own size, which it enlarges by itself.

Change: http_server_options::send_buffer_bytes, 16 KiB on the port for callers, whose answers are short. It is no limit that a caller meets: an answer that is longer is sent in parts.

That a VM runs out of memory by this was not shown.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -211,6 +211,20 @@
     answer.done([counted](const auto& /*failure*/) {});
 }
 
+/// Connections have what is set for the socket that accepts them.
+void set_buffers(restinio::acceptor_options_t& acceptor, const http_server_options& options)
+{
+    acceptor.set_option(asio::socket_base::reuse_address{true});
+    if (options.receive_buffer_bytes > 0) {
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size{static_cast<int>(options.receive_buffer_bytes)});
+    }
+    if (options.send_buffer_bytes > 0) {
+        acceptor.set_option(
+            asio::socket_base::send_buffer_size{static_cast<int>(options.send_buffer_bytes)});
+    }
+}
+
 restinio::incoming_http_msg_limits_t message_limits(const http_server_options& options)
 {
     restinio::incoming_http_msg_limits_t limits;
@@ -310,14 +324,9 @@
                     .socket_options_setter([](auto& socket_options) {
                         socket_options.set_option(asio::ip::tcp::no_delay{true});
                     })
-                    .acceptor_options_setter(
-                        [receive = options.receive_buffer_bytes](auto& acceptor_options) {
-                            acceptor_options.set_option(asio::socket_base::reuse_address{true});
-                            if (receive > 0) {
-                                acceptor_options.set_option(asio::socket_base::receive_buffer_size{
-                                    static_cast<int>(receive)});
-                            }
-                        })
+                    .acceptor_options_setter([&options](auto& acceptor_options) {
+                        set_buffers(acceptor_options, options);
+                    })
                     .acceptor_post_bind_hook([raw](asio::ip::tcp::acceptor& acceptor) {
                         raw->port = acceptor.local_endpoint().port();
                     })
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -41,6 +41,9 @@
     /// The system's buffer for what a connection has received and the server has not read; 0 leaves
     /// the size to the system.
     std::size_t receive_buffer_bytes = 0;
+    /// The system's buffer for answers that a client has not read; 0 leaves the size to the system,
+    /// which may keep megabytes for each connection.
+    std::size_t send_buffer_bytes = 0;
     /// Called on a server thread, at most once a second, after the bounds have closed connections.
     std::function<void(const request_bounds_counters&)> on_closed{};
     std::size_t max_header_bytes = std::size_t{8} * 1024;
--- a/src/net/port_bounds.cpp
+++ b/src/net/port_bounds.cpp
@@ -20,6 +20,8 @@
 /// RESTinio's buffer and state, and a receive buffer that the system counts twice.
 constexpr std::size_t connection_bytes = 40 * kib;
 constexpr std::size_t receive_buffer_bytes = 16 * kib;
+/// Answers to callers are short.
+constexpr std::size_t send_buffer_bytes = 16 * kib;
 /// The clients for workers, VMs and the store keep up to five eighths of the descriptors. The ports
 /// have a quarter, plus a few connections that are being closed.
 constexpr std::size_t caller_sixteenths = 3;
@@ -63,6 +65,7 @@
     options.max_request_memory = memory / request_memory_divisor;
     if (use == port_use::callers) {
         options.receive_buffer_bytes = receive_buffer_bytes;
+        options.send_buffer_bytes = send_buffer_bytes;
         const auto affordable = memory / connection_memory_divisor / connection_bytes;
         options.max_connections =
             std::max(least_connections, std::min(options.max_connections, affordable));
--- a/tests/net/port_bounds_test.cpp
+++ b/tests/net/port_bounds_test.cpp
@@ -57,6 +57,7 @@
         EXPECT_EQ(unknown.max_request_memory, least.max_request_memory) << name_of(use);
         EXPECT_EQ(unknown.max_connections, least.max_connections) << name_of(use);
         EXPECT_EQ(unknown.receive_buffer_bytes, least.receive_buffer_bytes) << name_of(use);
+        EXPECT_EQ(unknown.send_buffer_bytes, least.send_buffer_bytes) << name_of(use);
         EXPECT_GT(unknown.max_request_memory, 0U) << name_of(use);
     }
     EXPECT_EQ(bounds_of(port_use::callers, {.descriptors = descriptors}).max_connections, 768U);
