Callers: a refusal of a malformed body is short

What callers saw: the refusal of a body that is one unended text of 64 KiB had 65,814 bytes, of which nobody reads more than the first line.

Cause: the JSON library's message repeats the last token, which may be the whole body, and the answer had all of it.

Evidence: caller_port.ARefusalIsShortHoweverLongTheBodyWas; platform_test and net_test pass.

--- a/tests/platform/caller_port_test.cpp
+++ b/tests/platform/caller_port_test.cpp
@@ -129,6 +129,19 @@
     EXPECT_EQ(status(frontend::call_malformed{"why"}), 400);
 }
 
+// Guards against a refusal that repeats a body of 256 KiB.
+TEST(caller_port, ARefusalIsShortHoweverLongTheBodyWas)
+{
+    const auto read = decode_submission('"' + std::string(200'000, 'x'));
+    ASSERT_FALSE(read.has_value());
+
+    const auto response = encode_answer(frontend::call_malformed{read.error().detail});
+
+    EXPECT_EQ(response.status, 400);
+    EXPECT_LT(response.body.size(), 1'000U);
+    EXPECT_NE(response.body.find("missing closing quote"), std::string::npos) << response.body;
+}
+
 TEST(caller_port, ARefusalSaysWhenToComeBack)
 {
     const frontend::call_refused away{frontend::call_refused::cause::store_away,
